Add the design page, the error kinds and the generic layers

The page fixes the modules, messages, state owners and failure effects before code is written. The skeleton holds what every later part imports: error kinds with their answers, defaults, settings, the timer service, the log client and reader, the blackboard, pipeline types and the peer protocol with its generated code.

looptime's pytest plugin fails without pytest-asyncio, so both are pinned.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+
+.PHONY: demo test lint bench format proto
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements.txt
+	$(VENV)/bin/pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(PY) -m standins.demo
+
+test: $(VENV)/.installed
+	$(PY) -m pytest
+
+lint: $(VENV)/.installed
+	$(VENV)/bin/black --check --quiet savoryfork standins bench tests || $(VENV)/bin/black --check savoryfork standins bench tests
+	$(VENV)/bin/ruff check --no-cache savoryfork standins bench tests
+	$(VENV)/bin/mypy
+
+format: $(VENV)/.installed
+	$(VENV)/bin/ruff check --no-cache --fix savoryfork standins bench tests
+	$(VENV)/bin/black --quiet savoryfork standins bench tests
+
+bench: $(VENV)/.installed
+	$(PY) -m bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool: measures the policy against simple baselines."""
--- /dev/null
+++ b/savoryfork/daemon.py
@@ -0,0 +1,1 @@
+"""Assembles the daemon."""
--- /dev/null
+++ b/savoryfork/errors.py
@@ -0,0 +1,132 @@
+"""The closed list of error kinds and the answer that each one gives."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any, NamedTuple
+
+
+class Ran(enum.StrEnum):
+    """Whether the refused or failed request took effect."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every way in which the system refuses or fails a request."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_PIPELINE = "unknown_pipeline"
+    UNKNOWN_REQUEST = "unknown_request"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    IDEMPOTENCY_KEY_INVALID = "idempotency_key_invalid"
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
+    IDEMPOTENCY_KEY_MISMATCH = "idempotency_key_mismatch"
+    REQUEST_IN_PROGRESS = "request_in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NOT_READY = "not_ready"
+    LOG_UNAVAILABLE = "log_unavailable"
+    NO_TARGETS = "no_targets"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    STAGE_FAILED = "stage_failed"
+    ACTION_REJECTED = "action_rejected"
+    ANSWER_INCOMPLETE = "answer_incomplete"
+    PUBLICATION_INVALID = "publication_invalid"
+    PUBLICATION_CONFLICT = "publication_conflict"
+    PUBLICATION_UNKNOWN = "publication_unknown"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What a caller is told for an error kind."""
+
+    status: int
+    ran: Ran
+    retry: bool
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED_REQUEST: Answer(400, Ran.NO, False),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO, False),
+    ErrorKind.BODY_TOO_SLOW: Answer(408, Ran.NO, True),
+    ErrorKind.UNAUTHORIZED: Answer(401, Ran.NO, False),
+    ErrorKind.UNKNOWN_PIPELINE: Answer(404, Ran.NO, False),
+    ErrorKind.UNKNOWN_REQUEST: Answer(404, Ran.NO, False),
+    ErrorKind.IDEMPOTENCY_KEY_REQUIRED: Answer(400, Ran.NO, False),
+    ErrorKind.IDEMPOTENCY_KEY_INVALID: Answer(400, Ran.NO, False),
+    ErrorKind.IDEMPOTENCY_KEY_EXPIRED: Answer(409, Ran.UNKNOWN, False),
+    ErrorKind.IDEMPOTENCY_KEY_MISMATCH: Answer(409, Ran.NO, False),
+    ErrorKind.REQUEST_IN_PROGRESS: Answer(409, Ran.UNKNOWN, True),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, False),
+    ErrorKind.OVERLOADED: Answer(429, Ran.NO, True),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(503, Ran.NO, True),
+    ErrorKind.NOT_READY: Answer(503, Ran.NO, True),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.NO, True),
+    ErrorKind.NO_TARGETS: Answer(503, Ran.NO, True),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.NO, True),
+    ErrorKind.STAGE_FAILED: Answer(502, Ran.NO, True),
+    ErrorKind.ACTION_REJECTED: Answer(422, Ran.YES, False),
+    ErrorKind.ANSWER_INCOMPLETE: Answer(502, Ran.UNKNOWN, True),
+    ErrorKind.PUBLICATION_INVALID: Answer(422, Ran.NO, False),
+    ErrorKind.PUBLICATION_CONFLICT: Answer(409, Ran.NO, False),
+    ErrorKind.PUBLICATION_UNKNOWN: Answer(502, Ran.UNKNOWN, True),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, False),
+}
+
+
+class ServiceError(Exception):
+    """A refusal or failure with a kind from the closed list.
+
+    `ran` overrides the table for the kinds whose answer depends on what was already sent: an
+    idempotent run that reached a target answers `deadline_exceeded` with `ran` unknown.
+
+    >>> error = ServiceError(ErrorKind.OVERLOADED, "the queue is full")
+    >>> error.answer.status, error.ran.value, str(error)
+    (429, 'no', 'the queue is full')
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        *,
+        ran: Ran | None = None,
+        stage: str | None = None,
+        details: Any = None,
+    ) -> None:
+        super().__init__(message)
+        self.kind = kind
+        self.stage = stage
+        self.details = details
+        self.ran = ran if ran is not None else ANSWERS[kind].ran
+
+    @property
+    def answer(self) -> Answer:
+        """The row of the table for this error's kind."""
+        return ANSWERS[self.kind]
+
+    def body(self, request_id: str) -> dict[str, Any]:
+        """The JSON body that reports this error to a caller or an operator."""
+        error: dict[str, Any] = {
+            "kind": self.kind.value,
+            "message": str(self),
+            "ran": self.ran.value,
+            "retry": self.answer.retry,
+            "request_id": request_id,
+        }
+        if self.stage is not None:
+            error["stage"] = self.stage
+        if self.details is not None:
+            error["details"] = self.details
+        return {"error": error}
+
+
+class UserError(Exception):
+    """A mistake of the person at the keyboard: shown as a message, never as a traceback."""
--- /dev/null
+++ b/savoryfork/proto/__init__.py
@@ -0,0 +1,1 @@
+"""The peer protocol and the code generated from it."""
--- /dev/null
+++ b/savoryfork/settings.py
@@ -0,0 +1,100 @@
+"""The daemon's settings: a JSON file, checked strictly before anything starts."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import jsonschema
+
+from savoryfork import defaults
+from savoryfork.errors import UserError
+
+ADDRESS = {"type": "string", "pattern": r"^[0-9.]+:[0-9]{1,5}$|^\[[0-9a-fA-F:]+\]:[0-9]{1,5}$"}
+URL = {"type": "string", "pattern": r"^https?://[0-9.\[\]:a-fA-F]+/?$"}
+KEY = {"type": "string", "minLength": 16}
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": [
+        "host",
+        "availability_zone",
+        "caller_address",
+        "operator_address",
+        "peer_address",
+        "platform_url",
+        "peer_keys",
+        "operator_keys",
+    ],
+    "properties": {
+        "host": {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"},
+        "availability_zone": {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"},
+        "caller_address": ADDRESS,
+        "operator_address": ADDRESS,
+        "peer_address": ADDRESS,
+        "platform_url": URL,
+        "peer_keys": {"type": "array", "items": KEY, "minItems": 1, "maxItems": 2},
+        "operator_keys": {"type": "object", "additionalProperties": KEY},
+        "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
+        "balancer_delay_ms": {"type": "integer", "minimum": 0, "maximum": 60_000},
+        "max_body_bytes": {"type": "integer", "minimum": 1_024},
+        "policy": {"enum": ["adaptive", "round_robin", "least_outstanding"]},
+    },
+}
+
+
+class Settings(NamedTuple):
+    """What one host is told at its start. Addresses are IP numbers with a port.
+
+    The first of `peer_keys` is sent, each of them is accepted, so that a key can be rotated.
+    `policy` selects the routing policy; the two others than adaptive are baselines.
+    """
+
+    host: str
+    availability_zone: str
+    caller_address: str
+    operator_address: str
+    peer_address: str
+    platform_url: str
+    peer_keys: tuple[str, ...]
+    operator_keys: dict[str, str]
+    log_level: str = "INFO"
+    balancer_delay_ms: int = defaults.BALANCER_DELAY_MS
+    max_body_bytes: int = defaults.MAX_BODY_BYTES
+    policy: str = "adaptive"
+
+
+def parse(document: Any, file: str = "settings") -> Settings:
+    """Checks a decoded document; raises UserError with file, path and reason."""
+    errors = sorted(
+        jsonschema.Draft202012Validator(SCHEMA).iter_errors(document), key=lambda e: list(e.path)
+    )
+    if errors:
+        lines = [f"{file}: {'/'.join(map(str, e.path)) or '.'}: {e.message}" for e in errors]
+        raise UserError("\n".join(lines))
+    fields = dict(document)
+    fields["peer_keys"] = tuple(fields["peer_keys"])
+    return Settings(**fields)
+
+
+def load(path: str | Path) -> Settings:
+    """Reads a settings file; raises UserError if it can't be read or does not check."""
+    try:
+        document = json.loads(Path(path).read_text())
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror}") from error
+    except json.JSONDecodeError as error:
+        raise UserError(f"{path}:{error.lineno}: not JSON: {error.msg}") from error
+    return parse(document, str(path))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits `ip:port`.
+
+    >>> split_address("127.0.0.1:8100"), split_address("[::1]:8100")
+    (('127.0.0.1', 8100), ('::1', 8100))
+    """
+    ip, _, port = address.rpartition(":")
+    return ip.strip("[]"), int(port)
--- /dev/null
+++ b/savoryfork/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/savoryfork/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/savoryfork/util/__init__.py
@@ -0,0 +1,1 @@
+"""Generic layers that know nothing of pipelines."""
--- /dev/null
+++ b/savoryfork/util/logs.py
@@ -0,0 +1,32 @@
+"""One line of key=value pairs for each event, through the standard logging module."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+from logfmter import Logfmter
+
+
+def setup(host: str, level: str = "INFO") -> None:
+    """Sends every log record to standard error as one key=value line."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        Logfmter(
+            keys=["at", "time", "logger"],
+            mapping={"at": "levelname", "time": "asctime", "logger": "name"},
+            defaults={"host": host},
+        )
+    )
+    logging.basicConfig(handlers=[handler], level=level, force=True)
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
+
+
+def event(logger: logging.Logger, name: str, level: int = logging.INFO, **fields: Any) -> None:
+    """Logs one event. Fields that are None are left out; prompt text and keys never go in."""
+    if not logger.isEnabledFor(level):
+        return
+    pairs = {"event": name}
+    pairs.update({key: value for key, value in fields.items() if value is not None})
+    logger.log(level, pairs)
--- /dev/null
+++ b/savoryfork/util/timer.py
@@ -0,0 +1,121 @@
+"""A timer service: parts subscribe to periodic ticks instead of running loops of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+log = logging.getLogger(__name__)
+
+Callback = Callable[[], Awaitable[None]]
+
+
+class Clock(NamedTuple):
+    """Sources of time, in milliseconds; tests inject their own.
+
+    `monotonic_ms` keeps counting while the process is stopped; `wall_ms` is Unix time.
+    """
+
+    monotonic_ms: Callable[[], float]
+    wall_ms: Callable[[], float]
+
+
+def system_clock() -> Clock:
+    """The clock of this machine."""
+    return Clock(lambda: time.monotonic() * 1000, lambda: time.time() * 1000)
+
+
+class Subscription:
+    """One part's periodic tick; a tick is skipped while the previous one still runs."""
+
+    def __init__(self, name: str, period_ms: float, callback: Callback) -> None:
+        self.name = name
+        self.period_ms = period_ms
+        self.callback = callback
+        self.due_ms = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+
+class TimerService:
+    """Calls subscribers at their periods and measures how late the loop wakes.
+
+    `pause_ms` is the longest delay of the loop beyond one tick since `take_pause` was last called;
+    `last_beat_ms` is the monotonic time of the last tick. A large gap means that the process was
+    stopped or starved, so anything decided before it may be out of date.
+    """
+
+    def __init__(self, clock: Clock, tick_ms: float) -> None:
+        self.clock = clock
+        self.tick_ms = tick_ms
+        self.subscriptions: list[Subscription] = []
+        self.last_beat_ms = clock.monotonic_ms()
+        self.longest_pause_ms = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+    def subscribe(self, name: str, period_ms: float, callback: Callback) -> Subscription:
+        """Calls `callback` every `period_ms`, first after one period."""
+        subscription = Subscription(name, period_ms, callback)
+        subscription.due_ms = self.clock.monotonic_ms() + period_ms
+        self.subscriptions.append(subscription)
+        return subscription
+
+    def unsubscribe(self, subscription: Subscription) -> None:
+        """Ends a subscription; a tick that is running is cancelled."""
+        self.subscriptions.remove(subscription)
+        if subscription.task is not None:
+            subscription.task.cancel()
+
+    def paused_ms(self) -> float:
+        """How long the loop has been away since its last tick, beyond the tick itself."""
+        return max(0.0, self.clock.monotonic_ms() - self.last_beat_ms - self.tick_ms)
+
+    def take_pause(self) -> float:
+        """Returns the longest pause in milliseconds since the last call and resets it."""
+        pause, self.longest_pause_ms = self.longest_pause_ms, 0.0
+        return pause
+
+    def start(self) -> None:
+        """Starts ticking on the running loop."""
+        self.last_beat_ms = self.clock.monotonic_ms()
+        self.task = asyncio.get_running_loop().create_task(self.run(), name="timer")
+
+    async def stop(self) -> None:
+        """Stops ticking and cancels the ticks that are running."""
+        tasks = [s.task for s in self.subscriptions if s.task is not None]
+        if self.task is not None:
+            tasks.append(self.task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def run(self) -> None:
+        """The only periodic loop of the process."""
+        while True:
+            await asyncio.sleep(self.tick_ms / 1000)
+            self.beat()
+
+    def beat(self) -> None:
+        """Runs every subscription that is due."""
+        now = self.clock.monotonic_ms()
+        self.longest_pause_ms = max(self.longest_pause_ms, self.paused_ms())
+        self.last_beat_ms = now
+        for subscription in self.subscriptions:
+            if now < subscription.due_ms:
+                continue
+            subscription.due_ms = now + subscription.period_ms
+            if subscription.task is None or subscription.task.done():
+                subscription.task = asyncio.get_running_loop().create_task(
+                    self.call(subscription), name=f"timer-{subscription.name}"
+                )
+
+    async def call(self, subscription: Subscription) -> None:
+        """Runs one tick; an exception is a bug of the subscriber and is logged, not raised."""
+        try:
+            await subscription.callback()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("event=timer_callback_failed name=%s", subscription.name)
