--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -41,3 +41,6 @@
 # A loop that was away for longer than this counts as paused.
 PAUSE_THRESHOLD_MS = 250
 TIMER_TICK_MS = 50
+
+# Attempts that never reached a target are repeated this often without spending the retry budget.
+MAX_UNSENT_ATTEMPTS = 5
--- /dev/null
+++ b/savoryfork/runner.py
@@ -0,0 +1,639 @@
+"""Runs a pipeline for one request: stages, retries, hedges, the deadline and the claim."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+import uuid
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypedDict
+
+from savoryfork import defaults
+from savoryfork.board import Board
+from savoryfork.burn import BurnRecorder
+from savoryfork.calls import (
+    ActionRejected,
+    Attempt,
+    CallError,
+    Scalar,
+    StageInput,
+    Superseded,
+    TargetClient,
+    TokenStream,
+    generation_prompt,
+    output,
+)
+from savoryfork.claims import Claims, ClaimRequestData, Existing, KeyState
+from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
+from savoryfork.errors import ErrorKind, Ran, ServiceError
+from savoryfork.metrics import Metrics
+from savoryfork.pipeline import (
+    ActionStage,
+    Configuration,
+    GenerateStage,
+    Pipeline,
+    Stage,
+    Workspace,
+    claim_needed,
+    non_idempotent,
+)
+from savoryfork.util import logs
+from savoryfork.util.timer import TimerService
+
+log = logging.getLogger(__name__)
+
+# Rough size of a token in characters, for predictions only.
+CHARS_PER_TOKEN = 4
+PREFIX_CHARS = 512
+
+
+class RunRequest(NamedTuple):
+    """One request, bound to the configuration in effect when it was admitted.
+
+    `deadline_ms` is monotonic, `key` the idempotency key or None, `digest` the digest of the input.
+    """
+
+    request_id: str
+    workspace: Workspace
+    pipeline: Pipeline
+    configuration: Configuration
+    text: str
+    fields: Mapping[str, Scalar]
+    max_tokens: int | None
+    priority: int
+    deadline_ms: float
+    key: str | None
+    digest: str
+
+
+class StageReport(TypedDict):
+    """What a stage did, as reported to the caller."""
+
+    stage: str
+    target: str
+    attempts: int
+    duration_ms: float
+
+
+class RunAnswer(TypedDict):
+    """The whole answer of a run."""
+
+    request_id: str
+    answer: dict[str, Any]
+    stages: list[StageReport]
+    config_offset: int
+
+
+TokenCallback = Callable[[int, str], None]
+
+
+class Run:
+    """The state of one run. `sent` is True once any attempt may have reached a target."""
+
+    def __init__(self, request: RunRequest, on_token: TokenCallback) -> None:
+        self.request = request
+        self.on_token = on_token
+        self.given = StageInput(
+            request.text,
+            request.fields,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+        )
+        self.reports: list[StageReport] = []
+        self.action: Any = None
+        self.sent = False
+        self.action_sent = False
+        self.stage: str | None = None
+
+    def answer(self) -> RunAnswer:
+        """The whole answer, once every stage has ended."""
+        answer: dict[str, Any] = {}
+        if self.given.generated:
+            answer["text"] = self.given.generated
+        if self.given.documents:
+            answer["documents"] = [document._asdict() for document in self.given.documents]
+        if self.action is not None:
+            answer["action"] = self.action
+        return {
+            "request_id": self.request.request_id,
+            "answer": answer,
+            "stages": self.reports,
+            "config_offset": self.request.configuration.offset,
+        }
+
+
+class Runner:
+    """Runs requests on this host and is responsible for their outcome."""
+
+    def __init__(
+        self,
+        board: Board,
+        timer: TimerService,
+        dispatcher: Dispatcher,
+        client: TargetClient,
+        claims: Claims,
+        burn: BurnRecorder,
+        metrics: Metrics,
+    ) -> None:
+        self.board = board
+        self.timer = timer
+        self.clock = timer.clock
+        self.dispatcher = dispatcher
+        self.client = client
+        self.claims = claims
+        self.burn = burn
+        self.metrics = metrics
+        self.inflight = 0
+        self.background: set[asyncio.Task[Any]] = set()
+
+    async def run(self, request: RunRequest, on_token: TokenCallback) -> RunAnswer:
+        """Runs one request to its outcome and accounts for it. Raises ServiceError."""
+        run = Run(request, on_token)
+        started_ms = self.clock.monotonic_ms()
+        self.inflight += 1
+        kind: ErrorKind | None = None
+        try:
+            return await self.outcome(run)
+        except ServiceError as error:
+            kind = error.kind
+            raise
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            kind = ErrorKind.INTERNAL
+            log.exception("event=run_failed request=%s", request.request_id)
+            ran = Ran.UNKNOWN if run.sent else Ran.NO
+            raise ServiceError(kind, "internal error", ran=ran) from error
+        finally:
+            self.inflight -= 1
+            self.account(run, kind, self.clock.monotonic_ms() - started_ms)
+
+    def account(self, run: Run, kind: ErrorKind | None, duration_ms: float) -> None:
+        """Counts and logs the end of a run."""
+        request = run.request
+        result = kind.value if kind else "answered"
+        workspace, pipeline = request.workspace.name, request.pipeline.name
+        self.metrics.runs.inc({"workspace": workspace, "pipeline": pipeline, "result": result})
+        if kind is None:
+            self.metrics.run_seconds.observe({"pipeline": pipeline}, duration_ms / 1000)
+        self.burn.record(
+            workspace,
+            pipeline,
+            kind,
+            run.stage if kind else None,
+            kind is None and self.clock.monotonic_ms() <= request.deadline_ms,
+            duration_ms,
+            {report["stage"]: report["duration_ms"] for report in run.reports},
+            self.clock.wall_ms(),
+        )
+        logs.event(
+            log,
+            "run_ended",
+            request=request.request_id,
+            workspace=workspace,
+            pipeline=pipeline,
+            stage=run.stage if kind else None,
+            error=kind.value if kind else None,
+            duration_ms=round(duration_ms, 1),
+            config_offset=request.configuration.offset,
+        )
+
+    async def outcome(self, run: Run) -> RunAnswer:
+        """Chooses between a plain run and one under a claim."""
+        request = run.request
+        self.dispatcher.admit(
+            request.pipeline,
+            request.configuration.services,
+            [self.work(run, stage) for stage in request.pipeline.stages],
+        )
+        if claim_needed(request.pipeline, request.configuration):
+            return await self.run_claimed(run)
+        await self.run_stages(run)
+        return run.answer()
+
+    async def run_claimed(self, run: Run) -> RunAnswer:
+        """Runs a request whose action may happen at most once."""
+        request = run.request
+        assert request.key is not None
+        data = ClaimRequestData(
+            request.workspace.name,
+            request.pipeline.name,
+            request.key,
+            request.digest,
+            request.deadline_ms,
+        )
+        claimed = await self.claims.claim(data)
+        if isinstance(claimed, Existing):
+            self.metrics.claims.inc({"result": "existing"})
+            return await self.existing_answer(run, claimed.state)
+        self.metrics.claims.inc({"result": "won"})
+        # The action and its outcome go on when the caller is gone or its deadline has passed.
+        task = asyncio.create_task(self.run_holding(run, data, claimed.claim))
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+        task.add_done_callback(lambda t: t.cancelled() or t.exception())
+        remaining_s = max(0.0, request.deadline_ms - self.clock.monotonic_ms()) / 1000
+        done, _ = await asyncio.wait([task], timeout=remaining_s)
+        if done:
+            return task.result()
+        if run.action_sent:
+            raise ServiceError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the action was sent and has not been answered yet; ask for the request's status",
+                stage=run.stage,
+            )
+        # The stages stop at the deadline by themselves and give the claim back.
+        return await task
+
+    async def run_holding(self, run: Run, data: ClaimRequestData, claim: str) -> RunAnswer:
+        """Runs the stages under a claim and records the outcome or gives the claim back."""
+        try:
+            await self.run_stages(run)
+        except ActionRejected as error:
+            await self.settle(data, claim, "rejected", error.details)
+            raise rejected(error.details, run.stage) from error
+        except ServiceError as error:
+            if run.action_sent:
+                await self.settle(data, claim, "unknown", None)
+                if error.kind == ErrorKind.OUTCOME_UNKNOWN:
+                    raise
+                raise ServiceError(
+                    ErrorKind.OUTCOME_UNKNOWN, str(error), stage=run.stage
+                ) from error
+            await self.claims.release(data, claim)
+            raise
+        except BaseException:
+            if run.action_sent:
+                await asyncio.shield(self.settle(data, claim, "unknown", None))
+            else:
+                await asyncio.shield(self.claims.release(data, claim))
+            raise
+        answer = run.answer()
+        await self.settle(data, claim, "done", answer)
+        return answer
+
+    async def settle(self, data: ClaimRequestData, claim: str, state: str, answer: Any) -> None:
+        """Records an outcome; while the log is out the caller is not kept waiting for it."""
+        landed = await self.claims.settle(data, claim, state, answer)
+        self.metrics.claims.inc({"result": state if landed else f"{state}_pending"})
+
+    async def existing_answer(self, run: Run, state: KeyState) -> RunAnswer:
+        """Answers from the run that holds or held the key, waiting for it within the deadline."""
+        request = run.request
+        assert request.key is not None
+        if state.state == "running":
+            wait_ms = max(0.0, request.deadline_ms - self.clock.monotonic_ms() - 50)
+            latest = await self.claims.lookup(request.workspace.name, request.key, wait_ms)
+            state = latest or state
+        if state.state == "done" and state.answer is not None:
+            return state.answer
+        if state.state == "done":
+            raise ServiceError(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the request ran; its answer was too large to keep",
+                ran=Ran.YES,
+            )
+        if state.state == "rejected":
+            raise rejected(state.answer, None)
+        if state.state == "unknown":
+            raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, "an earlier run's outcome is unknown")
+        if state.state == "running" and self.clock.wall_ms() > state.deadline_wall_ms + 60_000:
+            raise ServiceError(
+                ErrorKind.OUTCOME_UNKNOWN, "an earlier run of this key ended without an outcome"
+            )
+        raise ServiceError(
+            ErrorKind.REQUEST_IN_PROGRESS, "another run of this key has not ended; try again"
+        )
+
+    async def run_stages(self, run: Run) -> None:
+        """Runs the stages in order, each on the output of the one before."""
+        once = non_idempotent(run.request.pipeline, run.request.configuration)
+        for stage in run.request.pipeline.stages:
+            run.stage = stage.name
+            if isinstance(stage, ActionStage) and once:
+                await self.run_action(run, stage)
+            else:
+                await self.run_repeatable(run, stage)
+
+    def work(self, run: Run, stage: Stage) -> Work:
+        """What the dispatcher needs to know of a stage call."""
+        request = run.request
+        prompt_tokens, max_tokens, prefix = 0, 0, ""
+        if isinstance(stage, GenerateStage):
+            prompt = generation_prompt(run.given)
+            prompt_tokens = max(1, len(prompt) // CHARS_PER_TOKEN)
+            max_tokens = min(stage.max_tokens, request.max_tokens or stage.max_tokens)
+            prefix = hashlib.blake2b(prompt[:PREFIX_CHARS].encode(), digest_size=8).hexdigest()
+        return Work(
+            request.workspace.name,
+            request.pipeline.name,
+            stage.name,
+            request.priority,
+            prompt_tokens,
+            max_tokens,
+            request.deadline_ms,
+            prefix,
+            request.workspace.share,
+        )
+
+    async def run_repeatable(self, run: Run, stage: Stage) -> None:
+        """Runs a stage that may be called more than once, until one whole answer or the deadline."""
+        started_ms = self.clock.monotonic_ms()
+        deadline_s = (run.request.deadline_ms - started_ms) / 1000
+        attempts = StageAttempts(self, run, stage)
+        try:
+            async with asyncio.timeout(max(0.0, deadline_s)):
+                answer, target = await attempts.first_answer()
+        except TimeoutError as error:
+            raise ServiceError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f"the deadline passed in stage {stage.name}",
+                ran=self.ran(run),
+                stage=stage.name,
+            ) from error
+        run.given = output(stage, run.given, answer)
+        self.report(run, stage, target, attempts.count, started_ms)
+
+    def ran(self, run: Run) -> Ran:
+        """What to tell of a failed run that has not sent its action."""
+        if non_idempotent(run.request.pipeline, run.request.configuration):
+            return Ran.UNKNOWN if run.action_sent else Ran.NO
+        return Ran.UNKNOWN if run.sent else Ran.NO
+
+    def report(
+        self, run: Run, stage: Stage, target: str, attempts: int, started_ms: float
+    ) -> None:
+        """Notes what a finished stage did."""
+        duration_ms = self.clock.monotonic_ms() - started_ms
+        self.metrics.stage_seconds.observe(
+            {"pipeline": run.request.pipeline.name, "stage": stage.name}, duration_ms / 1000
+        )
+        run.reports.append(
+            {
+                "stage": stage.name,
+                "target": target,
+                "attempts": attempts,
+                "duration_ms": round(duration_ms, 1),
+            }
+        )
+
+    async def run_action(self, run: Run, stage: ActionStage) -> None:
+        """Sends an action at most once; only an attempt that was never sent is repeated.
+
+        A service that ignores a repeated idempotency key may be asked again after a failure.
+        """
+        started_ms = self.clock.monotonic_ms()
+        service = run.request.configuration.services[stage.service]
+        exclude: frozenset[str] = frozenset()
+        count = 0
+        while True:
+            try:
+                slot = await self.acquire(run, stage, exclude)
+                count += 1
+                run.action = await self.attempt(run, stage, slot, None)
+            except CallError as error:
+                if service.dedupes and self.clock.monotonic_ms() < run.request.deadline_ms:
+                    exclude = self.next_exclude(run, stage, exclude, slot.target.name)
+                    await asyncio.sleep(0.02 * min(count, 10))
+                    continue
+                if error.sent:
+                    run.action_sent = True
+                    raise ServiceError(
+                        ErrorKind.OUTCOME_UNKNOWN,
+                        f"the action was sent and got no usable answer: {error}",
+                        stage=stage.name,
+                    ) from error
+                run.action_sent = False
+                if error.result is CallResult.CANCELLED and not error.draining:
+                    raise ServiceError(
+                        ErrorKind.DEADLINE_EXCEEDED, str(error), ran=Ran.NO, stage=stage.name
+                    ) from error
+                exclude = self.next_exclude(run, stage, exclude, slot.target.name)
+                if count >= defaults.MAX_UNSENT_ATTEMPTS:
+                    raise ServiceError(
+                        ErrorKind.STAGE_FAILED, str(error), ran=Ran.NO, stage=stage.name
+                    ) from error
+                continue
+            self.report(run, stage, slot.target.name, count, started_ms)
+            return
+
+    def next_exclude(
+        self, run: Run, stage: Stage, exclude: frozenset[str], failed: str
+    ) -> frozenset[str]:
+        """Excludes a failed target, unless that would leave none."""
+        names = {target.name for target in self.board.targets_of(stage.service)}
+        wider = exclude | {failed}
+        return wider if names - wider else frozenset()
+
+    async def acquire(self, run: Run, stage: Stage, exclude: frozenset[str]) -> Slot:
+        """Waits for a target within the deadline."""
+        service = run.request.configuration.services[stage.service]
+        remaining_s = (run.request.deadline_ms - self.clock.monotonic_ms()) / 1000
+        try:
+            async with asyncio.timeout(max(0.0, remaining_s)):
+                return await self.dispatcher.acquire(service, self.work(run, stage), exclude)
+        except TimeoutError as error:
+            raise ServiceError(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f"no target of {stage.service} was free before the deadline",
+                ran=self.ran(run),
+                stage=stage.name,
+            ) from error
+        except ServiceError as error:
+            error.stage = stage.name
+            error.ran = self.ran(run)
+            raise
+
+    async def attempt(
+        self, run: Run, stage: Stage, slot: Slot, stream: TokenStream | None
+    ) -> Any:
+        """Makes one attempt with a slot and gives the slot back."""
+        action = isinstance(stage, ActionStage)
+        result = CallResult.CANCELLED
+
+        def before_send() -> None:
+            if action:
+                self.check_awake(run)
+                run.action_sent = True
+            run.sent = True
+
+        frame = Attempt(
+            uuid.uuid4().hex,
+            slot.target,
+            run.request.deadline_ms,
+            run.request.key if action else None,
+            stream,
+            before_send,
+            lambda: self.dispatcher.first_token(slot),
+        )
+        before = len(stream.tokens) if stream else 0
+        try:
+            answer = await self.client.attempt(stage, run.given, frame)
+            result = CallResult.ANSWERED
+            return answer
+        except ActionRejected:
+            result = CallResult.ANSWERED
+            raise
+        except CallError as error:
+            result = error.result
+            logs.event(
+                log,
+                "attempt_failed",
+                logging.WARNING,
+                request=run.request.request_id,
+                workspace=run.request.workspace.name,
+                pipeline=run.request.pipeline.name,
+                stage=stage.name,
+                target=slot.target.name,
+                result=result.value,
+                reason=str(error),
+            )
+            raise
+        finally:
+            tokens = len(stream.tokens) - before if stream else 0
+            self.dispatcher.release(slot, result, tokens)
+            self.metrics.attempts.inc({"service": stage.service, "result": result.value})
+            if tokens:
+                self.metrics.tokens.add({"stage": stage.name}, tokens)
+
+    def check_awake(self, run: Run) -> None:
+        """Stops an action from leaving after the deadline, also if the process was paused."""
+        if self.clock.monotonic_ms() >= run.request.deadline_ms:
+            raise CallError(
+                "the deadline passed before the action was sent", CallResult.CANCELLED, sent=False
+            )
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Waits until no run is in progress and every outcome is recorded, or for `timeout_ms`."""
+        until_ms = self.clock.monotonic_ms() + timeout_ms
+        while (self.inflight or self.background) and self.clock.monotonic_ms() < until_ms:
+            await asyncio.sleep(0.02)
+        await self.claims.drain(max(0.0, until_ms - self.clock.monotonic_ms()))
+
+
+def rejected(details: Any, stage: str | None) -> ServiceError:
+    """The error for an action that the service refused."""
+    return ServiceError(
+        ErrorKind.ACTION_REJECTED, "the service refused the action", stage=stage, details=details
+    )
+
+
+class StageAttempts:
+    """The attempts of one stage that may be repeated: retries one after another, and hedges."""
+
+    def __init__(self, runner: Runner, run: Run, stage: Stage) -> None:
+        self.runner = runner
+        self.run = run
+        self.stage = stage
+        self.service = run.request.configuration.services[stage.service]
+        self.stream = TokenStream(run.on_token) if isinstance(stage, GenerateStage) else None
+        self.exclude: frozenset[str] = frozenset()
+        self.count = 0
+        self.free_retries = defaults.MAX_UNSENT_ATTEMPTS
+        self.tasks: dict[asyncio.Task[Any], Slot] = {}
+
+    async def first_answer(self) -> tuple[Any, str]:
+        """The first whole answer and the target that gave it; all other attempts are cancelled."""
+        try:
+            await self.start()
+            hedge_ms = self.runner.dispatcher.hedge_delay_ms(
+                self.service, self.runner.work(self.run, self.stage)
+            )
+            while True:
+                timeout = hedge_ms / 1000 if hedge_ms is not None else None
+                done, _ = await asyncio.wait(
+                    self.tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+                )
+                hedge_ms = None
+                if not done:
+                    await self.hedge()
+                    continue
+                for task in done:
+                    slot = self.tasks.pop(task)
+                    error = task.exception()
+                    if error is None:
+                        return task.result(), slot.target.name
+                    await self.failed(error, slot)
+        finally:
+            await self.cancel()
+
+    async def start(self) -> None:
+        """Starts one attempt at a target that has not failed this stage."""
+        self.begin(await self.runner.acquire(self.run, self.stage, self.exclude))
+
+    def begin(self, slot: Slot) -> None:
+        """Starts an attempt with a slot."""
+        self.count += 1
+        task = asyncio.create_task(
+            self.runner.attempt(self.run, self.stage, slot, self.stream)
+        )
+        self.tasks[task] = slot
+
+    async def hedge(self) -> None:
+        """Starts a second attempt at another target if the budget allows it."""
+        if self.stream is not None and self.stream.tokens:
+            return
+        busy = {slot.target.name for slot in self.tasks.values()}
+        names = {t.name for t in self.runner.board.targets_of(self.stage.service)}
+        if not names - busy - self.exclude:
+            return
+        if not self.runner.dispatcher.take_hedge(self.service):
+            return
+        acquire = asyncio.create_task(
+            self.runner.acquire(self.run, self.stage, self.exclude | busy)
+        )
+        begun = False
+        try:
+            await asyncio.wait([acquire, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
+            if acquire.done() and acquire.exception() is None:
+                begun = True
+                self.begin(acquire.result())
+        finally:
+            if not begun:
+                acquire.cancel()
+                acquire.add_done_callback(self.give_back)
+
+    def give_back(self, acquire: asyncio.Task[Slot]) -> None:
+        """Releases a slot that arrived when it was no longer wanted."""
+        if not acquire.cancelled() and acquire.exception() is None:
+            self.runner.dispatcher.release(acquire.result(), CallResult.CANCELLED, 0)
+
+    async def failed(self, error: BaseException, slot: Slot) -> None:
+        """Retries after a failed attempt, within the budgets, unless another one still runs."""
+        if isinstance(error, Superseded) and self.tasks:
+            return
+        if not isinstance(error, CallError | Superseded):
+            raise error
+        self.exclude = self.runner.next_exclude(
+            self.run, self.stage, self.exclude, slot.target.name
+        )
+        if isinstance(error, CallError) and error.draining:
+            self.runner.client.membership.note_leaving(
+                slot.target.name, slot.target.incarnation, "answer"
+            )
+        if self.tasks:
+            return
+        unsent = isinstance(error, CallError) and not error.sent
+        if unsent and self.free_retries > 0:
+            self.free_retries -= 1
+        elif not self.runner.dispatcher.take_retry(self.service):
+            kind = ErrorKind.ANSWER_INCOMPLETE if self.partial() else ErrorKind.STAGE_FAILED
+            raise ServiceError(
+                kind,
+                f"stage {self.stage.name} failed: {error}",
+                ran=self.runner.ran(self.run),
+                stage=self.stage.name,
+            ) from error
+        await self.start()
+
+    def partial(self) -> bool:
+        """True if tokens were delivered that are not yet a whole answer."""
+        return self.stream is not None and bool(self.stream.tokens)
+
+    async def cancel(self) -> None:
+        """Ends the attempts that are still running; their answers go nowhere."""
+        tasks, self.tasks = list(self.tasks), {}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
