--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,324 @@
+"""The platform: an append-only log, the host list and a rate-limited weight store.
+
+Run with `python -m standins.platform --port=8000`. Everything is in memory. The faults are set at
+`POST /control/faults`; `/control` itself has none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import Annotated, Any, Literal, NamedTuple, TypedDict
+
+from aiohttp import web
+
+from savoryfork.util.bucket import TokenBucket
+from standins import server
+
+MAX_READ_RECORDS = 1_000
+MAX_WAIT_MS = 30_000
+MAX_BODY_BYTES = 8 * 1_048_576
+
+
+class PlatformSettings(NamedTuple):
+    """Flags of the platform."""
+
+    appends_per_s: Annotated[float, "appends a second over all topics; 0 is no limit"] = 400.0
+    retention_records: Annotated[int, "records kept in each topic"] = 100_000
+    retention_ms: Annotated[int, "age up to which records are kept"] = 7_200_000
+    hosts_lag_ms: Annotated[float, "delay of changes in the host list"] = 0.0
+    weights_per_minute: Annotated[float, "downloads a minute from the weight store"] = 30.0
+    weights_ms: Annotated[float, "duration of one download"] = 200.0
+
+
+class Faults(TypedDict, total=False):
+    """Body of `POST /control/faults`; fields that are absent stay as they are.
+
+    `down` answers 503 in down_mode `refuse` and holds connections in down_mode `hang`.
+    `lose_answers` counts appends that land without an answer. `delay_append_ms` holds each append
+    back; it lands even if the client has gone. With delay_mode `close` the connection is closed
+    at once. `reset` returns to the settings first.
+    """
+
+    down: bool
+    down_mode: Literal["refuse", "hang"]
+    latency_ms: float
+    lose_answers: int
+    appends_per_s: float
+    hosts_lag_ms: float
+    retention_records: int
+    retention_ms: int
+    delay_append_ms: float
+    delay_mode: Literal["hold", "close"]
+    reset: bool
+
+
+class Append(TypedDict):
+    """Body of an append."""
+
+    records: list[dict[str, Any]]
+
+
+class HostEntry(TypedDict):
+    """One entry of the host list; `address` is an IP number with a port."""
+
+    name: str
+    service: str
+    address: str
+    availability_zone: str
+    incarnation: str
+    state: Literal["live", "leaving"]
+
+
+class HostList(TypedDict):
+    """Body of `PUT /control/hosts`."""
+
+    hosts: list[HostEntry]
+
+
+class Topic:
+    """The records of one topic; offset `start` is the oldest one kept."""
+
+    def __init__(self) -> None:
+        self.records: list[dict[str, Any]] = []
+        self.start = 0
+        self.changed = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """The offset that the next record will have."""
+        return self.start + len(self.records)
+
+    def append(self, values: list[dict[str, Any]], time_ms: int) -> int:
+        """Appends all values in one step and returns the offset of the first."""
+        first = self.end
+        self.records.extend(
+            {"offset": first + i, "time_ms": time_ms, "value": v} for i, v in enumerate(values)
+        )
+        self.wake()
+        return first
+
+    def wake(self) -> None:
+        """Wakes the long polls."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def trim(self, max_records: int, oldest_ms: float) -> None:
+        """Drops what exceeds the retention."""
+        expired = max(0, len(self.records) - max_records)
+        while expired < len(self.records) and self.records[expired]["time_ms"] < oldest_ms:
+            expired += 1
+        del self.records[:expired]
+        self.start += expired
+
+
+class Platform:
+    """State and handlers of the platform."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self.settings = settings
+        self.topics: dict[str, Topic] = {}
+        self.hosts = server.Lagged([], -math.inf)
+        self.weights = TokenBucket(
+            settings.weights_per_minute / 60, max(1, settings.weights_per_minute / 10), 0.0
+        )
+        self.counts: dict[str, int] = {}
+        self.up = asyncio.Event()
+        self.closing = False
+        self.late: set[asyncio.Task[int]] = set()
+        self.reset_faults()
+
+    def reset_faults(self) -> None:
+        """Returns to the settings."""
+        self.down_mode = "refuse"
+        self.latency_ms = 0.0
+        self.lose_answers = 0
+        self.delay_append_ms = 0.0
+        self.delay_mode = "hold"
+        self.hosts_lag_ms = self.settings.hosts_lag_ms
+        self.retention_records = self.settings.retention_records
+        self.retention_ms = self.settings.retention_ms
+        self.limit_appends(self.settings.appends_per_s)
+        self.up.set()
+
+    def limit_appends(self, per_s: float) -> None:
+        """Sets the append rate; bursts of a tenth of a second are allowed."""
+        self.appends_per_s = per_s
+        self.appends = TokenBucket(per_s, max(1.0, per_s / 10), server.now_ms())
+
+    def topic(self, name: str) -> Topic:
+        """The topic, created on first use and trimmed to its retention."""
+        topic = self.topics.setdefault(name, Topic())
+        topic.trim(self.retention_records, server.wall_ms() - self.retention_ms)
+        return topic
+
+    def app(self) -> web.Application:
+        """The web application."""
+        app = web.Application(
+            middlewares=[server.bad_request, self.faulty], client_max_size=MAX_BODY_BYTES
+        )
+        app.add_routes(
+            [
+                web.post("/topics/{topic}/records", self.append),
+                web.get("/topics/{topic}/records", self.read),
+                web.get("/hosts", self.list_hosts),
+                web.get("/weights/{model}", self.download),
+                web.get("/healthz", server.healthz),
+                web.put("/control/hosts", self.put_hosts),
+                web.post("/control/faults", self.set_faults),
+                web.get("/control/state", self.state),
+                web.get("/control/topics/{topic}/records", self.dump),
+            ]
+        )
+        app.on_shutdown.append(self.close)
+        return app
+
+    async def close(self, app: web.Application) -> None:
+        """Ends held connections and long polls so that the process can exit."""
+        self.closing = True
+        self.up.set()
+        for topic in self.topics.values():
+            topic.wake()
+
+    @web.middleware
+    async def faulty(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Applies outages and latency to everything but `/control` and `/healthz`."""
+        resource = request.match_info.route.resource
+        if request.path.startswith("/control/") or request.path == "/healthz" or resource is None:
+            return await handler(request)
+        route = f"{request.method} {resource.canonical}"
+        self.counts[route] = self.counts.get(route, 0) + 1
+        await asyncio.sleep(self.latency_ms / 2000)
+        if (refusal := await self.outage()) is not None:
+            return refusal
+        response = await handler(request)
+        await asyncio.sleep(self.latency_ms / 2000)
+        return response
+
+    async def outage(self) -> web.Response | None:
+        """Refuses or holds a request while the platform is down."""
+        if not self.up.is_set():
+            if self.down_mode == "refuse":
+                return server.refuse(503, "the platform is down")
+            await self.up.wait()
+        if self.closing:
+            return server.refuse(503, "the platform is stopping")
+        return None
+
+    async def append(self, request: web.Request) -> web.Response:
+        """Appends the records of one request in one step."""
+        body = await server.read(request, Append)
+        if not body["records"]:
+            return server.refuse(400, "records must not be empty")
+        if self.appends_per_s and not self.appends.take(server.now_ms()):
+            return server.refuse(429, "too many appends", {"Retry-After": "1"})
+        # A task of its own: the append must land even if the client closes the connection.
+        task = asyncio.get_running_loop().create_task(
+            self.land(request.match_info["topic"], body["records"], self.delay_append_ms)
+        )
+        self.late.add(task)
+        task.add_done_callback(self.late.discard)
+        if self.delay_append_ms and self.delay_mode == "close":
+            server.drop_connection(request)
+        first = await asyncio.shield(task)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            server.drop_connection(request)
+        return server.reply({"first_offset": first, "count": len(body["records"])})
+
+    async def land(self, name: str, values: list[dict[str, Any]], delay_ms: float) -> int:
+        """Appends after a delay."""
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        return self.topic(name).append(values, server.wall_ms())
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Reads records, waiting up to `wait_ms` for a first one."""
+        offset = server.number(request, "from", 0)
+        limit = max(1, min(MAX_READ_RECORDS, server.number(request, "limit", MAX_READ_RECORDS)))
+        wait_ms = min(MAX_WAIT_MS, server.number(request, "wait_ms", 0))
+        until_ms = server.now_ms() + wait_ms
+        while True:
+            if (refusal := await self.outage()) is not None:
+                return refusal
+            topic = self.topic(request.match_info["topic"])
+            bounds = {"start": topic.start, "end": topic.end}
+            if offset < topic.start:
+                return server.reply(bounds, 410)
+            first = offset - topic.start
+            records = topic.records[first : first + limit]
+            left_ms = until_ms - server.now_ms()
+            if records or left_ms <= 0:
+                return server.reply({"records": records, **bounds})
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    await topic.changed.wait()
+            except TimeoutError:
+                continue
+
+    async def list_hosts(self, request: web.Request) -> web.Response:
+        """The host list of `hosts_lag_ms` ago."""
+        return server.reply({"hosts": self.hosts.get(server.now_ms(), self.hosts_lag_ms)})
+
+    async def download(self, request: web.Request) -> web.Response:
+        """One download of a model's weights; the content is only described."""
+        if not self.weights.take(server.now_ms()):
+            wait_s = math.ceil((1 - self.weights.tokens) / max(1e-6, self.weights.rate_per_s))
+            return server.refuse(429, "too many downloads", {"Retry-After": str(wait_s)})
+        await asyncio.sleep(self.settings.weights_ms / 1000)
+        return server.reply({"model": request.match_info["model"], "bytes": 16_000_000_000})
+
+    async def put_hosts(self, request: web.Request) -> web.Response:
+        """Replaces the host list. The first list is visible at once, later ones after the lag."""
+        body = await server.read(request, HostList)
+        if self.hosts.windows[-1].since_ms == -math.inf:
+            self.hosts = server.Lagged(body["hosts"], 0.0)
+        else:
+            self.hosts.set(body["hosts"], server.now_ms())
+        return server.reply({})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets faults; see `Faults`."""
+        body = await server.read(request, Faults)
+        fields = dict(body)
+        if unknown := set(fields) - set(Faults.__annotations__):
+            return server.refuse(400, f"unknown fault {sorted(unknown)}")
+        if fields.pop("reset", False):
+            self.reset_faults()
+        down = fields.pop("down", None)
+        if "appends_per_s" in body:
+            self.limit_appends(body["appends_per_s"])
+            del fields["appends_per_s"]
+        for name, value in fields.items():
+            setattr(self, name, value)
+        if down:
+            self.up.clear()
+            for topic in self.topics.values():
+                topic.wake()
+        elif down is not None:
+            self.up.set()
+        return server.reply(self.faults())
+
+    def faults(self) -> dict[str, Any]:
+        """The faults in effect."""
+        names = set(Faults.__annotations__) - {"down", "reset"}
+        return {"down": not self.up.is_set(), **{name: getattr(self, name) for name in names}}
+
+    async def state(self, request: web.Request) -> web.Response:
+        """Topics, faults and the number of requests by route."""
+        topics = {name: {"start": t.start, "end": t.end} for name, t in self.topics.items()}
+        return server.reply({"topics": topics, "faults": self.faults(), "requests": self.counts})
+
+    async def dump(self, request: web.Request) -> web.Response:
+        """All records kept of a topic, also during an outage."""
+        topic = self.topic(request.match_info["topic"])
+        return server.reply({"records": topic.records, "start": topic.start, "end": topic.end})
+
+
+def build(settings: PlatformSettings) -> web.Application:
+    """The application for the given settings."""
+    return Platform(settings).app()
+
+
+if __name__ == "__main__":
+    server.main("platform", PlatformSettings, build)
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,243 @@
+"""What engines and services have in common: faults, draining, load reports and answer headers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import uuid
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+from aiohttp import web
+
+from standins import server
+
+ATTEMPT = "X-Attempt-Id"
+
+
+class Identity(NamedTuple):
+    """Who a target is."""
+
+    name: str
+    service: str
+
+
+class Faults(TypedDict, total=False):
+    """Body of `POST /control/faults`; fields that are absent stay as they are.
+
+    `slow_factor` multiplies service and step times. `fail_rate` is the share of calls answered 500
+    before any work. `crossed` is the share of calls answered with another call's attempt id and
+    content. `duplicate` is the share of streams whose token events come twice. Streams are closed
+    without an end marker after `cut_after_tokens` tokens (0 is off). `drop_answers` counts calls
+    that are worked on and whose connection is then closed without an answer. `freeze` stops all
+    but `/control` until it is false again. `seed` restarts the random numbers. `reset` clears
+    all faults first.
+    """
+
+    slow_factor: float
+    fail_rate: float
+    crossed: float
+    duplicate: float
+    cut_after_tokens: int
+    drop_answers: int
+    freeze: bool
+    seed: int
+    reset: bool
+
+
+class FaultState:
+    """The faults of one target."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.running = asyncio.Event()
+        self.reset()
+
+    def reset(self) -> None:
+        """Clears all faults."""
+        self.slow_factor = 1.0
+        self.fail_rate = 0.0
+        self.crossed = 0.0
+        self.duplicate = 0.0
+        self.cut_after_tokens = 0
+        self.drop_answers = 0
+        self.running.set()
+
+    def set(self, body: Faults) -> None:
+        """Sets the given faults."""
+        fields: dict[str, Any] = dict(body)
+        if fields.pop("reset", False):
+            self.reset()
+        if "seed" in fields:
+            self.random = random.Random(fields.pop("seed"))
+        freeze = fields.pop("freeze", None)
+        if freeze:
+            self.running.clear()
+        elif freeze is not None:
+            self.running.set()
+        for name, value in fields.items():
+            setattr(self, name, value)
+
+    def show(self) -> dict[str, Any]:
+        """The faults in effect."""
+        names = set(Faults.__annotations__) - {"freeze", "seed", "reset"}
+        return {
+            "freeze": not self.running.is_set(),
+            **{name: getattr(self, name) for name in names},
+        }
+
+    def hits(self, rate: float) -> bool:
+        """Draws whether a fault of the given rate hits this time."""
+        return rate > 0 and self.random.random() < rate
+
+    def take_drop(self) -> bool:
+        """True if the answer of this call is to be dropped."""
+        if self.drop_answers <= 0:
+            return False
+        self.drop_answers -= 1
+        return True
+
+
+class Drain(TypedDict, total=False):
+    """Body of `POST /control/drain`; an empty one starts draining."""
+
+    draining: bool
+
+
+class Target:
+    """One replica of a service. Subclasses add their routes and their load."""
+
+    def __init__(self, identity: Identity, report_lag_ms: float, seed: int = 0) -> None:
+        self.identity = identity
+        self.incarnation = str(uuid.uuid4())
+        self.report_lag_ms = report_lag_ms
+        self.faults = FaultState(seed)
+        self.draining = False
+        self.attempts: list[str] = []
+        self.calls = 0
+        self.reports = server.Lagged(self.report(), server.now_ms())
+
+    def load(self) -> dict[str, float]:
+        """Calls that run, calls that wait, and tokens still to be worked on."""
+        raise TypeError(f"{type(self).__name__} does not define load")
+
+    def report(self) -> dict[str, Any]:
+        """The load report of this moment."""
+        return {**self.load(), "time_ms": server.wall_ms()}
+
+    def note_load(self) -> None:
+        """Records a load report that becomes visible after the lag."""
+        now = server.now_ms()
+        self.reports.set(self.report(), now)
+        self.reports.get(now, self.report_lag_ms)
+
+    def routes(self) -> list[web.RouteDef]:
+        """The routes of the subclass."""
+        return []
+
+    def details(self) -> dict[str, Any]:
+        """What the subclass adds to `GET /state`."""
+        return {}
+
+    def app(self) -> web.Application:
+        """The web application."""
+        app = web.Application(
+            middlewares=[server.bad_request, self.guard], client_max_size=8 * 1_048_576
+        )
+        app.add_routes(self.routes())
+        app.add_routes(
+            [
+                web.get("/healthz", server.healthz),
+                web.get("/load", self.get_load),
+                web.get("/state", self.get_state),
+                web.post("/control/drain", self.drain),
+                web.post("/control/faults", self.set_faults),
+                web.get("/control/faults", self.get_faults),
+            ]
+        )
+        app.on_response_prepare.append(self.add_headers)
+        app.on_shutdown.append(self.close)
+        return app
+
+    async def close(self, app: web.Application) -> None:
+        """Releases frozen calls so that the process can exit."""
+        self.draining = True
+        self.faults.running.set()
+
+    @web.middleware
+    async def guard(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Applies freezing to all routes, and draining and failures to new work."""
+        if request.path.startswith("/control/"):
+            return await handler(request)
+        await self.faults.running.wait()
+        if request.method != "POST" or not request.path.startswith("/v1/"):
+            return await handler(request)
+        attempt = request.headers.get(ATTEMPT)
+        if not attempt:
+            return server.refuse(400, f"{ATTEMPT} is missing")
+        request["attempt"] = attempt
+        if self.draining:
+            return server.refuse(503, "draining", {"X-Target-State": "draining"})
+        if self.faults.hits(self.faults.fail_rate):
+            return server.refuse(500, "injected failure")
+        self.calls += 1
+        request["crossed"] = self.faults.hits(self.faults.crossed)
+        if request["crossed"]:
+            request["attempt"] = self.other_attempt(attempt)
+        self.attempts = [*self.attempts[-7:], attempt]
+        return await handler(request)
+
+    def other_attempt(self, attempt: str) -> str:
+        """The id of a recent other call, or a new one if there is none."""
+        others = [other for other in self.attempts if other != attempt]
+        return others[-1] if others else str(uuid.uuid4())
+
+    async def add_headers(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Adds the headers that every answer carries."""
+        response.headers["X-Incarnation"] = self.incarnation
+        attempt = request.get("attempt") or request.headers.get(ATTEMPT)
+        if attempt:
+            response.headers[ATTEMPT] = attempt
+        report = self.reports.get(server.now_ms(), self.report_lag_ms)
+        load = {name: report[name] for name in ("running", "waiting", "tokens")}
+        response.headers["endpoint-load-metrics"] = (
+            f"JSON {msgspec.json.encode({'named_metrics': load}).decode()}"
+        )
+        if self.draining:
+            response.headers["X-Target-State"] = "draining"
+
+    async def get_load(self, request: web.Request) -> web.Response:
+        """The load report of `report_lag_ms` ago; `time_ms` is the Unix time it describes."""
+        report = self.reports.get(server.now_ms(), self.report_lag_ms)
+        return server.reply({"incarnation": self.incarnation, **report})
+
+    async def get_state(self, request: web.Request) -> web.Response:
+        """Identity, incarnation and state, without lag."""
+        return server.reply(
+            {
+                **self.identity._asdict(),
+                "incarnation": self.incarnation,
+                "state": "draining" if self.draining else "live",
+                "calls": self.calls,
+                **self.load(),
+                **self.details(),
+            }
+        )
+
+    async def drain(self, request: web.Request) -> web.Response:
+        """Starts draining, or ends it with `{"draining": false}`."""
+        body = await server.read(request, Drain)
+        self.draining = body.get("draining", True)
+        return server.reply({"draining": self.draining})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Sets faults; see `Faults`."""
+        body = await server.read(request, Faults)
+        if unknown := set(body) - set(Faults.__annotations__):
+            return server.refuse(400, f"unknown fault {sorted(unknown)}")
+        self.faults.set(body)
+        return server.reply(self.faults.show())
+
+    async def get_faults(self, request: web.Request) -> web.Response:
+        """The faults in effect."""
+        return server.reply(self.faults.show())
--- /dev/null
+++ b/standins/text.py
@@ -0,0 +1,111 @@
+"""What the stand-in targets answer: pure functions, so that a test can compute a whole answer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import xxhash
+
+WORDS = [
+    "lime",
+    "kiln",
+    "charge",
+    "fire",
+    "draft",
+    "stone",
+    "slot",
+    "load",
+    "ash",
+    "flue",
+    "vent",
+    "burn",
+    "proof",
+    "ink",
+    "press",
+    "fold",
+    "page",
+    "menu",
+    "sheet",
+    "cut",
+    "price",
+    "order",
+    "reel",
+    "trim",
+    "spot",
+    "gloss",
+]
+
+# Words of prompt per block of the prefix cache.
+BLOCK_TOKENS = 16
+DIMENSIONS = 16
+
+
+class Document(NamedTuple):
+    """One document found by the retriever."""
+
+    id: str
+    text: str
+    score: float
+
+
+def number(*parts: object) -> int:
+    """A 64-bit hash of the parts."""
+    return xxhash.xxh3_64_intdigest("\x00".join(map(str, parts)).encode())
+
+
+def token(model: str, prompt: str, index: int) -> str:
+    """The token at `index`; it names its index, so that gaps and repeats show in the text."""
+    return f"{WORDS[number(model, prompt, index) % len(WORDS)]}-{index} "
+
+
+def answer(model: str, prompt: str, max_tokens: int) -> str:
+    """The whole generated text.
+
+    >>> whole = answer("m", "hello", 3)
+    >>> whole == "".join(token("m", "hello", i) for i in range(3))
+    True
+    >>> whole != answer("m", "other", 3)
+    True
+    """
+    return "".join(token(model, prompt, index) for index in range(max_tokens))
+
+
+def count_tokens(prompt: str) -> int:
+    """Tokens of a prompt: its words."""
+    return len(prompt.split())
+
+
+def blocks(model: str, prompt: str) -> list[str]:
+    """Hashes of the prompt's whole blocks; each hash covers everything before it as well.
+
+    >>> one, two = blocks("m", "w " * 40)
+    >>> blocks("m", "w " * 20 + "x " * 20)[0] == one
+    True
+    """
+    words = prompt.split()
+    hashes: list[str] = []
+    previous = model
+    for end in range(BLOCK_TOKENS, len(words) + 1, BLOCK_TOKENS):
+        previous = f"{number(previous, ' '.join(words[end - BLOCK_TOKENS : end])):016x}"
+        hashes.append(previous)
+    return hashes
+
+
+def embedding(text: str) -> list[float]:
+    """The vector of a text, each component in [-1, 1)."""
+    return [number(text, i) / 2**63 - 1 for i in range(DIMENSIONS)]
+
+
+def documents(query: str, top_k: int) -> list[Document]:
+    """The documents found for a query, best first."""
+    found = []
+    for rank in range(top_k):
+        digest = number(query, rank)
+        words = " ".join(WORDS[(digest >> shift) % len(WORDS)] for shift in range(0, 48, 6))
+        found.append(Document(f"doc-{digest % 10_000}", words, round(1 / (rank + 1), 6)))
+    return found
+
+
+def relevance(query: str, document: str) -> float:
+    """The relevance of a document to a query, in [0, 1)."""
+    return number(query, document) / 2**64
