--- a/standins/engine.py
+++ b/standins/engine.py
@@ -553,4 +553,4 @@
 
 
 if __name__ == "__main__":
-    server.main("engine", EngineSettings, build)
+    server.main(EngineSettings, build)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -321,4 +321,4 @@
 
 
 if __name__ == "__main__":
-    server.main("platform", PlatformSettings, build)
+    server.main(PlatformSettings, build)
--- a/standins/server.py
+++ b/standins/server.py
@@ -13,8 +13,7 @@
 from absl import app as absl_app
 from absl import flags
 from aiohttp import web
-
-from savoryfork.util import logs
+from logfmter import Logfmter
 
 log = logging.getLogger(__name__)
 
@@ -43,7 +42,7 @@
     return settings(**{name: flags.FLAGS[name].value for name in get_type_hints(settings)})
 
 
-def main(name: str, settings: type[T], build: Callable[[T], web.Application]) -> None:
+def main(settings: type[T], build: Callable[[T], web.Application]) -> None:
     """Parses the flags and serves on the loopback interface until SIGTERM or SIGINT."""
     flags.DEFINE_integer("port", 0, "port on 127.0.0.1", lower_bound=0, upper_bound=65535)
     define_flags(settings)
@@ -52,7 +51,11 @@
         if len(argv) > 1:
             raise absl_app.UsageError(f"unexpected argument {argv[1]!r}")
         values = read_flags(settings)
-        logs.setup(getattr(values, "name", name))
+        handler = logging.StreamHandler(sys.stderr)
+        handler.setFormatter(
+            Logfmter(keys=["at", "time"], mapping={"at": "levelname", "time": "asctime"})
+        )
+        logging.basicConfig(handlers=[handler], level="INFO", force=True)
         web.run_app(
             build(values),
             host="127.0.0.1",
--- a/standins/service.py
+++ b/standins/service.py
@@ -269,4 +269,4 @@
 
 
 if __name__ == "__main__":
-    server.main("service", ServiceSettings, build)
+    server.main(ServiceSettings, build)
