--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,71 @@
+"""The two deployments as data: services, replica counts and availability zones."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ServiceSpec(NamedTuple):
+    """A service and how many targets it has. `checks_orders`, `dedupes` and `idempotent` are what
+    the operators state about it in their configuration."""
+
+    name: str
+    kind: str
+    replicas: int
+    model: str = ""
+    idempotent: bool = True
+    checks_orders: bool = False
+    dedupes: bool = False
+    service_ms: float = 15.0
+
+
+class DeploymentSpec(NamedTuple):
+    """A deployment: availability zones, number of entry hosts, and services."""
+
+    name: str
+    availability_zones: tuple[str, ...]
+    hosts: int
+    services: tuple[ServiceSpec, ...]
+
+    def small(self) -> DeploymentSpec:
+        """The same services with fewer replicas, for tests: 3 hosts, 3 engines, 2 of the rest."""
+        services = tuple(
+            s._replace(replicas=min(s.replicas, 3 if s.kind == "engine" else 2))
+            for s in self.services
+        )
+        return self._replace(hosts=3, services=services)
+
+
+POOLS = (
+    ServiceSpec("encoder", "encoder", 2, service_ms=8.0),
+    ServiceSpec("retriever", "retriever", 2, service_ms=12.0),
+    ServiceSpec("reranker", "reranker", 2, service_ms=20.0),
+)
+
+FORNACI = DeploymentSpec(
+    "fornaci",
+    ("ragusa", "modica", "noto", "comiso"),
+    8,
+    (
+        ServiceSpec("fornaio", "engine", 6, model="fornaio-1", checks_orders=True),
+        ServiceSpec("calendario", "plain", 4, idempotent=False),
+        ServiceSpec("cave", "plain", 4),
+        ServiceSpec("carri", "plain", 4),
+        ServiceSpec("conti", "plain", 4),
+        *POOLS,
+    ),
+)
+
+NASR = DeploymentSpec(
+    "nasr",
+    ("cai-a", "cai-b", "cai-c", "cai-d"),
+    9,
+    (
+        ServiceSpec("savoryfork-pool", "engine", 5, model="menu-1"),
+        ServiceSpec("orders", "plain", 4, idempotent=False),
+        ServiceSpec("proofs-archive", "plain", 4),
+        ServiceSpec("press-queue", "plain", 4),
+        ServiceSpec("invoicing", "plain", 4),
+        *POOLS,
+    ),
+)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -279,10 +279,8 @@
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Sets faults; see `Faults`."""
-        body = await server.read(request, Faults)
+        body = await server.read_strict(request, Faults)
         fields = dict(body)
-        if unknown := set(fields) - set(Faults.__annotations__):
-            return server.refuse(400, f"unknown fault {sorted(unknown)}")
         if fields.pop("reset", False):
             self.reset_faults()
         down = fields.pop("down", None)
--- a/standins/server.py
+++ b/standins/server.py
@@ -101,6 +101,15 @@
     return msgspec.json.decode(await request.read() or b"{}", type=kind)
 
 
+async def read_strict(request: web.Request, kind: type[T]) -> T:
+    """Like `read`, but refuses unknown fields, so that a misspelt fault is not ignored."""
+    body = await read(request, dict[str, Any])
+    unknown = sorted(set(body) - set(kind.__annotations__))
+    if unknown:
+        raise BadParameter(f"unknown field: {', '.join(unknown)}")
+    return msgspec.convert(body, kind)
+
+
 @web.middleware
 async def bad_request(request: web.Request, handler: Any) -> web.StreamResponse:
     """Answers 400 to bodies and parameters that do not decode."""
@@ -111,7 +120,7 @@
 
 
 class BadParameter(Exception):
-    """A query parameter that is not a number."""
+    """A parameter or field that is not as it should be."""
 
 
 def number(request: web.Request, name: str, default: int) -> int:
--- a/standins/target.py
+++ b/standins/target.py
@@ -232,9 +232,7 @@
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Sets faults; see `Faults`."""
-        body = await server.read(request, Faults)
-        if unknown := set(body) - set(Faults.__annotations__):
-            return server.refuse(400, f"unknown fault {sorted(unknown)}")
+        body = await server.read_strict(request, Faults)
         self.faults.set(body)
         return server.reply(self.faults.show())
 
