Add at-most-once claims: fold, partition owner and entry host side

The daemon constructs them as

owner = ClaimOwner(log_client, clock) claims = Claims(owner, board, clock, settings.host, incarnation, peer_client.call) PeerService(exchange, owner.handle_claim, owner.handle_settle, owner.handle_lookup) timer.subscribe("claims", defaults.CLAIM_FLUSH_PERIOD_MS, claims.tick) timer.subscribe("claim-owner", 10_000, owner.tick)

At shutdown: await claims.drain(timeout_ms), then await owner.stop(). While the board has no other hosts, this host serves every partition directly. The log client has to keep board.log up to date: an unavailable log that lasts for LOG_OUTAGE_AFTER_MS makes claims fail at once.

--- /dev/null
+++ b/savoryfork/claimowner.py
@@ -0,0 +1,421 @@
+"""The soft owner of claim partitions: batches appends, reads them back, answers from the fold."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import logging
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from savoryfork import defaults
+from savoryfork.claimfold import (
+    EXPIRED,
+    RELEASED,
+    RUNNING,
+    ClaimFold,
+    Entry,
+    KeyId,
+    KeyState,
+    outcome_settled,
+    release_settled,
+)
+from savoryfork.proto import peer_pb2
+from savoryfork.util import logs
+from savoryfork.util.timer import Clock
+from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, TopicReader
+
+log = logging.getLogger(__name__)
+
+# A failed append is tried again after this time unless its records have been read by then.
+APPEND_RETRY_MS = 100
+
+EXPIRED_STATE = KeyState(EXPIRED, "", "", "", "", 0, 0, None)
+
+
+class Status(enum.IntEnum):
+    """As in peer.proto. Only NOT_OWNER promises that nothing was appended."""
+
+    SETTLED = 0
+    LOG_UNAVAILABLE = 1
+    NOT_OWNER = 2
+
+
+class Reply(NamedTuple):
+    """An owner's answer; `state` is None if the key is free."""
+
+    status: Status
+    state: KeyState | None = None
+
+
+class Queued(NamedTuple):
+    """A record that waits to be appended; it is not appended after `until_ms` (monotonic)."""
+
+    record: dict[str, Any]
+    size: int
+    until_ms: float
+
+
+def partition_of(workspace: str, key: str) -> int:
+    """The partition that holds the records of a key."""
+    return xxhash.xxh3_64_intdigest(f"{workspace}\x00{key}".encode()) % defaults.CLAIM_PARTITIONS
+
+
+def topic_of(partition: int) -> str:
+    """The topic of a partition."""
+    return f"claims-{partition}"
+
+
+class ClaimReader(TopicReader):
+    """Follows a claims topic; one that fell behind retention starts again at the oldest record."""
+
+    async def restart(self, gone: OffsetExpired) -> None:
+        """Rebuilds the fold from what is left; the fold knows which keys that covers."""
+        assert isinstance(self.fold, ClaimFold)
+        self.caught_up.clear()
+        self.fold.restart(gone.start)
+
+
+class Partition:
+    """One partition while this host serves it.
+
+    Records that arrive while an append is in flight, or within the linger time, go out together in
+    the next one. A record counts as landed only once the reader has applied it.
+    """
+
+    def __init__(self, number: int, client: LogClient, clock: Clock) -> None:
+        self.topic = topic_of(number)
+        self.client = client
+        self.clock = clock
+        self.fold = ClaimFold()
+        self.reader = ClaimReader(
+            client,
+            self.topic,
+            self.fold,
+            wait_ms=defaults.LOG_POLL_WAIT_MS,
+            limit=defaults.LOG_READ_LIMIT,
+            on_page=self.on_page,
+        )
+        self.used_ms = clock.monotonic_ms()
+        self.queue: list[Queued] = []
+        self.landing: dict[str, asyncio.Future[None]] = {}
+        self.watching: dict[KeyId, list[asyncio.Future[None]]] = {}
+        self.unread: set[str] = set()
+        self.batch_read = asyncio.Event()
+        self.appender: asyncio.Task[None] | None = None
+        self.task = asyncio.get_running_loop().create_task(self.reader.run(), name=self.topic)
+
+    def on_page(self) -> None:
+        """Wakes whoever waits for a record or a key of the page."""
+        for record_id, key_id in self.fold.recent:
+            landed = self.landing.pop(record_id, None)
+            if landed is not None and not landed.done():
+                landed.set_result(None)
+            for watcher in self.watching.pop(key_id, ()):
+                if not watcher.done():
+                    watcher.set_result(None)
+            self.unread.discard(record_id)
+        self.fold.recent.clear()
+        if not self.unread:
+            self.batch_read.set()
+
+    async def caught_up(self, until_ms: float) -> bool:
+        """Waits until everything that the log held at the start has been read."""
+        if self.reader.caught_up.is_set():
+            return True
+        return await self.within(until_ms, self.reader.caught_up.wait())
+
+    async def refresh(self, until_ms: float) -> bool:
+        """Waits until everything that the log holds now has been read; False if it can't be."""
+        try:
+            async with asyncio.timeout(self.left_ms(until_ms) / 1000):
+                page = await self.client.read(self.topic, self.fold.position, 1)
+                while self.fold.position < page.end:
+                    async with self.reader.changed:
+                        if self.fold.position < page.end:
+                            await self.reader.changed.wait()
+        except (TimeoutError, LogUnavailable, OffsetExpired):
+            return False
+        return self.reader.caught_up.is_set()
+
+    async def append(self, record: dict[str, Any], size: int, until_ms: float) -> bool:
+        """Appends a record and waits until it has been read; False if it was not read in time."""
+        landed = self.landing.get(record["id"])
+        if landed is None:
+            landed = self.landing[record["id"]] = asyncio.get_running_loop().create_future()
+            self.queue.append(Queued(record, size, until_ms))
+            if self.appender is None or self.appender.done():
+                self.appender = asyncio.get_running_loop().create_task(self.append_queued())
+        try:
+            return await self.within(until_ms, asyncio.shield(landed))
+        finally:
+            if self.landing.get(record["id"]) is landed:
+                del self.landing[record["id"]]
+
+    async def append_queued(self) -> None:
+        """Appends until the queue is empty, one batch at a time."""
+        while self.queue:
+            await asyncio.sleep(defaults.CLAIM_LINGER_MS / 1000)
+            batch = self.take_batch()
+            if batch and not await self.append_batch(batch):
+                self.queue[:0] = [item for item in batch if item.record["id"] in self.unread]
+
+    def take_batch(self) -> list[Queued]:
+        """Takes records from the queue up to the limits of one append; drops those out of time."""
+        now = self.clock.monotonic_ms()
+        batch: list[Queued] = []
+        taken = size = 0
+        for item in self.queue:
+            if batch and size + item.size > defaults.CLAIM_BATCH_BYTES:
+                break
+            taken += 1
+            if now < item.until_ms and item.record["id"] in self.landing:
+                batch.append(item)
+                size += item.size
+            if len(batch) == defaults.CLAIM_BATCH_RECORDS:
+                break
+        del self.queue[:taken]
+        return batch
+
+    async def append_batch(self, batch: list[Queued]) -> bool:
+        """One append; False if it failed and records of it have not been read.
+
+        An append whose answer is lost ends as soon as its records have been read.
+        """
+        self.unread = {item.record["id"] for item in batch}
+        self.batch_read.clear()
+        longest_ms = max(item.until_ms for item in batch)
+        timeout_ms = self.left_ms(longest_ms) + 1
+        records = [item.record for item in batch]
+        call = asyncio.ensure_future(self.client.append(self.topic, records, timeout_ms))
+        read = asyncio.ensure_future(self.batch_read.wait())
+        try:
+            await asyncio.wait({call, read}, return_when=asyncio.FIRST_COMPLETED)
+            error = call.exception() if call.done() else None
+            if error is None:
+                return True
+            if not isinstance(error, LogUnavailable):
+                logs.event(
+                    log, "claim_append_failed", logging.ERROR, topic=self.topic, error=repr(error)
+                )
+            await asyncio.wait({read}, timeout=APPEND_RETRY_MS / 1000)
+            return read.done()
+        finally:
+            read.cancel()
+            call.cancel()
+            await asyncio.gather(read, call, return_exceptions=True)
+
+    async def watch(self, key_id: KeyId, until_ms: float) -> bool:
+        """Waits for the next record of a key."""
+        changed = asyncio.get_running_loop().create_future()
+        self.watching.setdefault(key_id, []).append(changed)
+        try:
+            return await self.within(until_ms, changed)
+        finally:
+            watchers = self.watching.get(key_id, [])
+            if changed in watchers:
+                watchers.remove(changed)
+                if not watchers:
+                    del self.watching[key_id]
+
+    async def within(self, until_ms: float, awaitable: Any) -> bool:
+        """Awaits something until a monotonic time; False if that was too short."""
+        try:
+            async with asyncio.timeout(self.left_ms(until_ms) / 1000):
+                await awaitable
+        except TimeoutError:
+            return False
+        return True
+
+    def left_ms(self, until_ms: float) -> float:
+        """The time until `until_ms`, at least 0."""
+        return max(0.0, until_ms - self.clock.monotonic_ms())
+
+    async def stop(self) -> None:
+        """Stops reading and appending."""
+        tasks = [self.task] if self.appender is None else [self.task, self.appender]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class ClaimOwner:
+    """Serves claim partitions to this host and to others.
+
+    Any host may serve any partition at any time: what it answers, it has read from the log.
+    """
+
+    def __init__(self, client: LogClient, clock: Clock) -> None:
+        self.client = client
+        self.clock = clock
+        self.partitions: dict[int, Partition] = {}
+
+    def partition(self, number: int) -> Partition:
+        """The partition, started if it is not being read yet."""
+        found = self.partitions.get(number)
+        if found is None or found.task.done():
+            if found is not None and not found.task.cancelled():
+                logs.event(
+                    log,
+                    "claim_reader_failed",
+                    logging.ERROR,
+                    topic=found.topic,
+                    error=repr(found.task.exception()),
+                )
+            found = self.partitions[number] = Partition(number, self.client, self.clock)
+        found.used_ms = self.clock.monotonic_ms()
+        return found
+
+    async def tick(self) -> None:
+        """Stops partitions that have not been asked for a while; to be called now and then."""
+        now = self.clock.monotonic_ms()
+        for number, partition in list(self.partitions.items()):
+            idle = not partition.landing and not partition.watching
+            if idle and now - partition.used_ms >= defaults.CLAIM_IDLE_MS:
+                del self.partitions[number]
+                await partition.stop()
+
+    async def stop(self) -> None:
+        """Stops serving."""
+        partitions, self.partitions = list(self.partitions.values()), {}
+        for partition in partitions:
+            await partition.stop()
+
+    async def claim(self, record: dict[str, Any], size: int, budget_ms: float) -> Reply:
+        """Claims a key; the claim has won if the state is running and names the record's id.
+
+        A key that is held already is answered without an append, from a fold that has read all
+        that the log held when the request came.
+        """
+        until_ms = self.clock.monotonic_ms() + budget_ms
+        key_id = (record["workspace"], record["key"])
+        partition = self.partition(partition_of(*key_id))
+        fold = partition.fold
+        if not await partition.caught_up(until_ms):
+            return Reply(Status.NOT_OWNER)
+        entry = fold.get(*key_id)
+        if entry is not None and entry.state == RUNNING and entry.claim != record["id"]:
+            if not await partition.refresh(until_ms):
+                return Reply(Status.NOT_OWNER)
+            entry = fold.get(*key_id)
+        held = entry is not None and entry.state not in ("", RELEASED)
+        seen = entry is not None and entry.seen(record["id"])
+        if not (held or seen or fold.expired(record["key"])):
+            # A fold without any record learns from the append itself since when it is complete.
+            if not fold.complete(record["key"]) and fold.now_ms:
+                return Reply(Status.NOT_OWNER)
+            if not await partition.append(record, size, until_ms):
+                return Reply(Status.LOG_UNAVAILABLE)
+        return await self.reply(partition, key_id, until_ms)
+
+    async def settle(self, record: dict[str, Any], size: int, budget_ms: float) -> Reply:
+        """Appends a release or an outcome; SETTLED once it has been read or can't matter.
+
+        The state is expired if the key is past the window, so that the record is of no use.
+        """
+        until_ms = self.clock.monotonic_ms() + budget_ms
+        key_id = (record["workspace"], record["key"])
+        partition = self.partition(partition_of(*key_id))
+        if not await partition.caught_up(until_ms):
+            return Reply(Status.NOT_OWNER)
+        if partition.fold.expired(record["key"]):
+            return Reply(Status.SETTLED, EXPIRED_STATE)
+        settled = release_settled if record["type"] == "release" else outcome_settled
+        if settled(partition.fold.get(*key_id), record["claim"]):
+            return Reply(Status.SETTLED)
+        landed = await partition.append(record, size, until_ms)
+        return Reply(Status.SETTLED if landed else Status.LOG_UNAVAILABLE)
+
+    async def lookup(self, workspace: str, key: str, wait_ms: float, budget_ms: float) -> Reply:
+        """The state of a key, waiting up to `wait_ms` while its run has not ended.
+
+        `budget_ms` bounds the time until the log has been read as it was when the request came.
+        """
+        now = self.clock.monotonic_ms()
+        key_id = (workspace, key)
+        partition = self.partition(partition_of(workspace, key))
+        fold = partition.fold
+        if not await partition.caught_up(now + budget_ms):
+            return Reply(Status.LOG_UNAVAILABLE)
+        entry = fold.get(workspace, key)
+        if entry is None or entry.state in ("", RELEASED, RUNNING):
+            if not await partition.refresh(now + budget_ms):
+                return Reply(Status.LOG_UNAVAILABLE)
+            while (entry := fold.get(workspace, key)) is not None and entry.state == RUNNING:
+                if not await partition.watch(key_id, now + wait_ms):
+                    break
+        until_ms = max(now + budget_ms, self.clock.monotonic_ms() + defaults.CLAIM_ATTEMPT_MS)
+        return await self.reply(partition, key_id, until_ms)
+
+    async def reply(self, partition: Partition, key_id: KeyId, until_ms: float) -> Reply:
+        """The answer for a key from the fold as it is."""
+        workspace, key = key_id
+        if partition.fold.expired(key):
+            return Reply(Status.SETTLED, EXPIRED_STATE)
+        if not partition.fold.complete(key):
+            return Reply(Status.LOG_UNAVAILABLE)
+        entry = partition.fold.get(workspace, key)
+        state = entry.view() if entry is not None else None
+        if entry is not None and state is not None and entry.answer_offset >= 0:
+            found, answer = await self.stored_answer(partition, entry, until_ms)
+            if not found:
+                return Reply(Status.LOG_UNAVAILABLE)
+            state = state._replace(answer=answer)
+        return Reply(Status.SETTLED, state)
+
+    async def stored_answer(
+        self, partition: Partition, entry: Entry, until_ms: float
+    ) -> tuple[bool, Any]:
+        """Reads a large answer back from the log."""
+        offset = entry.answer_offset
+        try:
+            async with asyncio.timeout(partition.left_ms(until_ms) / 1000):
+                page = await self.client.read(partition.topic, offset, 1)
+        except (TimeoutError, LogUnavailable, OffsetExpired):
+            return False, None
+        if not page.records or page.records[0].offset != offset:
+            return False, None
+        return True, page.records[0].value["answer"]
+
+    async def handle_claim(self, request: peer_pb2.ClaimRequest) -> peer_pb2.ClaimReply:
+        """Answers another host's Claim."""
+        record = decode(request)
+        return encode(await self.claim(record, len(request.record), request.budget_ms))
+
+    async def handle_settle(self, request: peer_pb2.ClaimRequest) -> peer_pb2.ClaimReply:
+        """Answers another host's Settle."""
+        record = decode(request)
+        return encode(await self.settle(record, len(request.record), request.budget_ms))
+
+    async def handle_lookup(self, request: peer_pb2.LookupRequest) -> peer_pb2.ClaimReply:
+        """Answers another host's Lookup."""
+        check_partition(request.partition, request.workspace, request.key)
+        budget_ms = defaults.CLAIM_ATTEMPT_MS
+        return encode(await self.lookup(request.workspace, request.key, request.wait_ms, budget_ms))
+
+
+def check_partition(partition: int, workspace: str, key: str) -> None:
+    """Refuses a host that assigns keys to partitions in another way: it would split their order."""
+    if partition != partition_of(workspace, key):
+        raise ValueError(f"partition {partition} does not hold this key")
+
+
+def decode(request: peer_pb2.ClaimRequest) -> dict[str, Any]:
+    """The record of a request."""
+    record = msgspec.json.decode(request.record)
+    check_partition(request.partition, record["workspace"], record["key"])
+    return record
+
+
+def encode(reply: Reply) -> peer_pb2.ClaimReply:
+    """The message for a reply."""
+    state = b"" if reply.state is None else msgspec.json.encode(reply.state)
+    return peer_pb2.ClaimReply(status=reply.status.name, state=state)
+
+
+def decode_reply(message: peer_pb2.ClaimReply) -> Reply:
+    """The reply of a message."""
+    state = msgspec.json.decode(message.state, type=KeyState) if message.state else None
+    return Reply(Status(message.status), state)
--- /dev/null
+++ b/savoryfork/claims.py
@@ -0,0 +1,491 @@
+"""At most one run for each idempotency key: the side of the entry host.
+
+The entry host is the claimant. It may dispatch an action only after `Claims.claim` returned `Won`,
+and then either releases the claim, if no byte of the action was sent, or settles it. Nobody else
+ever takes a claim over, because nobody else can know whether the action was sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from savoryfork import defaults
+from savoryfork.board import Board
+from savoryfork.claimfold import EXPIRED, RELEASED, RUNNING, KeyId, KeyState, key_time
+from savoryfork.claimowner import ClaimOwner, Reply, Status, decode_reply, partition_of, topic_of
+from savoryfork.errors import ErrorKind, Ran, ServiceError
+from savoryfork.peers import PeerUnavailable
+from savoryfork.proto import peer_pb2
+from savoryfork.util import logs, rendezvous
+from savoryfork.util.timer import Clock
+
+__all__ = ["ClaimRequestData", "Claims", "Existing", "KeyState", "Won", "omitted"]
+
+log = logging.getLogger(__name__)
+
+PeerCall = Callable[[str, str, Any, float], Awaitable[Any]]
+Local = Callable[[float], Awaitable[Reply]]
+Message = Callable[[int], Any]
+
+# An owner replies that the log is unavailable before the call itself times out: a call that times
+# out closes the connection for all calls to that host.
+REPLY_MARGIN_MS = 50
+
+OWNERS_ASKED = 3
+RANKING_KEPT_MS = 500
+FLUSH_CONCURRENCY = 256
+
+
+class ClaimRequestData(NamedTuple):
+    """What a claim is made for; `deadline_ms` is the run's deadline in monotonic milliseconds."""
+
+    workspace: str
+    pipeline: str
+    key: str
+    digest: str
+    deadline_ms: float
+
+
+class Won(NamedTuple):
+    """This run holds the key and may dispatch."""
+
+    claim: str
+
+
+class Existing(NamedTuple):
+    """Another run holds or held the key."""
+
+    state: KeyState
+
+
+class Asked(NamedTuple):
+    """The reply to a request; `doubtful` if an owner may have appended without reading it back."""
+
+    reply: Reply | None
+    doubtful: bool
+
+
+class Unsent(NamedTuple):
+    """A release or outcome that is not known to be in the log."""
+
+    record: dict[str, Any]
+    size: int
+    landed: asyncio.Future[bool]
+
+
+class Claims:
+    """Claims keys for the runs of this host and settles them.
+
+    `call` is `PeerClient.call`. `tick` is to be subscribed to the timer with a period of
+    `defaults.CLAIM_FLUSH_PERIOD_MS`; it writes what could not be written at once.
+    """
+
+    def __init__(
+        self,
+        owner: ClaimOwner,
+        board: Board,
+        clock: Clock,
+        host: str,
+        incarnation: str,
+        call: PeerCall,
+    ) -> None:
+        self.owner = owner
+        self.board = board
+        self.clock = clock
+        self.host = host
+        self.claimant = f"{host}/{incarnation}"
+        self.call = call
+        self.unsent: dict[str, Unsent] = {}
+        self.sending: dict[str, asyncio.Task[None]] = {}
+        self.releasing: dict[KeyId, set[asyncio.Future[bool]]] = {}
+        self.rankings: dict[int, tuple[float, list[str]]] = {}
+        self.avoided: dict[str, float] = {}
+        self.failures: dict[int, int] = {}
+        self.probe_ms: dict[int, float] = {}
+
+    def check_key(self, key: str) -> None:
+        """Raises ServiceError unless the key is a UUIDv7 within the deduplication window."""
+        try:
+            parsed = uuid.UUID(key)
+        except ValueError:
+            parsed = None
+        # Other spellings of the same UUID would count as other keys, so there is only one.
+        if parsed is None or parsed.version != 7 or str(parsed) != key:
+            raise ServiceError(
+                ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                "Idempotency-Key must be a UUID of version 7, in lower case with hyphens",
+            )
+        age_ms = self.clock.wall_ms() - key_time(key)
+        if age_ms < -defaults.CLOCK_SKEW_MS:
+            raise ServiceError(
+                ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                "Idempotency-Key lies in the future; make it with a correct clock",
+            )
+        if age_ms > defaults.DEDUPLICATION_WINDOW_MS:
+            raise expired_key()
+
+    async def claim(self, request: ClaimRequestData) -> Won | Existing:
+        """Claims the key of a run.
+
+        Raises ServiceError LOG_UNAVAILABLE, IDEMPOTENCY_KEY_MISMATCH, IDEMPOTENCY_KEY_EXPIRED or
+        DEADLINE_EXCEEDED. In each case this run must not dispatch, and what it may have appended
+        is released in the background.
+        """
+        now = self.clock.monotonic_ms()
+        if now >= request.deadline_ms:
+            raise too_late()
+        partition = partition_of(request.workspace, request.key)
+        self.refuse_during_outage(partition, now)
+        until_ms = min(request.deadline_ms, now + defaults.CLAIM_TIMEOUT_MS)
+        await self.wait_for_releases((request.workspace, request.key), until_ms)
+        while True:
+            claim = str(uuid.uuid4())
+            state = await self.claim_once(request, claim, partition, until_ms)
+            if state.state == RUNNING and state.claim == claim:
+                if self.clock.monotonic_ms() >= request.deadline_ms:
+                    self.start_release(request, claim)
+                    raise too_late()
+                return Won(claim)
+            # The claim lost against one that has been released since: the key is free again.
+            if state.state != RELEASED or self.clock.monotonic_ms() >= until_ms:
+                break
+        if state.state != RELEASED:
+            check_same_request(request, state)
+        return Existing(state)
+
+    async def claim_once(
+        self, request: ClaimRequestData, claim: str, partition: int, until_ms: float
+    ) -> KeyState:
+        """One claim record; returns the state of the key after it."""
+        left_ms = request.deadline_ms - self.clock.monotonic_ms()
+        record = {
+            "schema": 1,
+            "type": "claim",
+            "id": claim,
+            "workspace": request.workspace,
+            "pipeline": request.pipeline,
+            "key": request.key,
+            "digest": request.digest,
+            "claimant": self.claimant,
+            "deadline_ms": int(self.clock.wall_ms() + left_ms),
+        }
+        encoded = msgspec.json.encode(record)
+        asked = Asked(None, True)
+        try:
+            asked = await self.ask(
+                partition,
+                until_ms,
+                lambda budget_ms: self.owner.claim(record, len(encoded), budget_ms),
+                "Claim",
+                lambda budget_ms: peer_pb2.ClaimRequest(
+                    partition=partition, record=encoded, budget_ms=budget_ms
+                ),
+            )
+        finally:
+            # Also when the run is cancelled: the claim may be in the log, or land there later.
+            state = asked.reply.state if asked.reply is not None else None
+            won = state is not None and state.state == RUNNING and state.claim == claim
+            if asked.doubtful and not won:
+                self.start_release(request, claim)
+        if asked.reply is None:
+            self.failures[partition] = self.failures.get(partition, 0) + 1
+            raise log_unavailable()
+        self.failures.pop(partition, None)
+        if state is None:
+            self.start_release(request, claim)
+            raise ServiceError(
+                ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                "Idempotency-Key is later than the clock of the platform's log allows",
+            )
+        if state.state == EXPIRED:
+            self.start_release(request, claim)
+            raise expired_key()
+        return state
+
+    async def release(self, request: ClaimRequestData, claim: str) -> None:
+        """Gives a claim up whose action was not sent.
+
+        Returns once the release is in the log, or after `defaults.RELEASE_WAIT_MS`; it is then
+        retried in the background.
+        """
+        landed = self.start_release(request, claim)
+        await asyncio.wait({landed}, timeout=defaults.RELEASE_WAIT_MS / 1000)
+
+    def start_release(self, request: ClaimRequestData, claim: str) -> asyncio.Future[bool]:
+        """Starts a release in the background; the same key waits for it on this host."""
+        landed = self.write(request, {"type": "release", "claim": claim})
+        key_id = (request.workspace, request.key)
+        open_releases = self.releasing.setdefault(key_id, set())
+        open_releases.add(landed)
+
+        def forget(done: asyncio.Future[bool]) -> None:
+            open_releases.discard(done)
+            if not open_releases and self.releasing.get(key_id) is open_releases:
+                del self.releasing[key_id]
+
+        landed.add_done_callback(forget)
+        return landed
+
+    async def settle(
+        self, request: ClaimRequestData, claim: str, state: str, answer: Any | None
+    ) -> bool:
+        """Stores the outcome of a claim: done, rejected or unknown.
+
+        Returns True once it is known to be in the log; False at the run's deadline, after which it
+        is retried in the background. An answer over the limit is stored reduced, see `omitted`.
+        """
+        fields = {"type": "outcome", "claim": claim, "state": state, "answer": reduced(answer)}
+        landed = self.write(request, fields)
+        left_ms = request.deadline_ms - self.clock.monotonic_ms()
+        await asyncio.wait({landed}, timeout=max(0.0, left_ms) / 1000)
+        return landed.done() and landed.result()
+
+    async def lookup(self, workspace: str, key: str, wait_ms: float) -> KeyState | None:
+        """The state of a key, or None if it was never claimed; waits while its run has not ended.
+
+        Raises ServiceError LOG_UNAVAILABLE, IDEMPOTENCY_KEY_INVALID or IDEMPOTENCY_KEY_EXPIRED.
+        """
+        self.check_key(key)
+        partition = partition_of(workspace, key)
+        now = self.clock.monotonic_ms()
+        end_ms = now + wait_ms
+
+        def wait_left() -> int:
+            return int(max(0.0, end_ms - self.clock.monotonic_ms()))
+
+        asked = await self.ask(
+            partition,
+            end_ms + defaults.CLAIM_TIMEOUT_MS,
+            lambda budget_ms: self.owner.lookup(workspace, key, wait_left(), budget_ms),
+            "Lookup",
+            lambda budget_ms: peer_pb2.LookupRequest(
+                partition=partition, workspace=workspace, key=key, wait_ms=wait_left()
+            ),
+            wait_left,
+        )
+        if asked.reply is None:
+            raise log_unavailable()
+        state = asked.reply.state
+        if state is not None and state.state == EXPIRED:
+            raise expired_key()
+        return state
+
+    def pending(self) -> int:
+        """How many releases and outcomes are not known to be in the log."""
+        return len(self.unsent)
+
+    async def drain(self, timeout_ms: float) -> None:
+        """Writes what is pending, for at most `timeout_ms`."""
+        until_ms = self.clock.monotonic_ms() + timeout_ms
+        while self.unsent and (left_ms := until_ms - self.clock.monotonic_ms()) > 0:
+            await self.tick()
+            wait_ms = min(left_ms, defaults.CLAIM_FLUSH_PERIOD_MS)
+            await asyncio.wait(
+                {unsent.landed for unsent in self.unsent.values()}, timeout=wait_ms / 1000
+            )
+        if self.unsent:
+            logs.event(log, "claims_not_drained", logging.WARNING, pending=len(self.unsent))
+
+    async def tick(self) -> None:
+        """Retries what is pending: one record as a probe during an outage, else all of it."""
+        now = self.clock.monotonic_ms()
+        limit = FLUSH_CONCURRENCY if self.board.log.available else 1
+        for record_id in list(self.unsent):
+            if len(self.sending) >= limit:
+                break
+            if record_id not in self.sending:
+                self.send(record_id)
+        for name in [name for name, until_ms in self.avoided.items() if until_ms <= now]:
+            del self.avoided[name]
+
+    def write(self, request: ClaimRequestData, fields: dict[str, Any]) -> asyncio.Future[bool]:
+        """Starts to write a release or an outcome and keeps it until it is in the log."""
+        record = {
+            "schema": 1,
+            "id": str(uuid.uuid4()),
+            "workspace": request.workspace,
+            "key": request.key,
+            **fields,
+        }
+        size = len(msgspec.json.encode(record))
+        landed: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.unsent[record["id"]] = Unsent(record, size, landed)
+        self.send(record["id"])
+        return landed
+
+    def send(self, record_id: str) -> None:
+        """Makes one attempt to write a pending record."""
+        task = asyncio.get_running_loop().create_task(self.send_once(self.unsent[record_id]))
+        self.sending[record_id] = task
+        task.add_done_callback(lambda done: self.sending.pop(record_id, None))
+
+    async def send_once(self, unsent: Unsent) -> None:
+        """One attempt; a record whose key is past the window is of no use any more."""
+        record = unsent.record
+        partition = partition_of(record["workspace"], record["key"])
+        encoded = msgspec.json.encode(record)
+        asked = await self.ask(
+            partition,
+            self.clock.monotonic_ms() + defaults.CLAIM_TIMEOUT_MS,
+            lambda budget_ms: self.owner.settle(record, unsent.size, budget_ms),
+            "Settle",
+            lambda budget_ms: peer_pb2.ClaimRequest(
+                partition=partition, record=encoded, budget_ms=budget_ms
+            ),
+        )
+        if asked.reply is not None:
+            del self.unsent[record["id"]]
+            state = asked.reply.state
+            unsent.landed.set_result(state is None or state.state != EXPIRED)
+
+    async def wait_for_releases(self, key_id: KeyId, until_ms: float) -> None:
+        """Waits until this host's earlier claims of the key are released."""
+        while releases := self.releasing.get(key_id):
+            left_ms = until_ms - self.clock.monotonic_ms()
+            if left_ms <= 0:
+                raise log_unavailable()
+            await asyncio.wait(set(releases), timeout=left_ms / 1000)
+
+    def refuse_during_outage(self, partition: int, now: float) -> None:
+        """Raises LOG_UNAVAILABLE during a known outage, but for a probe now and then."""
+        state = self.board.log
+        out = not state.available and now - state.changed_ms >= defaults.LOG_OUTAGE_AFTER_MS
+        # -1 stands for the log as a whole.
+        scope = -1 if out else partition
+        if not out and self.failures.get(partition, 0) < defaults.CLAIM_FAILURES:
+            return
+        if now < self.probe_ms.get(scope, 0.0):
+            raise log_unavailable()
+        self.probe_ms[scope] = now + defaults.CLAIM_PROBE_MS
+
+    def owners(self, partition: int) -> list[str]:
+        """The hosts to ask, best first; this host is always among them.
+
+        Hosts that leave, or did not answer a moment ago, come after the others.
+        """
+        now = self.clock.monotonic_ms()
+        kept = self.rankings.get(partition)
+        if kept is None or kept[0] <= now:
+            names = rendezvous.ranked(topic_of(partition), [self.host, *self.board.hosts])
+            kept = self.rankings[partition] = (now + RANKING_KEPT_MS, names)
+        live = []
+        for name in kept[1]:
+            view = self.board.hosts.get(name)
+            if name == self.host:
+                live.append(name)
+            elif view is not None and view.reachable and not view.leaving:
+                live.extend([name] if self.avoided.get(name, 0.0) <= now else [])
+        asked = live[:OWNERS_ASKED]
+        return asked if self.host in asked else [*asked, self.host]
+
+    async def ask(
+        self,
+        partition: int,
+        until_ms: float,
+        local: Local,
+        method: str,
+        message: Message,
+        wait_left: Callable[[], int] = lambda: 0,
+    ) -> Asked:
+        """Asks the owners in turn until one has settled the matter or the time is over."""
+        doubtful = False
+        owners = self.owners(partition)
+        for name in owners:
+            left_ms = until_ms - self.clock.monotonic_ms()
+            if left_ms <= 0:
+                break
+            budget_ms = left_ms
+            if name != owners[-1]:
+                budget_ms = min(left_ms, defaults.CLAIM_ATTEMPT_MS + wait_left())
+            if name == self.host:
+                reply = await local(budget_ms)
+            else:
+                reply = await self.ask_peer(name, method, message, budget_ms)
+            if reply.status == Status.SETTLED:
+                return Asked(reply, doubtful)
+            doubtful = doubtful or reply.status == Status.LOG_UNAVAILABLE
+        return Asked(None, doubtful)
+
+    async def ask_peer(self, name: str, method: str, message: Message, budget_ms: float) -> Reply:
+        """Asks another host; one that does not answer is passed over for a while."""
+        view = self.board.hosts.get(name)
+        if view is None:
+            return Reply(Status.NOT_OWNER)
+        request = message(int(max(1.0, budget_ms - REPLY_MARGIN_MS)))
+        try:
+            return decode_reply(await self.call(view.address, method, request, budget_ms))
+        except PeerUnavailable as error:
+            self.avoided[name] = self.clock.monotonic_ms() + defaults.CLAIM_PROBE_MS
+            logs.event(log, "claim_owner_failed", host=name, error=str(error))
+            return Reply(Status.LOG_UNAVAILABLE)
+
+
+def check_same_request(request: ClaimRequestData, state: KeyState) -> None:
+    """Raises IDEMPOTENCY_KEY_MISMATCH if the key was claimed for another request."""
+    if (request.pipeline, request.digest) != (state.pipeline, state.digest):
+        raise ServiceError(
+            ErrorKind.IDEMPOTENCY_KEY_MISMATCH,
+            "Idempotency-Key was used for another request; make a new key for a new request",
+        )
+
+
+def reduced(answer: Any) -> Any:
+    """The form of an answer that is stored.
+
+    One over `defaults.MAX_STORED_ANSWER_BYTES` loses the text and the documents, which can be
+    long, and keeps the result of the action. If that does not help, nothing of it is kept. Either
+    way `omitted` names what is missing.
+    """
+    if answer is None or stored_size(answer) <= defaults.MAX_STORED_ANSWER_BYTES:
+        return answer
+    parts = answer.get("answer") if isinstance(answer, dict) else None
+    if isinstance(parts, dict):
+        long = [name for name in ("text", "documents") if name in parts]
+        rest = {name: value for name, value in parts.items() if name not in long}
+        shorter = {**answer, "answer": rest, "omitted": long}
+        if stored_size(shorter) <= defaults.MAX_STORED_ANSWER_BYTES:
+            return shorter
+    return {"omitted": ["answer"]}
+
+
+def stored_size(answer: Any) -> int:
+    """The size of an answer as JSON, in bytes."""
+    return len(msgspec.json.encode(answer))
+
+
+def omitted(state: KeyState) -> list[str]:
+    """The parts of a stored answer that were too large to keep; empty if it is whole.
+
+    >>> omitted(KeyState("done", "", "", "", "", 0, 0, {"answer": {}, "omitted": ["text"]}))
+    ['text']
+    """
+    found = state.answer.get("omitted", []) if isinstance(state.answer, dict) else []
+    return list(found)
+
+
+def expired_key() -> ServiceError:
+    """The refusal of a key whose state may have been forgotten."""
+    return ServiceError(
+        ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+        "Idempotency-Key is older than the deduplication window; check whether the request ran",
+    )
+
+
+def log_unavailable() -> ServiceError:
+    """The refusal while the log does not answer."""
+    return ServiceError(
+        ErrorKind.LOG_UNAVAILABLE, "the platform's log is unavailable; retry with the same key"
+    )
+
+
+def too_late() -> ServiceError:
+    """The refusal of a run whose deadline passed before it could dispatch."""
+    return ServiceError(
+        ErrorKind.DEADLINE_EXCEEDED, "the deadline passed before the run was claimed", ran=Ran.NO
+    )
--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -33,6 +33,33 @@
 CLOCK_SKEW_MS = 5_000
 MAX_STORED_ANSWER_BYTES = 262_144
 
+# Larger answers are read back from the log when a caller asks for them again. Kept in memory, an
+# hour of answers near the stored limit would be far beyond the memory of a host.
+INLINE_ANSWER_BYTES = 1_024
+
+# How long one owner is given before the next one is asked; the last one gets all that is left.
+CLAIM_ATTEMPT_MS = 500
+
+# How long a caller's answer waits for a release to land. The answer is right without it; the wait
+# only lets an immediate retry find the key free.
+RELEASE_WAIT_MS = 250
+CLAIM_FLUSH_PERIOD_MS = 500
+
+# A reader that restarts reads the whole window again, so it is not stopped in a short lull.
+CLAIM_IDLE_MS = 300_000
+
+# One lost answer marks the log as unavailable until the next poll returns (LOG_POLL_WAIT_MS);
+# only a longer state counts as an outage.
+LOG_OUTAGE_AFTER_MS = 1_200
+
+# Every probe during an outage may leave a release to be written later, so they are rare.
+CLAIM_PROBE_MS = 5_000
+
+# Consecutive claims of a partition without an answer until further ones are refused at once.
+CLAIM_FAILURES = 3
+CLAIM_BATCH_RECORDS = 500
+CLAIM_BATCH_BYTES = 1_048_576
+
 # Targets.
 LOAD_PERIOD_MS = 1_000
 CONNECT_TIMEOUT_MS = 500
