--- /dev/null
+++ b/savoryfork/admission.py
@@ -0,0 +1,199 @@
+"""Predicts work; decides what is admitted, in which order it is served, and what is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from savoryfork.util.window import Window
+
+HISTORY = 64
+RATES = 128
+
+# Below this many observations a prediction has no lower bound, so that nothing is refused on
+# the evidence of a few calls.
+MIN_EVIDENCE = 8
+
+# Rates assumed before the first observation; replaced by the first few answers.
+PREFILL_MS_PER_TOKEN = 0.1
+TOKEN_MS = 20.0
+CALL_MS = 20.0
+
+# A prompt costs as much as this many tokens more than it has (scheduling, transfer).
+PROMPT_OVERHEAD_TOKENS = 64
+
+# Work is long if it is expected to take this many times the 5 % quantile of recent work. A low
+# quantile protects short work even where it is only a small part of the calls.
+LONG_FACTOR = 4.0
+SHORT_QUANTILE = 0.05
+
+# The share of a target's slots that long work may hold.
+LONG_SHARE = 0.75
+
+# A call gains this many milliseconds of rank for each millisecond that it waits.
+AGEING = 4.0
+
+# The prediction at the door is stretched by this much per priority step, so that of two requests
+# near the limit the less important one is refused.
+CAUTION_PER_PRIORITY = 0.03
+
+# From this length on, a queue takes from each workspace only its share of the places.
+CONTENDED_QUEUE = 64
+
+
+class Work(NamedTuple):
+    """One stage call. Times are monotonic milliseconds.
+
+    `priority` is 0 (first) to 9 (last). `prompt_tokens` and `max_tokens` are 0 for calls that are
+    not generation. `deadline_ms` is the time by which the call must have ended, `prefix` a digest
+    of the prompt's leading part ("" if none), `share` the fair-share weight of the workspace.
+    """
+
+    workspace: str
+    pipeline: str
+    stage: str
+    priority: int
+    prompt_tokens: int
+    max_tokens: int
+    deadline_ms: float
+    prefix: str
+    share: float
+
+
+class Prediction(NamedTuple):
+    """What a call is expected to take on a target that is not busy.
+
+    `first_ms` is the time to the first token (0 if the call is not generation), `rest_ms` the
+    time after it, `lower_ms` a time that hardly any call stays under, `tokens` the output.
+    """
+
+    first_ms: float
+    rest_ms: float
+    lower_ms: float
+    tokens: float
+
+    @property
+    def expected_ms(self) -> float:
+        """The whole call."""
+        return self.first_ms + self.rest_ms
+
+
+class WorkModel:
+    """Recent calls of one service, from which work is predicted.
+
+    Rates are lower quartiles: the upper part of the observations contains waiting, which routing
+    and admission add by themselves.
+    """
+
+    def __init__(self) -> None:
+        self.prefill = Window(RATES)
+        self.token = Window(RATES)
+        self.sizes = Window(4 * HISTORY)
+        self.slowdowns = Window(4 * HISTORY)
+        self.histories: dict[tuple[str, str, int], Window] = {}
+
+    def history(self, work: Work) -> Window:
+        """Outputs (generation) or durations of this stage for prompts of similar length."""
+        key = (work.pipeline, work.stage, work.prompt_tokens.bit_length() // 2)
+        return self.histories.setdefault(key, Window(HISTORY))
+
+    def predict(self, work: Work) -> Prediction:
+        """Predicts a call.
+
+        generation: first = prefill rate x (prompt + overhead), rest = token time x output, with
+        the median output of the stage's history, at most `max_tokens`; without a history, half
+        of `max_tokens`. Other calls: the median duration. The lower bound uses the least values
+        of the windows instead, and is 0 below `MIN_EVIDENCE` observations.
+        """
+        history = self.history(work)
+        sure = len(history) >= MIN_EVIDENCE
+        if not work.max_tokens:
+            lower = history.quantile(0.0) if sure else 0.0
+            return Prediction(0.0, history.quantile(0.5, CALL_MS), lower, 0.0)
+        prompt = work.prompt_tokens + PROMPT_OVERHEAD_TOKENS
+        tokens = min(work.max_tokens, history.quantile(0.5, work.max_tokens / 2))
+        first = self.prefill.quantile(0.25, PREFILL_MS_PER_TOKEN) * prompt
+        rest = self.token.quantile(0.25, TOKEN_MS) * tokens
+        lower = 0.0
+        if sure and len(self.token) >= MIN_EVIDENCE:
+            least = min(work.max_tokens, history.quantile(0.0))
+            lower = self.prefill.quantile(0.0) * prompt + self.token.quantile(0.0) * (least - 1)
+        return Prediction(first, rest, max(0.0, lower), tokens)
+
+    def learn(
+        self, work: Work, first_ms: float | None, total_ms: float, tokens: int, expected_ms: float
+    ) -> None:
+        """Notes an answered call; `first_ms` is None if no first token was reported."""
+        self.slowdowns.add(total_ms / max(1.0, expected_ms))
+        if not work.max_tokens:
+            self.history(work).add(total_ms)
+            return
+        self.history(work).add(float(max(1, tokens)))
+        if first_ms is not None:
+            self.prefill.add(first_ms / (work.prompt_tokens + PROMPT_OVERHEAD_TOKENS))
+            if tokens > 1:
+                self.token.add((total_ms - first_ms) / (tokens - 1))
+
+    def is_long(self, expected_ms: float) -> bool:
+        """True for work many times longer than the short work of this service."""
+        shortest = self.sizes.quantile(SHORT_QUANTILE)
+        return len(self.sizes) >= MIN_EVIDENCE and expected_ms > LONG_FACTOR * shortest
+
+
+def long_slots(limit: int) -> int:
+    """How many of a target's `limit` slots long work may hold; one is kept free if possible.
+
+    >>> [long_slots(limit) for limit in (1, 2, 4, 16)]
+    [1, 1, 3, 12]
+    """
+    return max(1, min(limit - 1, int(limit * LONG_SHARE)))
+
+
+def rank(work: Work, expected_ms: float, arrived_ms: float) -> tuple[int, float]:
+    """Place in the queue: priority, then expected work less the ageing of `AGEING` per waited ms.
+
+    The ageing term grows equally for all, so the place is the constant expected + AGEING x
+    arrival. A call is overtaken within its priority only by calls that arrive less than
+    `expected_ms / AGEING` after it: that is the bound on starvation.
+    """
+    return work.priority, expected_ms + AGEING * arrived_ms
+
+
+def over_share(held: Mapping[str, int], shares: Mapping[str, float], workspace: str) -> bool:
+    """True if the workspace holds at least its part of the slots that are held.
+
+    `held` counts the slots of each workspace, `shares` the weights of all that hold or want one.
+    A workspace alone is never over its share.
+
+    >>> over_share({"a": 2, "b": 1}, {"a": 1.0, "b": 1.0}, "a")
+    True
+    >>> over_share({"a": 2, "b": 1}, {"a": 3.0, "b": 1.0}, "a")
+    False
+    """
+    if len(shares) < 2:
+        return False
+    part = shares[workspace] / sum(shares.values())
+    return held.get(workspace, 0) + 1 > part * (sum(held.values()) + 1) + 1e-9
+
+
+def place_allowed(
+    queued: Mapping[str, int], shares: Mapping[str, float], workspace: str, capacity: int
+) -> bool:
+    """Whether one more call of the workspace may wait in a queue of `capacity` places."""
+    total = sum(queued.values())
+    if total >= capacity:
+        return False
+    if total < CONTENDED_QUEUE:
+        return True
+    part = shares[workspace] / sum(shares.values())
+    return queued.get(workspace, 0) < max(1.0, part * capacity)
+
+
+def door_ms(stages: list[tuple[float, float]], priority: int) -> float:
+    """Predicted time of a request: (wait, work) of each stage, stretched by priority."""
+    return sum(wait + work for wait, work in stages) * (1 + CAUTION_PER_PRIORITY * priority)
+
+
+def can_start(now_ms: float, lower_ms: float, deadline_ms: float) -> bool:
+    """Whether a call can still end in time by the lower bound of its prediction."""
+    return now_ms < deadline_ms and now_ms + lower_ms <= deadline_ms
