--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -22,6 +22,11 @@
 # A prompt costs as much as this many tokens more than it has (scheduling, transfer).
 PROMPT_OVERHEAD_TOKENS = 64
 
+# Part of the prompt time that is left where the prefix is cached, until observed, and the weight of
+# one observation.
+PREFIX_FACTOR = 0.5
+PREFIX_GAIN = 0.05
+
 # Work is long if it is expected to take this many times the 5 % quantile of recent work. A low
 # quantile protects short work even where it is only a small part of the calls.
 LONG_FACTOR = 4.0
@@ -90,6 +95,7 @@
         self.token = Window(RATES)
         self.sizes = Window(4 * HISTORY)
         self.slowdowns = Window(4 * HISTORY)
+        self.prefix_factor = PREFIX_FACTOR
         self.histories: dict[tuple[str, str, int], Window] = {}
 
     def history(self, work: Work) -> Window:
@@ -134,6 +140,11 @@
             if tokens > 1:
                 self.token.add((total_ms - first_ms) / (tokens - 1))
 
+    def learn_prefix(self, first_ms: float, predicted_ms: float) -> None:
+        """Notes what part of its predicted prompt time a call took where its prefix is kept."""
+        seen = min(1.0, max(0.1, first_ms / max(1.0, predicted_ms)))
+        self.prefix_factor += PREFIX_GAIN * (seen - self.prefix_factor)
+
     def is_long(self, expected_ms: float) -> bool:
         """True for work many times longer than the short work of this service."""
         shortest = self.sizes.quantile(SHORT_QUANTILE)
--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -5,35 +5,40 @@
 import asyncio
 import enum
 import random
+import statistics
+from collections import Counter, deque
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple
 
+from sortedcontainers import SortedKeyList
+
+from savoryfork import admission, ejection, hedging, routing
+from savoryfork.admission import Prediction, Work, WorkModel
 from savoryfork.board import Board, TargetView
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.pipeline import Pipeline, Service
-from savoryfork.util.bucket import RatioBudget
 from savoryfork.util.timer import Clock
+from savoryfork.util.window import Window
 
-MAX_QUEUE = 1_000
+__all__ = ["CallResult", "Dispatcher", "Slot", "Work"]
+
+ADAPTIVE = "adaptive"
+ROUND_ROBIN = "round_robin"
+LEAST_OUTSTANDING = "least_outstanding"
 
+MAX_QUEUE = 1_000
 
-class Work(NamedTuple):
-    """One stage call. Times are monotonic milliseconds.
+# Changes of the own outstanding calls that are kept per target, to look up how many there were
+# when a load report was taken.
+TIMELINE = 256
 
-    `priority` is 0 (first) to 9 (last). `prompt_tokens` and `max_tokens` are 0 for calls that are
-    not generation. `deadline_ms` is the time by which the call must have ended, `prefix` a digest
-    of the prompt's leading part ("" if none), `share` the fair-share weight of the workspace.
-    """
+# An admitted run whose next call has not come after this multiple of the predicted time is taken
+# to have ended.
+COMING_PATIENCE = 2.0
+COMING_GRACE_MS = 100.0
 
-    workspace: str
-    pipeline: str
-    stage: str
-    priority: int
-    prompt_tokens: int
-    max_tokens: int
-    deadline_ms: float
-    prefix: str
-    share: float
+# A probe goes only with a call that has this many times its expected time left.
+PROBE_SLACK = 4.0
+PROBE_GOOD = 2.0
 
 
 class CallResult(enum.Enum):
@@ -47,132 +52,686 @@
 
 
 class Slot:
-    """The right to make one call to one target, held until `Dispatcher.release`."""
+    """The right to make one call to one target, held until `Dispatcher.release`.
+
+    `next_ms` is the expected time from `last_ms`, the last sign of the call, to the next one;
+    `tokens` counts the tokens that have arrived.
+    """
 
-    def __init__(self, target: TargetView, work: Work, started_ms: float) -> None:
+    def __init__(
+        self, target: TargetView, work: Work, started_ms: float, prediction: Prediction, long: bool
+    ) -> None:
         self.target = target
         self.work = work
         self.started_ms = started_ms
+        self.prediction = prediction
+        self.long = long
+        self.outgrown = False
+        self.probe = False
+        self.at_home = False
         self.released = False
+        self.first_ms: float | None = None
+        self.last_ms = started_ms
+        self.next_ms = prediction.expected_ms
+        self.tokens = 0
+        self.marked_tokens = 0
 
 
 class Waiter:
-    """A call that waits for a slot."""
+    """A call that waits for a slot; `lower_ms` includes the later stages of its pipeline."""
 
-    def __init__(self, service: Service, work: Work, exclude: frozenset[str]) -> None:
-        self.service = service
+    def __init__(
+        self,
+        work: Work,
+        exclude: frozenset[str],
+        prediction: Prediction,
+        lower_ms: float,
+        key: tuple[int, float],
+        long: bool,
+    ) -> None:
         self.work = work
         self.exclude = exclude
+        self.prediction = prediction
+        self.lower_ms = lower_ms
+        self.key = key
+        self.long = long
         self.future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
 
 
+class TargetState:
+    """What this host remembers of one incarnation of a target."""
+
+    def __init__(self) -> None:
+        self.slots: set[Slot] = set()
+        self.long = 0
+        self.prefill_ms = 0.0
+        self.health = ejection.Health()
+        self.probing = False
+        self.timeline: deque[tuple[float, int]] = deque(maxlen=TIMELINE)
+        self.reported_ms = -1.0
+        self.surveyed_ms = -1.0
+        self.own_then = 0
+
+    def note(self, now_ms: float) -> None:
+        """Remembers the number of own calls from now on."""
+        self.timeline.append((now_ms, len(self.slots)))
+
+    def own_at(self, at_ms: float) -> int:
+        """How many own calls were outstanding at a time."""
+        if at_ms != self.reported_ms:
+            self.reported_ms = at_ms
+            self.own_then = next((n for at, n in reversed(self.timeline) if at <= at_ms), 0)
+        return self.own_then
+
+
+class ServiceState:
+    """What this host knows of one service."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.model = WorkModel()
+        self.budgets = hedging.Budgets()
+        self.queue: SortedKeyList = SortedKeyList(key=lambda waiter: waiter.key)
+        self.queued: Counter[str] = Counter()
+        self.held: Counter[str] = Counter()
+        self.shares: dict[str, float] = {}
+        self.coming: dict[tuple[str, str], deque[tuple[float, float, int]]] = {}
+        self.durations = Window(64)
+        self.capacities = Window(16)
+        self.pool = routing.Pool(0.0, admission.CALL_MS, float("inf"), 1)
+        self.median_pace = 1.0
+        self.load = 0.0
+        self.wait_ms = 0.0
+        self.slots = 0
+        self.turn = 0
+        self.started = 0
+        self.outgrown = 0
+
+
 class Dispatcher:
-    """Applies the decision modules on one host."""
+    """Applies the decision modules on one host.
+
+    `policy` is `adaptive`, or one of the baselines `round_robin` and `least_outstanding`, which
+    keep a first-come queue and refuse only when that is full.
+    """
 
     def __init__(self, board: Board, clock: Clock, rng: random.Random, policy: str) -> None:
+        if policy not in (ADAPTIVE, ROUND_ROBIN, LEAST_OUTSTANDING):
+            raise ValueError(f"unknown policy {policy}: use adaptive, round_robin, ...")
         self.board = board
         self.clock = clock
         self.rng = rng
         self.policy = policy
-        self.queues: dict[str, list[Waiter]] = {}
-        self.outstanding: dict[tuple[str, str], int] = {}
-        self.turn = 0
-        self.hedges: dict[str, RatioBudget] = {}
-        self.retries: dict[str, RatioBudget] = {}
+        self.adaptive = policy == ADAPTIVE
+        self.services: dict[str, ServiceState] = {}
+        self.targets: dict[tuple[str, str], TargetState] = {}
+        self.later: dict[tuple[str, str], list[tuple[str, Work]]] = {}
+
+    def state(self, service: Service) -> ServiceState:
+        """The state of a service; its published settings are taken over at each call."""
+        state = self.services.get(service.name)
+        if state is None:
+            state = self.services[service.name] = ServiceState(service)
+            self.survey(state, self.clock.monotonic_ms())
+        state.service = service
+        return state
+
+    def target(self, view: TargetView) -> TargetState:
+        """The state of a target's incarnation."""
+        key = (view.name, view.incarnation)
+        found = self.targets.get(key)
+        if found is None:
+            found = self.targets[key] = TargetState()
+        return found
+
+    # Admission.
 
     def admit(
         self, pipeline: Pipeline, services: Mapping[str, Service], work: Sequence[Work]
     ) -> None:
-        """Refuses a request that has no targets or would wait in a full queue."""
-        for stage in pipeline.stages:
+        """Decides at the door whether a request starts; `work` has one item for each stage.
+
+        Raises ServiceError: NO_TARGETS if a stage has no target, OVERLOADED if a queue is full or
+        the workspace has its share of the places, DEADLINE_UNREACHABLE if the predicted end is
+        past the deadline.
+        """
+        now = self.clock.monotonic_ms()
+        calls = {item.stage: item for item in work}
+        stages = [(stage, calls[stage.name]) for stage in pipeline.stages if stage.name in calls]
+        for stage, _ in stages:
             if not self.board.targets_of(stage.service):
-                raise ServiceError(ErrorKind.NO_TARGETS, f"no target of {stage.service}")
-            if len(self.queues.get(stage.service, ())) >= MAX_QUEUE:
-                raise ServiceError(ErrorKind.OVERLOADED, f"the queue of {stage.service} is full")
+                raise ServiceError(
+                    ErrorKind.NO_TARGETS,
+                    f"service {stage.service} has no live target; try again later",
+                    stage=stage.name,
+                )
+        for stage, item in stages:
+            if not self.has_place(self.state(services[stage.service]), item):
+                raise ServiceError(
+                    ErrorKind.OVERLOADED,
+                    f"the queue for {stage.service} is full; try again later",
+                    stage=stage.name,
+                )
+        if not self.adaptive:
+            return
+        times: list[tuple[float, float]] = []
+        for stage, item in stages:
+            state = self.state(services[stage.service])
+            prediction = state.model.predict(item)
+            busy = state.median_pace * (1 + routing.CROWDING * state.load)
+            wait = self.queue_ms(state, item, prediction, now) + state.wait_ms
+            times.append((wait, prediction.first_ms + prediction.rest_ms * busy))
+        if stages:
+            self.check_door(now, times, stages[0][1])
+        reach = 0.0
+        for index, (stage, item) in enumerate(stages):
+            state = self.state(services[stage.service])
+            until = now + COMING_PATIENCE * reach + COMING_GRACE_MS
+            entry = (until, sum(times[index][1:]), item.priority)
+            state.coming.setdefault((pipeline.name, stage.name), deque()).append(entry)
+            rest = [(s.service, w) for s, w in stages[index + 1 :]]
+            self.later[pipeline.name, stage.name] = rest
+            reach += sum(times[index])
+
+    def check_door(self, now: float, times: list[tuple[float, float]], work: Work) -> None:
+        """Refuses a request whose predicted time is longer than what its deadline leaves."""
+        predicted = admission.door_ms(times, work.priority)
+        if now + predicted > work.deadline_ms:
+            raise ServiceError(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                f"predicted to take {predicted:.0f} ms, which is past the deadline;"
+                " allow more time or try again later",
+            )
+
+    def has_place(self, state: ServiceState, work: Work) -> bool:
+        """Whether the work may join the queue of a service."""
+        if not self.adaptive:
+            return len(state.queue) < MAX_QUEUE
+        shares = {**state.shares, work.workspace: work.share}
+        if admission.place_allowed(state.queued, shares, work.workspace, MAX_QUEUE):
+            return True
+        return bool(state.queue) and state.queue[-1].work.priority > work.priority
+
+    def queue_ms(
+        self, state: ServiceState, work: Work, prediction: Prediction, now: float
+    ) -> float:
+        """Expected wait in this host's queue: work ahead of it divided by the slots."""
+        key = admission.rank(work, prediction.expected_ms, now)
+        ahead = 0.0
+        for waiter in state.queue:
+            if waiter.key > key:
+                break
+            ahead += waiter.prediction.expected_ms
+        for entries in state.coming.values():
+            ahead += sum(ms for until, ms, p in entries if until > now and p <= work.priority)
+        held = sum(state.held.values())
+        free = state.slots - held
+        if not state.queue and free > 0 and ahead < free * state.pool.call_ms:
+            return 0.0
+        return (ahead + state.pool.call_ms) / max(1, state.slots)
+
+    # The queue.
 
     async def acquire(
         self, service: Service, work: Work, exclude: frozenset[str] = frozenset()
     ) -> Slot:
-        """Waits for a slot; a waiter that is cancelled gives back whatever it was given."""
-        self.hedges.setdefault(service.name, RatioBudget(0.05, 1.0, 20.0)).deposit()
-        self.retries.setdefault(service.name, RatioBudget(0.10, 3.0, 40.0)).deposit()
-        queue = self.queues.setdefault(service.name, [])
-        waiter = Waiter(service, work, exclude)
-        queue.append(waiter)
-        self.pump(service.name)
+        """Waits for a slot on a target whose name is not in `exclude`.
+
+        Raises ServiceError: NO_TARGETS if no target is left, OVERLOADED if the queue is full or
+        more important work took the place, DEADLINE_EXCEEDED once the call can no longer end in
+        time. A waiter that is cancelled gives back whatever it was given.
+        """
+        now = self.clock.monotonic_ms()
+        state = self.state(service)
+        state.budgets.call()
+        coming = state.coming.get((work.pipeline, work.stage))
+        if coming:
+            coming.popleft()
+        waiter = self.waiter(state, work, exclude, now)
+        if len(state.queue) >= MAX_QUEUE:
+            last = state.queue[-1]
+            if not self.adaptive or last.key <= waiter.key:
+                raise ServiceError(ErrorKind.OVERLOADED, f"the queue for {service.name} is full")
+            self.refuse(state, last, ErrorKind.OVERLOADED, "more important work took the place")
+        state.queue.add(waiter)
+        state.queued[work.workspace] += 1
+        state.shares[work.workspace] = work.share
+        self.pump(state)
         try:
             return await waiter.future
         except asyncio.CancelledError:
-            if waiter in queue:
-                queue.remove(waiter)
-            future = waiter.future
-            if future.done() and not future.cancelled() and future.exception() is None:
-                self.release(future.result(), CallResult.CANCELLED, 0)
+            self.withdraw(state, waiter)
             raise
 
-    def pump(self, name: str) -> None:
-        """Gives free slots to waiters, first come first served."""
+    def waiter(
+        self, state: ServiceState, work: Work, exclude: frozenset[str], now: float
+    ) -> Waiter:
+        """A waiter for the work, with its prediction and its place."""
+        if not self.adaptive:
+            state.turn += 1
+            prediction = Prediction(0.0, 0.0, 0.0, 0.0)
+            return Waiter(work, exclude, prediction, 0.0, (0, float(state.turn)), False)
+        prediction = state.model.predict(work)
+        lower = prediction.lower_ms
+        for name, later in self.later.get((work.pipeline, work.stage), ()):
+            if name in self.services:
+                lower += self.services[name].model.predict(later).lower_ms
+        long = state.model.is_long(prediction.expected_ms)
+        state.model.sizes.add(prediction.expected_ms)
+        key = admission.rank(work, prediction.expected_ms, now)
+        return Waiter(work, exclude, prediction, lower, key, long)
+
+    def withdraw(self, state: ServiceState, waiter: Waiter) -> None:
+        """Takes a cancelled waiter out of the queue, or gives back the slot it was just given."""
+        future = waiter.future
+        if future.done() and not future.cancelled():
+            if future.exception() is None:
+                self.release(future.result(), CallResult.CANCELLED, 0)
+        elif waiter in state.queue:
+            self.leave(state, waiter)
+            self.pump(state)
+
+    def leave(self, state: ServiceState, waiter: Waiter) -> None:
+        """Removes a waiter from the queue."""
+        state.queue.remove(waiter)
+        state.queued[waiter.work.workspace] -= 1
+        self.forget(state, waiter.work.workspace)
+
+    def forget(self, state: ServiceState, workspace: str) -> None:
+        """Drops the weight of a workspace that neither holds nor wants a slot."""
+        if state.queued[workspace] <= 0 and state.held[workspace] <= 0:
+            del state.queued[workspace]
+            del state.held[workspace]
+            state.shares.pop(workspace, None)
+
+    def refuse(self, state: ServiceState, waiter: Waiter, kind: ErrorKind, message: str) -> None:
+        """Removes a waiter and raises an error in it."""
+        self.leave(state, waiter)
+        if not waiter.future.done():
+            waiter.future.set_exception(
+                ServiceError(kind, f"{state.service.name}: {message}", stage=waiter.work.stage)
+            )
+
+    def expire(self, state: ServiceState, now: float) -> None:
+        """Refuses waiters that can no longer end in time."""
+        for waiter in list(state.queue):
+            if waiter.future.done():
+                self.leave(state, waiter)
+            elif not admission.can_start(now, waiter.lower_ms, waiter.work.deadline_ms):
+                self.refuse(
+                    state, waiter, ErrorKind.DEADLINE_EXCEEDED, "too late to end by the deadline"
+                )
+
+    def pump(self, state: ServiceState) -> None:
+        """Gives free slots to waiters until there is none left or nobody can use one."""
+        if not state.queue:
+            return
         now = self.clock.monotonic_ms()
-        targets = self.board.targets_of(name)
-        for waiter in list(self.queues.get(name, ())):
+        views = self.board.targets_of(state.service.name)
+        blocked: set[Waiter] = set()
+        long_blocked = False
+        while True:
+            waiter = self.pick(state, blocked, long_blocked)
+            if waiter is None:
+                return
             if waiter.future.done():
-                self.queues[name].remove(waiter)
+                self.leave(state, waiter)
                 continue
-            if waiter.work.deadline_ms <= now:
-                self.queues[name].remove(waiter)
-                waiter.future.set_exception(
-                    ServiceError(ErrorKind.DEADLINE_EXCEEDED, "the deadline passed in the queue")
+            if not admission.can_start(now, waiter.lower_ms, waiter.work.deadline_ms):
+                self.refuse(
+                    state, waiter, ErrorKind.DEADLINE_EXCEEDED, "too late to end by the deadline"
                 )
                 continue
-            allowed = [t for t in targets if t.name not in waiter.exclude]
+            allowed = {view.name: view for view in views if view.name not in waiter.exclude}
             if not allowed:
-                self.queues[name].remove(waiter)
-                waiter.future.set_exception(
-                    ServiceError(ErrorKind.NO_TARGETS, f"no target of {name}")
-                )
+                self.refuse(state, waiter, ErrorKind.NO_TARGETS, "no target is left")
+                continue
+            slot = self.place(state, waiter, allowed, now)
+            if slot is not None:
+                self.leave(state, waiter)
+                waiter.future.set_result(slot)
+            elif waiter.exclude:
+                blocked.add(waiter)
+            elif waiter.long:
+                long_blocked = True
+            else:
+                return
+
+    def pick(self, state: ServiceState, blocked: set[Waiter], long_blocked: bool) -> Waiter | None:
+        """The next waiter: by priority, workspaces within their share first, then by rank."""
+        over: Waiter | None = None
+        for waiter in state.queue:
+            if waiter in blocked or (long_blocked and waiter.long and not waiter.exclude):
                 continue
-            for step in range(len(allowed)):
-                target = allowed[(self.turn + step) % len(allowed)]
-                key = (target.name, target.incarnation)
-                if self.outstanding.get(key, 0) < waiter.service.max_inflight:
-                    self.turn += step + 1
-                    self.outstanding[key] = self.outstanding.get(key, 0) + 1
-                    self.queues[name].remove(waiter)
-                    waiter.future.set_result(Slot(target, waiter.work, now))
-                    break
+            if not self.adaptive:
+                return waiter
+            if over is not None and waiter.work.priority > over.work.priority:
+                return over
+            if not admission.over_share(state.held, state.shares, waiter.work.workspace):
+                return waiter
+            over = over or waiter
+        return over
+
+    # Choice of a target.
+
+    def place(
+        self, state: ServiceState, waiter: Waiter, allowed: Mapping[str, TargetView], now: float
+    ) -> Slot | None:
+        """Starts the call on a target, or returns None if none has a slot for it."""
+        if not self.adaptive:
+            name = self.plain_choice(state, allowed)
+            return self.start(state, waiter, allowed[name], 0.0, now) if name else None
+        states = {name: self.target(view) for name, view in allowed.items()}
+        loads: dict[str, routing.Load] = {}
+
+        def load(name: str) -> routing.Load:
+            if name not in loads:
+                loads[name] = self.load_of(state, allowed[name], states[name], now)
+            return loads[name]
+
+        def free(name: str) -> bool:
+            limit = routing.limit(load(name), state.pool, state.service.max_inflight)
+            target = states[name]
+            room = len(target.slots) < limit
+            return room and (not waiter.long or target.long < admission.long_slots(limit))
+
+        open_ = all(target.health.ejected for target in states.values())
+
+        def weight(name: str) -> float:
+            if not free(name):
+                return 0.0
+            health = states[name].health
+            if health.ejected:
+                return ejection.LEAST_WEIGHT if open_ else 0.0
+            pace = ejection.relative(load(name).pace, state.median_pace)
+            return ejection.weight(health, pace, now)
+
+        probe = self.probe_target(waiter, states, now)
+        if probe is not None and not open_ and free(probe):
+            slot = self.start(state, waiter, allowed[probe], 0.0, now)
+            slot.probe = states[probe].probing = True
+            return slot
+        prediction = waiter.prediction
+        names = list(allowed)
+        candidates = routing.sample(names, weight, self.rng, routing.SAMPLES)
+        if not candidates:
+            return None
+        costs = {
+            name: routing.completion_ms(
+                load(name), state.pool, prediction.first_ms, prediction.rest_ms
+            )
+            for name in candidates
+        }
+        home = self.home(state, waiter.work, names, load)
+        if home is not None and weight(home) > 0:
+            prompt = prediction.first_ms * state.model.prefix_factor
+            costs[home] = routing.completion_ms(load(home), state.pool, prompt, prediction.rest_ms)
+        name = routing.choose(costs, self.rng)
+        prompt = prediction.first_ms * (state.model.prefix_factor if name == home else 1.0)
+        first = routing.first_ms(load(name), state.pool, prompt)
+        return self.start(state, waiter, allowed[name], first, now, name == home)
+
+    def plain_choice(self, state: ServiceState, allowed: Mapping[str, TargetView]) -> str | None:
+        """The baselines: the next target in turn, or the one with the least own calls."""
+        names = list(allowed)
+        counts = {name: len(self.target(view).slots) for name, view in allowed.items()}
+        turn = state.held.total() if self.policy == LEAST_OUTSTANDING else state.started
+        names = names[turn % len(names) :] + names[: turn % len(names)]
+        names = [name for name in names if counts[name] < state.service.max_inflight]
+        if self.policy == LEAST_OUTSTANDING:
+            return min(names, key=lambda name: (counts[name], self.rng.random()), default=None)
+        return names[0] if names else None
+
+    def load_of(
+        self, state: ServiceState, view: TargetView, target: TargetState, now: float
+    ) -> routing.Load:
+        """The load of a target as this host knows it."""
+        return routing.Load(
+            own=len(target.slots),
+            own_then=target.own_at(view.reported_ms),
+            prefill_ms=target.prefill_ms,
+            running=view.running,
+            waiting=view.waiting,
+            age_ms=max(0.0, now - view.reported_ms),
+            pace=self.pace_of(target, now),
+        )
+
+    def pace_of(self, target: TargetState, now: float) -> float:
+        """The pace of a target: that of ended intervals or of calls without an answer, if worse."""
+        pending = ejection.pending_pace((now - s.last_ms, s.next_ms) for s in target.slots)
+        return max(ejection.pace_at(target.health, now), pending)
+
+    def home(
+        self, state: ServiceState, work: Work, names: list[str], load: routing.Lookup
+    ) -> str | None:
+        """The target that should have the prefix in its cache."""
+        if not work.prefix:
+            return None
+        return routing.home(
+            work.prefix, names, lambda name: routing.load_now(load(name), state.pool), state.load
+        )
+
+    def probe_target(
+        self, waiter: Waiter, states: Mapping[str, TargetState], now: float
+    ) -> str | None:
+        """An ejected target that is due for a probe, if the call can afford to be the probe."""
+        left = waiter.work.deadline_ms - now
+        if waiter.long or left < PROBE_SLACK * waiter.prediction.expected_ms:
+            return None
+        for name, target in states.items():
+            health = target.health
+            if health.ejected and not target.probing and now >= health.probe_ms:
+                return name
+        return None
+
+    # Calls.
+
+    def start(
+        self,
+        state: ServiceState,
+        waiter: Waiter,
+        view: TargetView,
+        first_ms: float,
+        now: float,
+        at_home: bool = False,
+    ) -> Slot:
+        """Notes a call that starts now."""
+        slot = Slot(view, waiter.work, now, waiter.prediction, waiter.long)
+        slot.at_home = at_home
+        if waiter.prediction.first_ms:
+            slot.next_ms = first_ms or waiter.prediction.first_ms
+        target = self.target(view)
+        target.slots.add(slot)
+        target.long += slot.long
+        target.prefill_ms += waiter.prediction.first_ms
+        target.note(now)
+        state.held[waiter.work.workspace] += 1
+        state.started += 1
+        return slot
 
     def first_token(self, slot: Slot) -> None:
         """Notes that the first token of a generation arrived."""
+        if slot.released or slot.first_ms is not None:
+            return
+        now = self.clock.monotonic_ms()
+        slot.first_ms = now - slot.started_ms
+        target = self.target(slot.target)
+        target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
+        target.health = ejection.observe(target.health, slot.first_ms, slot.next_ms, now)
+        state = self.services[slot.target.service]
+        if slot.at_home:
+            state.model.learn_prefix(slot.first_ms, slot.prediction.first_ms)
+        slot.last_ms = now
+        slot.tokens = slot.marked_tokens = 1
+        slot.next_ms = self.token_ms(state)
+
+    def token_ms(self, state: ServiceState) -> float:
+        """The usual time between tokens at the present load."""
+        usual = state.model.token.quantile(0.5, admission.TOKEN_MS)
+        return usual * (1 + routing.CROWDING * max(0.0, state.load))
 
     def progress(self, slot: Slot, tokens: int) -> None:
-        """Notes how many tokens of a generation have arrived so far."""
+        """Notes that `tokens` tokens of a generation have arrived in all."""
+        if slot.released:
+            return
+        if slot.first_ms is None:
+            self.first_token(slot)
+        slot.tokens = tokens
+        if tokens > slot.prediction.tokens and not slot.outgrown:
+            self.outgrow(slot)
+        expected = (tokens - slot.marked_tokens) * slot.next_ms
+        if expected < ejection.JITTER_MS:
+            return
+        now = self.clock.monotonic_ms()
+        target = self.target(slot.target)
+        target.health = ejection.observe(target.health, now - slot.last_ms, expected, now)
+        slot.last_ms = now
+        slot.marked_tokens = tokens
+
+    def outgrow(self, slot: Slot) -> None:
+        """A call that is longer than predicted counts as long work from then on."""
+        slot.outgrown = True
+        state = self.services[slot.target.service]
+        state.outgrown += 1
+        grown = slot.prediction.first_ms + 2 * slot.prediction.rest_ms
+        if self.adaptive and not slot.long and state.model.is_long(grown):
+            slot.long = True
+            self.target(slot.target).long += 1
 
     def release(self, slot: Slot, result: CallResult, output_tokens: int) -> None:
         """Ends a call; a second release of the same slot does nothing."""
         if slot.released:
             return
         slot.released = True
-        key = (slot.target.name, slot.target.incarnation)
-        self.outstanding[key] -= 1
-        if not self.outstanding[key]:
-            del self.outstanding[key]
-        self.pump(slot.target.service)
+        now = self.clock.monotonic_ms()
+        state = self.services[slot.target.service]
+        target = self.target(slot.target)
+        target.slots.discard(slot)
+        target.long -= slot.long
+        if slot.first_ms is None:
+            target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
+        target.note(now)
+        state.held[slot.work.workspace] -= 1
+        self.forget(state, slot.work.workspace)
+        took = now - slot.started_ms
+        if result is CallResult.ANSWERED:
+            expected = slot.prediction.expected_ms
+            if not slot.work.max_tokens:
+                target.health = ejection.observe(target.health, took, expected, now)
+            state.durations.add(took)
+            state.model.learn(slot.work, slot.first_ms, took, output_tokens, expected)
+        elif result is CallResult.CONNECT_FAILED:
+            target.health = ejection.fault(target.health, ejection.FAULT_LIMIT, now)
+        elif result is not CallResult.CANCELLED:
+            target.health = ejection.fault(target.health, 1.0, now)
+        if slot.probe:
+            self.end_probe(slot, target, result, took, now)
+        if self.adaptive and result is not CallResult.ANSWERED:
+            self.review(state, now)
+        self.pump(state)
+
+    def end_probe(
+        self, slot: Slot, target: TargetState, result: CallResult, took: float, now: float
+    ) -> None:
+        """Judges a probe by its time; a cancelled one only counts if it was too slow already."""
+        target.probing = False
+        if not target.health.ejected:
+            return
+        slow = took > PROBE_GOOD * max(slot.prediction.expected_ms, ejection.JITTER_MS)
+        if result is CallResult.CANCELLED and not slow:
+            return
+        good = result is CallResult.ANSWERED and not slow
+        target.health = ejection.probed(target.health, good, now)
+
+    # Extra calls.
 
     def hedge_delay_ms(self, service: Service, work: Work) -> float | None:
-        """After how long without an answer a second call is worth sending; None for never."""
-        return None
+        """After how long without a whole answer a second call is worth sending.
+
+        None to send none: the service is not idempotent, calls wait for slots, or there is too
+        little evidence or time.
+        """
+        state = self.state(service)
+        if not self.adaptive or not service.idempotent or state.queue:
+            return None
+        now = self.clock.monotonic_ms()
+        prediction = state.model.predict(work)
+        slow = state.model.slowdowns.quantile(hedging.SLOW_QUANTILE)
+        left = work.deadline_ms - now
+        evidence = len(state.model.slowdowns)
+        return hedging.delay_ms(prediction.expected_ms, slow, evidence, left, prediction.lower_ms)
 
     def take_hedge(self, service: Service) -> bool:
         """Spends one hedge of the budget, if there is one."""
-        budget = self.hedges.get(service.name)
-        return budget is not None and budget.take()
+        return self.adaptive and self.state(service).budgets.take_hedge()
 
     def take_retry(self, service: Service) -> bool:
         """Spends one retry of the budget, if there is one."""
-        budget = self.retries.get(service.name)
-        return budget is not None and budget.take()
+        return self.state(service).budgets.take_retry()
+
+    # Periodic work.
 
     def tick(self) -> None:
-        """Expires waiters and gives slots of targets that have become available."""
-        for name in list(self.queues):
-            self.pump(name)
+        """Ages what is known, reviews ejections, expires waiters and fills free slots."""
+        now = self.clock.monotonic_ms()
+        current = {(view.name, view.incarnation) for view in self.board.targets.values()}
+        for key in [k for k, t in self.targets.items() if k not in current and not t.slots]:
+            del self.targets[key]
+        for state in self.services.values():
+            for key, entries in list(state.coming.items()):
+                while entries and entries[0][0] <= now:
+                    entries.popleft()
+                if not entries:
+                    del state.coming[key]
+            if self.adaptive:
+                self.survey(state, now)
+                self.review(state, now)
+            self.expire(state, now)
+            self.pump(state)
+
+    def survey(self, state: ServiceState, now: float) -> None:
+        """Sums up the targets of a service."""
+        views = self.board.targets_of(state.service.name)
+        if not views:
+            state.slots = 0
+            return
+        hosts = 1 + sum(not host.leaving for host in self.board.hosts.values())
+        others: list[float] = []
+        for view in views:
+            target = self.target(view)
+            if view.waiting > 0 and view.reported_ms != target.surveyed_ms:
+                target.surveyed_ms = view.reported_ms
+                state.capacities.add(float(view.running))
+            then = view.running + view.waiting - target.own_at(view.reported_ms)
+            others.append(max(0.0, float(then)))
+        state.pool = routing.Pool(
+            others=statistics.fmean(others),
+            call_ms=state.durations.quantile(0.5, admission.CALL_MS),
+            capacity=max(1.0, state.capacities.quantile(0.5, float("inf"))),
+            hosts=hosts,
+        )
+        loads = [self.load_of(state, view, self.target(view), now) for view in views]
+        in_use = [
+            load
+            for view, load in zip(views, loads, strict=True)
+            if not self.target(view).health.ejected
+        ]
+        state.median_pace = statistics.median(load.pace for load in loads)
+        state.load = statistics.fmean(routing.load_now(load, state.pool) for load in loads)
+        state.wait_ms = statistics.fmean(
+            [routing.wait_ms(load, state.pool) for load in in_use or loads]
+        )
+        limit = state.service.max_inflight
+        state.slots = sum(routing.limit(load, state.pool, limit) for load in in_use or loads)
+
+    def review(self, state: ServiceState, now: float) -> None:
+        """Ejects stragglers within the cap."""
+        views = self.board.targets_of(state.service.name)
+        states = {view.name: self.target(view) for view in views}
+        paces = {
+            name: ejection.relative(self.pace_of(target, now), state.median_pace)
+            for name, target in states.items()
+        }
+        healths = {name: target.health for name, target in states.items()}
+        for name, health in ejection.review(healths, paces, now).items():
+            states[name].health = health
--- a/savoryfork/routing.py
+++ b/savoryfork/routing.py
@@ -56,6 +56,9 @@
     hosts: int
 
 
+Lookup = Callable[[str], Load]
+
+
 def others_now(load: Load, pool: Pool) -> float:
     """Calls of other hosts on the target, corrected for the age of the report.
 
@@ -127,18 +130,20 @@
 ) -> list[str]:
     """Draws up to `count` different candidates; each is kept with the chance of its weight.
 
-    If all draws are turned away, it fails open: the candidates of highest weight are taken.
+    If every draw is turned away, all are looked at and those of highest weight are taken, so that
+    only a weight of 0 keeps a target out for certain.
     """
-    if len(names) <= 1:
-        return list(names)
     drawn: list[str] = []
-    for _ in range(4 * count):
+    for _ in range(4 * count if names else 0):
         name = names[rng.randrange(len(names))]
         if name not in drawn and rng.random() < weights(name):
             drawn.append(name)
             if len(drawn) == count:
-                break
-    return drawn or sorted(names, key=weights, reverse=True)[:count]
+                return drawn
+    if drawn:
+        return drawn
+    usable = [name for name in names if weights(name) > 0]
+    return sorted(usable, key=weights, reverse=True)[:count]
 
 
 def choose(completions: Mapping[str, float], rng: random.Random) -> str:
