--- /dev/null
+++ b/savoryfork/burn.py
@@ -0,0 +1,400 @@
+"""Error budget counters of one host and their summaries on the log.
+
+A host counts runs in minute buckets and appends each finished minute to topic `burn` as one record
+`{schema, type: "minute", id, incarnation, minute, sequence, detail, data}`. `data` is the content
+(`MinuteContent`) as base85 of compressed msgpack.
+
+Size. Counts per pipeline (at most 15) are in every record. Counts per (pipeline, workspace) are in
+every record as long as a host has at most `BURN_RECORD_PAIRS` active pairs. With more, each pair
+has a slot of `detail` minutes, a power of two and equal on all hosts with similar load, and its
+counts wait for the slot. Without slots a host at the planned size would send nearly one entry per
+request, because 42,000 pairs spread over 320 hosts hardly repeat within a minute.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import bisect
+import logging
+import zlib
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from savoryfork import defaults
+from savoryfork.errors import ErrorKind
+from savoryfork.util import logs
+from savoryfork.util.timer import Clock
+from savoryfork.util.topic import LogClient, LogUnavailable
+
+log = logging.getLogger(__name__)
+
+SCHEMA = 1
+MINUTE_MS = 60_000
+
+# Runs that end in one of these kinds are not counted at all: the caller sent something that no
+# state of the system could answer, or asked about a run that is counted where it runs.
+# Publications are not runs.
+EXCLUDED = frozenset(
+    {
+        ErrorKind.MALFORMED_REQUEST,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.BODY_TOO_SLOW,
+        ErrorKind.UNAUTHORIZED,
+        ErrorKind.UNKNOWN_PIPELINE,
+        ErrorKind.UNKNOWN_REQUEST,
+        ErrorKind.IDEMPOTENCY_KEY_REQUIRED,
+        ErrorKind.IDEMPOTENCY_KEY_INVALID,
+        ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+        ErrorKind.IDEMPOTENCY_KEY_MISMATCH,
+        ErrorKind.REQUEST_IN_PROGRESS,
+        ErrorKind.PUBLICATION_INVALID,
+        ErrorKind.PUBLICATION_CONFLICT,
+        ErrorKind.PUBLICATION_UNKNOWN,
+    }
+)
+
+# A definite refusal by a service is a whole answer, so only its lateness spends budget.
+ANSWERED = frozenset({None, ErrorKind.ACTION_REJECTED})
+
+# The kind under which an answer after the deadline is counted.
+LATE = "late"
+
+# Upper bounds of the latency buckets in milliseconds; the last bucket has none. Fixed buckets
+# merge by addition and take a few bytes each; an encoded hdrhistogram takes more than the rest of
+# a record for 15 pipelines of 6 stages.
+LATENCY_BOUNDS_MS = tuple(2**exponent for exponent in range(15))
+
+Pair = tuple[str, str]
+
+
+class Tally:
+    """Runs, and the bad ones among them by (error kind, stage). A run without stage has ""."""
+
+    __slots__ = ("bad", "spent", "total")
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.bad = 0
+        self.spent: dict[tuple[str, str], int] = {}
+
+    def count(self, kind: str | None, stage: str) -> None:
+        """Counts one run, a good one if `kind` is None."""
+        self.total += 1
+        if kind is not None:
+            self.bad += 1
+            self.spent[kind, stage] = self.spent.get((kind, stage), 0) + 1
+
+    def merge(self, other: Tally) -> None:
+        """Adds the counts of another tally."""
+        self.total += other.total
+        self.bad += other.bad
+        for key, count in other.spent.items():
+            self.spent[key] = self.spent.get(key, 0) + count
+
+
+class Bucket:
+    """Counts of the minutes `first` to `minute` (Unix time in minutes).
+
+    `latency` counts (pipeline, stage, bucket index); stage "" is the whole run. `detail` is the
+    number of minutes over which the counts of a pair may have been collected.
+    """
+
+    def __init__(self, minute: int) -> None:
+        self.first = minute
+        self.minute = minute
+        self.pipelines: dict[str, Tally] = {}
+        self.pairs: dict[Pair, Tally] = {}
+        self.latency: Counter[tuple[str, str, int]] = Counter()
+        self.detail = 1
+
+    def merge(self, other: Bucket) -> None:
+        """Adds a bucket of other minutes; the result is attributed to the last one."""
+        self.first = min(self.first, other.first)
+        self.minute = max(self.minute, other.minute)
+        self.detail = max(self.detail, other.detail, self.minute - self.first + 1)
+        merge_tallies(self.pipelines, other.pipelines)
+        merge_tallies(self.pairs, other.pairs)
+        self.latency.update(other.latency)
+
+
+def merge_tallies(into: dict[Any, Tally], other: Mapping[Any, Tally]) -> None:
+    """Adds the tallies of `other`, key by key."""
+    for key, tally in other.items():
+        into.setdefault(key, Tally()).merge(tally)
+
+
+def budget_kind(outcome: ErrorKind | None, answered_in_time: bool) -> str | None:
+    """The kind under which a run spends budget; None if it does not.
+
+    >>> budget_kind(None, True), budget_kind(None, False), budget_kind(ErrorKind.OVERLOADED, True)
+    (None, 'late', 'overloaded')
+    """
+    if outcome in ANSWERED:
+        return None if answered_in_time else LATE
+    assert outcome is not None
+    return outcome.value
+
+
+class BurnRecorder:
+    """Counts runs in memory. Memory is bounded by the number of pairs, not by the time."""
+
+    def __init__(
+        self,
+        record_pairs: int = defaults.BURN_RECORD_PAIRS,
+        max_pairs: int = defaults.BURN_MAX_PAIRS,
+    ) -> None:
+        self.record_pairs = record_pairs
+        self.max_pairs = max_pairs
+        self.buckets: dict[int, Bucket] = {}
+        self.carried: dict[Pair, Tally] = {}
+        self.dropped = 0
+
+    def record(
+        self,
+        workspace: str,
+        pipeline: str,
+        outcome: ErrorKind | None,
+        stage: str | None,
+        answered_in_time: bool,
+        duration_ms: float,
+        stage_ms: Mapping[str, float],
+        now_wall_ms: float,
+    ) -> None:
+        """Counts one finished run; `stage` is where it failed, `stage_ms` the time of each stage.
+
+        Kinds in `EXCLUDED` are ignored. `now_wall_ms` is Unix time.
+        """
+        if outcome in EXCLUDED:
+            return
+        bucket = self.bucket(int(now_wall_ms // MINUTE_MS))
+        kind = budget_kind(outcome, answered_in_time)
+        bucket.pipelines.setdefault(pipeline, Tally()).count(kind, stage or "")
+        pair = (pipeline, workspace)
+        if pair in bucket.pairs or len(bucket.pairs) + len(self.carried) < self.max_pairs:
+            bucket.pairs.setdefault(pair, Tally()).count(kind, stage or "")
+        else:
+            self.dropped += 1
+        for name, spent_ms in {**stage_ms, "": duration_ms}.items():
+            index = bisect.bisect_left(LATENCY_BOUNDS_MS, spent_ms)
+            bucket.latency[pipeline, name, index] += 1
+
+    def bucket(self, minute: int) -> Bucket:
+        """The bucket of a minute, or the newest one if a jumping clock asks for too many."""
+        if minute not in self.buckets and len(self.buckets) >= defaults.BURN_MAX_BUCKETS:
+            minute = max(self.buckets)
+        return self.buckets.setdefault(minute, Bucket(minute))
+
+    def take(self, now_wall_ms: float, everything: bool = False) -> list[Bucket]:
+        """Removes the finished minutes, ready to be sent; `everything` ignores minute and slot."""
+        current = int(now_wall_ms // MINUTE_MS)
+        taken = []
+        for minute in sorted(self.buckets):
+            if minute != current or everything:
+                bucket = self.buckets.pop(minute)
+                self.select_pairs(bucket, everything)
+                taken.append(bucket)
+        if everything and self.carried:
+            bucket = Bucket(current)
+            self.select_pairs(bucket, everything)
+            taken.append(bucket)
+        return taken
+
+    def select_pairs(self, bucket: Bucket, everything: bool) -> None:
+        """Leaves in a bucket the pairs that are due and carries the others."""
+        merge_tallies(self.carried, bucket.pairs)
+        detail = 1
+        while detail * self.record_pairs < len(self.carried):
+            detail *= 2
+        bucket.detail = detail
+        if detail == 1 or everything:
+            bucket.pairs, self.carried = self.carried, {}
+            return
+        bucket.pairs = {}
+        for pair in [p for p in self.carried if slot(p) % detail == bucket.minute % detail]:
+            bucket.pairs[pair] = self.carried.pop(pair)
+
+    def give_back(self, bucket: Bucket) -> None:
+        """Carries the pairs of a bucket again, to bound what waits during an outage."""
+        merge_tallies(self.carried, bucket.pairs)
+        bucket.pairs = {}
+
+
+def slot(pair: Pair) -> int:
+    """A hash that is the same on every host."""
+    return xxhash.xxh3_64_intdigest("\x00".join(pair).encode())
+
+
+class PipelineRow(NamedTuple):
+    """Counts of one pipeline. `spent` has (kind, stage, count); `latency` has (stage, index of
+    the first bucket, counts)."""
+
+    pipeline: str
+    total: int
+    bad: int
+    spent: list[tuple[str, str, int]]
+    latency: list[tuple[str, int, list[int]]]
+
+
+class MinuteContent(NamedTuple):
+    """The content of a minute record. Pairs are four columns, in order of workspace; the first
+    two index `workspaces` and `pipelines`. `spent` has (row, kind, stage, count)."""
+
+    pipelines: list[PipelineRow]
+    names: list[str]
+    workspaces: list[str]
+    pair_pipeline: list[int]
+    pair_workspace: list[int]
+    pair_total: list[int]
+    pair_bad: list[int]
+    spent: list[tuple[int, str, str, int]]
+
+
+def pack(content: Any) -> str:
+    """Encodes as text for a record: msgpack, compressed, in base85.
+
+    >>> msgspec.msgpack.decode(unpack(pack([1, "a"])))
+    [1, 'a']
+    """
+    return base64.b85encode(zlib.compress(msgspec.msgpack.encode(content), 9)).decode()
+
+
+def unpack(data: str) -> bytes:
+    """The msgpack bytes of a packed text; raises ValueError or zlib.error if it is damaged."""
+    return zlib.decompress(base64.b85decode(data))
+
+
+def content_of(bucket: Bucket) -> MinuteContent:
+    """The content of the record for a bucket, in an order that compresses well."""
+    histograms: dict[Pair, dict[int, int]] = {}
+    for (pipeline, stage, index), count in bucket.latency.items():
+        histograms.setdefault((pipeline, stage), {})[index] = count
+    latency: dict[str, list[tuple[str, int, list[int]]]] = {}
+    for (pipeline, stage), counts in sorted(histograms.items()):
+        first = min(counts)
+        row = [counts.get(index, 0) for index in range(first, max(counts) + 1)]
+        latency.setdefault(pipeline, []).append((stage, first, row))
+    rows = [
+        PipelineRow(name, tally.total, tally.bad, spent_rows(tally), latency.get(name, []))
+        for name, tally in sorted(bucket.pipelines.items())
+    ]
+    pairs = sorted(bucket.pairs.items(), key=lambda item: (item[0][1], item[0][0]))
+    names = sorted({pipeline for pipeline, _ in bucket.pairs})
+    workspaces = sorted({workspace for _, workspace in bucket.pairs})
+    name_index = {name: index for index, name in enumerate(names)}
+    workspace_index = {name: index for index, name in enumerate(workspaces)}
+    return MinuteContent(
+        rows,
+        names,
+        workspaces,
+        [name_index[pipeline] for (pipeline, _), _ in pairs],
+        [workspace_index[workspace] for (_, workspace), _ in pairs],
+        [tally.total for _, tally in pairs],
+        [tally.bad for _, tally in pairs],
+        [(row, *spent) for row, (_, tally) in enumerate(pairs) for spent in spent_rows(tally)],
+    )
+
+
+def spent_rows(tally: Tally) -> list[tuple[str, str, int]]:
+    """The spenders of a tally as (kind, stage, count)."""
+    return [(kind, stage, count) for (kind, stage), count in sorted(tally.spent.items())]
+
+
+def minute_record(bucket: Bucket, incarnation: str, sequence: int) -> dict[str, Any]:
+    """The log record of a bucket."""
+    return {
+        "schema": SCHEMA,
+        "type": "minute",
+        "id": f"{incarnation}:{bucket.minute}:{sequence}",
+        "incarnation": incarnation,
+        "minute": bucket.minute,
+        "sequence": sequence,
+        "detail": bucket.detail,
+        "data": pack(content_of(bucket)),
+    }
+
+
+class BurnController:
+    """Appends the finished minutes of a recorder to the log, in order, one batch at a time.
+
+    A batch whose answer is lost is sent again unchanged before anything newer. So the first
+    appearance of the sequences of an incarnation is in order, and the fold recognises a repeated
+    record by the highest sequence it has seen.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        recorder: BurnRecorder,
+        incarnation: str,
+        clock: Clock,
+    ) -> None:
+        self.client = client
+        self.recorder = recorder
+        self.incarnation = incarnation
+        self.clock = clock
+        self.sequence = 0
+        self.waiting: list[Bucket] = []
+        self.batch: list[dict[str, Any]] = []
+        self.lock = asyncio.Lock()
+
+    async def tick(self) -> None:
+        """Collects finished minutes and sends what waits; call every `BURN_TICK_MS`."""
+        async with self.lock:
+            self.collect(everything=False)
+            try:
+                await self.send(defaults.LOG_TIMEOUT_MS)
+            except LogUnavailable:
+                logs.event(log, "burn_append_failed", logging.DEBUG, waiting=len(self.waiting))
+
+    async def close(self, timeout_ms: float = defaults.BURN_FLUSH_MS) -> bool:
+        """Sends everything, the current minute included; False if the log did not take it all.
+
+        Call it after the last run has been recorded.
+        """
+        end_ms = self.clock.monotonic_ms() + timeout_ms
+        async with self.lock:
+            self.collect(everything=True)
+            while self.batch or self.waiting:
+                left_ms = end_ms - self.clock.monotonic_ms()
+                if left_ms <= 0:
+                    logs.event(log, "burn_flush_failed", logging.ERROR, waiting=len(self.waiting))
+                    return False
+                try:
+                    await self.send(min(left_ms, defaults.LOG_TIMEOUT_MS))
+                except LogUnavailable:
+                    await asyncio.sleep(min(left_ms, 100) / 1000)
+        return True
+
+    def collect(self, everything: bool) -> None:
+        """Moves finished minutes to `waiting`; merges neighbours when too many wait."""
+        self.waiting.extend(self.recorder.take(self.clock.wall_ms(), everything))
+        while len(self.waiting) > defaults.BURN_MAX_WAITING:
+            self.merge_neighbours()
+
+    def merge_neighbours(self) -> None:
+        """Merges the two neighbours that together span the fewest minutes."""
+        index = min(
+            range(len(self.waiting) - 1),
+            key=lambda i: self.waiting[i + 1].minute - self.waiting[i].first,
+        )
+        merged = self.waiting[index]
+        merged.merge(self.waiting.pop(index + 1))
+        if len(merged.pairs) > self.recorder.record_pairs:
+            self.recorder.give_back(merged)
+
+    async def send(self, timeout_ms: float) -> None:
+        """Sends batches until nothing waits; raises LogUnavailable, with the batch kept."""
+        while self.batch or self.waiting:
+            if not self.batch:
+                taken = self.waiting[: defaults.BURN_BATCH_RECORDS]
+                del self.waiting[: defaults.BURN_BATCH_RECORDS]
+                for bucket in taken:
+                    self.sequence += 1
+                    self.batch.append(minute_record(bucket, self.incarnation, self.sequence))
+            await self.client.append(defaults.BURN_TOPIC, self.batch, timeout_ms)
+            self.batch = []
--- /dev/null
+++ b/savoryfork/burncheckpoint.py
@@ -0,0 +1,361 @@
+"""Checkpoints of the burn totals, and loading the totals on demand.
+
+Hosts don't follow topic `burn`: at the planned size it grows by more than a host may read. A
+report starts from the newest usable checkpoint and reads what came after it, at most about an
+hour and a quarter of records.
+
+A checkpoint is a number of parts in topic `burn-parts` and then one header in topic
+`burn-checkpoints`, `{schema, type: "checkpoint", id, through, digest, parts: [offset]}`. Headers
+have a topic of their own so that each host can see for a few bytes whether an hour's checkpoint
+exists. `through` is the last offset of `burn` that is included, `digest` covers all parts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import sys
+import uuid
+from array import array
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+import xxhash
+
+from savoryfork import defaults
+from savoryfork.burn import SCHEMA, Pair, pack, unpack
+from savoryfork.burntotals import Bin, BurnFold, KeepSeries, Totals, keep_all
+from savoryfork.errors import ErrorKind, ServiceError
+from savoryfork.util import logs
+from savoryfork.util.timer import Clock
+from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, Record
+
+log = logging.getLogger(__name__)
+
+HEADERS_READ = 64
+LOAD_ATTEMPTS = 3
+
+
+class Meta(NamedTuple):
+    """The first part: everything but the bins."""
+
+    series: list[Pair]
+    newest: int
+    since_ms: int
+    dropped: int
+    skipped: int
+    seen: dict[str, tuple[int, int]]
+
+
+class BinPart(NamedTuple):
+    """One bin; columns are little-endian 32-bit numbers."""
+
+    level: int
+    start: int
+    detail: int
+    total: bytes
+    bad: bytes
+    spent: list[tuple[int, str, str, int]]
+    latency: list[tuple[str, str, int, int]]
+
+
+class DamagedCheckpoint(Exception):
+    """A checkpoint whose parts are missing or don't match its digest."""
+
+
+def column_bytes(column: array[int], order: list[int]) -> bytes:
+    """The values of a column in a new order of series, little-endian."""
+    size = len(column)
+    result = array("I", [column[index] if index < size else 0 for index in order])
+    if sys.byteorder == "big":
+        result.byteswap()
+    return result.tobytes()
+
+
+def column_of(data: bytes, order: list[int]) -> array[int]:
+    """The column written by `column_bytes`, restricted to the rows in `order`."""
+    column = array("I")
+    column.frombytes(data)
+    if sys.byteorder == "big":
+        column.byteswap()
+    return array("I", [column[index] for index in order])
+
+
+def spenders_kept(totals: Totals, bin_: Bin) -> list[tuple[tuple[int, str, str], int]]:
+    """The spenders of a bin: all those of pipelines, the largest of pairs up to the bound."""
+    pipelines = {index for (_, workspace), index in totals.series.items() if not workspace}
+    own = [item for item in bin_.spent.items() if item[0][0] in pipelines]
+    others = [item for item in bin_.spent.items() if item[0][0] not in pipelines]
+    others.sort(key=lambda item: (-item[1], item[0]))
+    return own + others[: defaults.BURN_MAX_SPENDERS]
+
+
+def parts_of(fold: BurnFold) -> Iterator[str]:
+    """The parts of a checkpoint, one at a time, since packing all at once would hold the loop.
+
+    Series without runs in the last 30 days are left out.
+    """
+    fold.forget()
+    totals = fold.totals
+    used: set[int] = set()
+    for _, _, bin_ in totals.bins():
+        used.update(index for index, count in enumerate(bin_.total) if count)
+    series = sorted((pair, index) for pair, index in totals.series.items() if index in used)
+    order = [index for _, index in series]
+    rank = {index: position for position, index in enumerate(order)}
+    yield pack(
+        Meta(
+            [pair for pair, _ in series],
+            totals.newest,
+            fold.since_ms,
+            totals.dropped,
+            fold.skipped,
+            fold.seen,
+        )
+    )
+    part: list[BinPart] = []
+    for level, start, bin_ in totals.bins():
+        part.append(
+            BinPart(
+                level,
+                start,
+                bin_.detail,
+                column_bytes(bin_.total, order),
+                column_bytes(bin_.bad, order),
+                sorted((rank[k[0]], k[1], k[2], n) for k, n in spenders_kept(totals, bin_)),
+                sorted((*key, count) for key, count in bin_.latency.items()),
+            )
+        )
+        if len(part) * len(order) >= defaults.BURN_PART_CELLS:
+            yield pack(part)
+            part = []
+    if part:
+        yield pack(part)
+
+
+class Restorer:
+    """Rebuilds a fold from the parts of a checkpoint, given in order."""
+
+    def __init__(self, keep: KeepSeries) -> None:
+        self.fold = BurnFold(keep)
+        self.digest = xxhash.xxh3_128()
+        self.order: list[int] | None = None
+        self.rank: dict[int, int] = {}
+
+    def add(self, data: str) -> None:
+        """Adds the next part."""
+        self.digest.update(data.encode())
+        if self.order is None:
+            self.add_meta(msgspec.msgpack.decode(unpack(data), type=Meta))
+            return
+        for part in msgspec.msgpack.decode(unpack(data), type=list[BinPart]):
+            bin_ = self.fold.totals.levels[part.level].setdefault(part.start, Bin())
+            bin_.detail = part.detail
+            bin_.total = column_of(part.total, self.order)
+            bin_.bad = column_of(part.bad, self.order)
+            for index, kind, stage, count in part.spent:
+                if index in self.rank:
+                    bin_.spent[self.rank[index], kind, stage] = count
+            for pipeline, stage, bucket, count in part.latency:
+                if self.fold.keep(pipeline, ""):
+                    bin_.latency[pipeline, stage, bucket] = count
+
+    def add_meta(self, meta: Meta) -> None:
+        """Restores everything but the bins and selects the series to keep."""
+        kept = [(index, pair) for index, pair in enumerate(meta.series) if self.fold.keep(*pair)]
+        self.order = [index for index, _ in kept]
+        self.rank = {index: position for position, index in enumerate(self.order)}
+        totals = self.fold.totals
+        totals.series = {pair: position for position, (_, pair) in enumerate(kept)}
+        totals.newest, totals.dropped = meta.newest, meta.dropped
+        self.fold.since_ms, self.fold.skipped = meta.since_ms, meta.skipped
+        self.fold.seen = dict(meta.seen)
+
+
+async def bounds(client: LogClient, topic: str) -> tuple[int, int]:
+    """The oldest offset kept and the next one to be given."""
+    try:
+        page = await client.read(topic, 0, 1)
+    except OffsetExpired as gone:
+        return gone.start, gone.end
+    return page.start, page.end
+
+
+async def read_headers(client: LogClient) -> list[Record]:
+    """The newest records of the header topic, oldest first."""
+    topic = defaults.BURN_CHECKPOINT_TOPIC
+    start, end = await bounds(client, topic)
+    offset = max(start, end - HEADERS_READ)
+    records: list[Record] = []
+    while offset < end:
+        page = await client.read(topic, offset, HEADERS_READ)
+        if not page.records:
+            break
+        records.extend(page.records)
+        offset = page.records[-1].offset + 1
+    return records
+
+
+def is_checkpoint(record: Record) -> bool:
+    """True for a header of a schema that this version reads."""
+    return record.value.get("schema") == SCHEMA and record.value.get("type") == "checkpoint"
+
+
+async def restore(client: LogClient, header: dict[str, Any], keep: KeepSeries) -> BurnFold:
+    """The fold of one checkpoint; raises DamagedCheckpoint if it can't be used."""
+    restorer = Restorer(keep)
+    try:
+        for offset in header["parts"]:
+            page = await client.read(defaults.BURN_PART_TOPIC, int(offset), 1)
+            restorer.add(page.records[0].value["data"])
+            await asyncio.sleep(0)
+        if restorer.digest.hexdigest() != header["digest"] or restorer.order is None:
+            raise DamagedCheckpoint("the digest does not match")
+        restorer.fold.position = int(header["through"]) + 1
+    except (LogUnavailable, DamagedCheckpoint):
+        raise
+    except Exception as error:
+        raise DamagedCheckpoint(f"{type(error).__name__}: {error}") from error
+    return restorer.fold
+
+
+async def load_once(client: LogClient, keep: KeepSeries) -> BurnFold:
+    """One attempt of `load`; raises OffsetExpired if retention overtakes the reading."""
+    start, end = await bounds(client, defaults.BURN_TOPIC)
+    fold: BurnFold | None = None
+    for record in reversed(await read_headers(client)):
+        if not is_checkpoint(record) or int(record.value["through"]) + 1 < start:
+            continue
+        try:
+            fold = await restore(client, record.value, keep)
+            break
+        except DamagedCheckpoint as error:
+            logs.event(
+                log, "burn_checkpoint_skipped", logging.ERROR, at=record.offset, reason=str(error)
+            )
+    incomplete = fold is None and start > 0
+    if fold is None:
+        fold = BurnFold(keep)
+        fold.position = start
+    while fold.position < end:
+        page = await client.read(defaults.BURN_TOPIC, fold.position, defaults.BURN_READ_LIMIT)
+        if not page.records:
+            break
+        if incomplete and not fold.since_ms:
+            fold.since_ms = page.records[0].time_ms
+        for record in page.records:
+            fold.apply(record)
+        await asyncio.sleep(0)
+    return fold
+
+
+async def load(client: LogClient, keep: KeepSeries = keep_all) -> BurnFold:
+    """The totals up to the present end of the log.
+
+    Without a usable checkpoint they begin with the oldest record kept, and `since_ms` says so.
+    Raises ServiceError log_unavailable if the log does not answer.
+    """
+    for _ in range(LOAD_ATTEMPTS):
+        try:
+            return await load_once(client, keep)
+        except OffsetExpired:
+            continue
+        except LogUnavailable as error:
+            raise ServiceError(
+                ErrorKind.LOG_UNAVAILABLE,
+                f"the burn records can't be read ({error}); try again when the log answers",
+            ) from error
+    raise ServiceError(
+        ErrorKind.LOG_UNAVAILABLE,
+        "burn records expired faster than they could be read; lengthen the topic's retention",
+    )
+
+
+async def save(client: LogClient, fold: BurnFold) -> None:
+    """Appends a checkpoint. Raises LogUnavailable; parts without a header are ignored."""
+    checkpoint_id = uuid.uuid4().hex
+    through = fold.position - 1
+    digest = xxhash.xxh3_128()
+    offsets = []
+    size = 0
+    for number, data in enumerate(parts_of(fold)):
+        digest.update(data.encode())
+        size += len(data)
+        record = {"schema": SCHEMA, "type": "part", "id": f"{checkpoint_id}:{number}", "data": data}
+        offsets.append(await client.append(defaults.BURN_PART_TOPIC, [record]))
+    header = {
+        "schema": SCHEMA,
+        "type": "checkpoint",
+        "id": checkpoint_id,
+        "through": through,
+        "digest": digest.hexdigest(),
+        "parts": offsets,
+    }
+    await client.append(defaults.BURN_CHECKPOINT_TOPIC, [header])
+    logs.event(log, "burn_checkpoint", through=through, parts=len(offsets), bytes=size)
+
+
+class CheckpointController:
+    """Makes an hourly checkpoint unless another host has made it.
+
+    Each host waits for a random delay and announces an attempt first; the earliest announcement
+    in the log goes ahead, the others look again later. Duplicates are harmless, but at 320 hosts
+    each would read an hour of records.
+    """
+
+    def __init__(self, client: LogClient, clock: Clock, random_source: random.Random) -> None:
+        self.client = client
+        self.clock = clock
+        self.random = random_source
+        self.due_ms = clock.wall_ms() + self.delay_ms()
+
+    def delay_ms(self) -> float:
+        """A random delay that separates the hosts."""
+        return self.random.uniform(0, defaults.BURN_CHECKPOINT_DELAY_MS)
+
+    async def tick(self) -> None:
+        """Makes a checkpoint if one is due; call it every `BURN_TICK_MS`."""
+        if self.clock.wall_ms() < self.due_ms:
+            return
+        self.due_ms = self.clock.wall_ms() + self.delay_ms()
+        try:
+            if await self.is_ours():
+                fold = await load(self.client)
+                if fold.position:
+                    await save(self.client, fold)
+        except (LogUnavailable, OffsetExpired, ServiceError) as error:
+            logs.event(log, "burn_checkpoint_failed", logging.WARNING, reason=str(error))
+
+    async def is_ours(self) -> bool:
+        """True if no host has made the checkpoint and this host's announcement is the first."""
+        records = await read_headers(self.client)
+        if self.others(records):
+            return False
+        intent = {"schema": SCHEMA, "type": "intent", "id": uuid.uuid4().hex}
+        await self.client.append(defaults.BURN_CHECKPOINT_TOPIC, [intent])
+        recent = self.recent_intents(await read_headers(self.client))
+        return bool(recent) and recent[0].value["id"] == intent["id"]
+
+    def others(self, records: list[Record]) -> bool:
+        """True if a checkpoint is recent enough, in which case the next one is scheduled, or if
+        one is being made."""
+        for record in reversed(records):
+            if is_checkpoint(record):
+                next_ms = record.time_ms + defaults.BURN_CHECKPOINT_MINUTES * 60_000
+                if next_ms > self.clock.wall_ms():
+                    self.due_ms = next_ms + self.delay_ms()
+                    return True
+                break
+        return bool(self.recent_intents(records))
+
+    def recent_intents(self, records: list[Record]) -> list[Record]:
+        """Announcements after which no checkpoint has appeared and that may still lead to one."""
+        last = max((r.offset for r in records if is_checkpoint(r)), default=-1)
+        oldest_ms = self.clock.wall_ms() - defaults.BURN_CHECKPOINT_CLAIM_MS
+        return [
+            r
+            for r in records
+            if r.value.get("type") == "intent" and r.offset > last and r.time_ms >= oldest_ms
+        ]
--- /dev/null
+++ b/savoryfork/burntotals.py
@@ -0,0 +1,261 @@
+"""Totals of all hosts over 30 days, folded from topic `burn`, and their checkpoints.
+
+Time is kept in five levels of bins, each as wide as the next shorter window needs: a minute, five
+minutes, an hour, six hours, three days. Counts of a bin are columns of 32-bit numbers, indexed by
+series, because a Python object per count would need more than 20 times the memory.
+
+A series is a (pipeline, workspace) pair; workspace "" is the pipeline over all workspaces.
+"""
+
+from __future__ import annotations
+
+import zlib
+from array import array
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from savoryfork import defaults
+from savoryfork.burn import SCHEMA, MinuteContent, Pair, unpack
+from savoryfork.util.topic import Fold, Record
+
+
+class Level(NamedTuple):
+    """Bins of `width` minutes, kept for `span` minutes before they move to the next level."""
+
+    width: int
+    span: int
+
+
+LEVELS = (
+    Level(1, 10),
+    Level(5, 65),
+    Level(60, 420),
+    Level(360, 4_680),
+    Level(4_320, 47_520),
+)
+
+KeepSeries = Callable[[str, str], bool]
+SpentKey = tuple[int, str, str]
+LatencyKey = tuple[str, str, int]
+
+
+class Bin:
+    """Counts of one stretch of time; `spent` is keyed by (series, kind, stage)."""
+
+    def __init__(self) -> None:
+        self.total = array("I")
+        self.bad = array("I")
+        self.spent: Counter[SpentKey] = Counter()
+        self.latency: Counter[LatencyKey] = Counter()
+        self.detail = 1
+
+    def add(self, series: int, total: int, bad: int) -> None:
+        """Adds to the counts of one series."""
+        missing = series + 1 - len(self.total)
+        if missing > 0:
+            self.total.extend([0] * missing)
+            self.bad.extend([0] * missing)
+        self.total[series] += total
+        self.bad[series] += bad
+
+    def merge(self, other: Bin) -> None:
+        """Adds another bin."""
+        self.total = add_columns(self.total, other.total)
+        self.bad = add_columns(self.bad, other.bad)
+        self.spent.update(other.spent)
+        self.latency.update(other.latency)
+        self.detail = max(self.detail, other.detail)
+
+
+def add_columns(left: array[int], right: array[int]) -> array[int]:
+    """The sum of two columns, as long as the longer one.
+
+    >>> add_columns(array("I", [1, 2]), array("I", [10])).tolist()
+    [11, 2]
+    """
+    if len(left) < len(right):
+        left, right = right, left
+    result = array(left.typecode, left)
+    for index, value in enumerate(right):
+        if value:
+            result[index] += value
+    return result
+
+
+class Window(NamedTuple):
+    """Sums over a stretch of time that ends now; columns are indexed by series."""
+
+    total: array[int]
+    bad: array[int]
+    spent: Counter[SpentKey]
+    latency: Counter[LatencyKey]
+    detail: int
+
+
+class Totals:
+    """Counts of all series by time. `newest` is the last minute of the log seen.
+
+    The bin of a count depends only on its minute and on `newest`, so equal records in any order
+    and with any checkpoints in between give equal totals.
+    """
+
+    def __init__(self) -> None:
+        self.series: dict[Pair, int] = {}
+        self.levels: list[dict[int, Bin]] = [{} for _ in LEVELS]
+        self.newest = 0
+        self.dropped = 0
+
+    def series_of(self, pair: Pair) -> int | None:
+        """The index of a series, given on first use; None for a pair beyond the bound."""
+        index = self.series.get(pair)
+        if index is None:
+            if pair[1] and len(self.series) >= defaults.BURN_MAX_PAIRS:
+                self.dropped += 1
+                return None
+            index = self.series[pair] = len(self.series)
+        return index
+
+    def advance(self, minute: int) -> None:
+        """Sets the newest minute and moves bins that are now too old to the next level."""
+        if minute <= self.newest:
+            return
+        self.newest = minute
+        for index, level in enumerate(LEVELS):
+            for start in [s for s in self.levels[index] if self.aged(level, s)]:
+                bin_ = self.levels[index].pop(start)
+                target = self.bin(start)
+                if target is not None:
+                    target.merge(bin_)
+
+    def aged(self, level: Level, start: int) -> bool:
+        """True if a bin has left the span of its level."""
+        return start + level.width <= self.newest + 1 - level.span
+
+    def bin(self, minute: int) -> Bin | None:
+        """The bin that takes counts of a minute; None if the minute is too old to be kept."""
+        for index, level in enumerate(LEVELS):
+            start = minute - minute % level.width
+            if not self.aged(level, start):
+                return self.levels[index].setdefault(start, Bin())
+        return None
+
+    def add(self, minute: int, content: MinuteContent, detail: int, keep: KeepSeries) -> None:
+        """Adds the content of one record."""
+        bin_ = self.bin(minute)
+        if bin_ is None:
+            return
+        bin_.detail = max(bin_.detail, detail)
+        for row in content.pipelines:
+            if not keep(row.pipeline, ""):
+                continue
+            series = self.series_of((row.pipeline, ""))
+            assert series is not None
+            bin_.add(series, row.total, row.bad)
+            for kind, stage, count in row.spent:
+                bin_.spent[series, kind, stage] += count
+            for stage, first, counts in row.latency:
+                for index, count in enumerate(counts, first):
+                    if count:
+                        bin_.latency[row.pipeline, stage, index] += count
+        rows: list[int | None] = []
+        for name, workspace, total, bad in zip(
+            content.pair_pipeline,
+            content.pair_workspace,
+            content.pair_total,
+            content.pair_bad,
+            strict=True,
+        ):
+            pair = (content.names[name], content.workspaces[workspace])
+            pair_series = self.series_of(pair) if keep(*pair) else None
+            rows.append(pair_series)
+            if pair_series is not None:
+                bin_.add(pair_series, total, bad)
+        for row_index, kind, stage, count in content.spent:
+            pair_series = rows[row_index]
+            if pair_series is not None:
+                bin_.spent[pair_series, kind, stage] += count
+
+    def bins(self) -> Iterator[tuple[int, int, Bin]]:
+        """All bins as (level, start, bin), oldest first."""
+        found = [
+            (start, index, bin_)
+            for index, bins in enumerate(self.levels)
+            for start, bin_ in bins.items()
+        ]
+        for start, index, bin_ in sorted(found, key=lambda item: item[:2]):
+            yield index, start, bin_
+
+    def window(self, minutes: int, now_minute: int) -> Window:
+        """Sums every bin that overlaps the last `minutes` minutes, the current one included.
+
+        The sum may therefore reach back further by up to one bin: not at all for 5 minutes, up to
+        5 minutes for an hour, up to an hour for 6 hours, 6 hours for 3 days, 3 days for 30 days.
+        """
+        since = now_minute + 1 - minutes
+        total, bad = array("Q"), array("Q")
+        spent: Counter[SpentKey] = Counter()
+        latency: Counter[LatencyKey] = Counter()
+        detail = 1
+        for index, start, bin_ in self.bins():
+            if start + LEVELS[index].width <= since or start > now_minute:
+                continue
+            total = add_columns(total, array("Q", bin_.total))
+            bad = add_columns(bad, array("Q", bin_.bad))
+            spent.update(bin_.spent)
+            latency.update(bin_.latency)
+            detail = max(detail, bin_.detail)
+        return Window(total, bad, spent, latency, detail)
+
+
+def keep_all(pipeline: str, workspace: str) -> bool:
+    """The default filter of a fold."""
+    return True
+
+
+class BurnFold(Fold):
+    """Merges the minute records of all hosts.
+
+    `keep(pipeline, workspace)` limits the series that are held. `since_ms` is the log's time
+    before which records may be missing, 0 if none is. `seen` maps an incarnation to its highest
+    sequence and the log minute of that record; it forgets incarnations that have been silent for
+    `BURN_INCARNATION_MINUTES`.
+    """
+
+    def __init__(self, keep: KeepSeries = keep_all) -> None:
+        self.keep = keep
+        self.position = 0
+        self.since_ms = 0
+        self.totals = Totals()
+        self.seen: dict[str, tuple[int, int]] = {}
+        self.skipped = 0
+
+    def apply(self, record: Record) -> None:
+        """Applies one record; one that is repeated, damaged or of a newer schema adds nothing."""
+        if record.offset < self.position:
+            return
+        self.position = record.offset + 1
+        value = record.value
+        if value.get("schema") != SCHEMA or value.get("type") != "minute":
+            self.skipped += 1
+            return
+        now_minute = record.time_ms // 60_000
+        try:
+            content = msgspec.msgpack.decode(unpack(value["data"]), type=MinuteContent)
+            incarnation, sequence = str(value["incarnation"]), int(value["sequence"])
+            minute, detail = min(int(value["minute"]), now_minute), int(value["detail"])
+        except (KeyError, TypeError, ValueError, zlib.error, msgspec.MsgspecError):
+            self.skipped += 1
+            return
+        if sequence <= self.seen.get(incarnation, (0, 0))[0]:
+            return
+        self.seen[incarnation] = (sequence, now_minute)
+        self.totals.advance(now_minute)
+        self.totals.add(minute, content, detail, self.keep)
+
+    def forget(self) -> None:
+        """Drops incarnations that have been silent for too long to be repeated."""
+        oldest = self.totals.newest - defaults.BURN_INCARNATION_MINUTES
+        self.seen = {name: entry for name, entry in self.seen.items() if entry[1] >= oldest}
