--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -37,9 +37,9 @@
 
 
 POOLS = (
-    ServiceSpec("encoder", "encoder", 2, service_ms=8.0),
-    ServiceSpec("retriever", "retriever", 2, service_ms=12.0),
-    ServiceSpec("reranker", "reranker", 2, service_ms=20.0),
+    ServiceSpec("encoders", "encoder", 2, service_ms=8.0),
+    ServiceSpec("retrievers", "retriever", 2, service_ms=12.0),
+    ServiceSpec("rerankers", "reranker", 2, service_ms=20.0),
 )
 
 FORNACI = DeploymentSpec(
