--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -24,6 +24,20 @@
 CONFIG_TAIL_RECORDS = 1_000
 CHECKPOINT_EVERY_RECORDS = 200
 PUBLISH_WAIT_MS = 8_000
+MAX_PUBLICATION_BYTES = 8_388_608
+OPERATOR_BODY_TIMEOUT_MS = 20_000
+# A checkpoint is also repeated without new records, since retention may be limited by time.
+CHECKPOINT_EVERY_MS = 3_600_000
+# The random delay keeps most of 320 hosts from writing the same checkpoint: the first one is seen
+# by the others within about 0.1 s.
+CHECKPOINT_DELAY_MS = 60_000
+CHECKPOINT_URGENT_DELAY_MS = 5_000
+
+# Leaving marks. Each host passes a mark on for RELAY_MS after it heard of it, long enough to reach
+# every host by random exchanges, and much shorter than marks are kept: otherwise hosts would give
+# each other back what they had forgotten.
+LEAVING_RELAY_MS = 20_000
+LEAVING_PER_EXCHANGE = 32
 
 # Claims.
 CLAIM_PARTITIONS = 16
--- /dev/null
+++ b/savoryfork/gossip.py
@@ -0,0 +1,506 @@
+"""Exchange of configuration and leaving marks between hosts, and the controller of both."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+import uuid6
+
+from savoryfork import defaults
+from savoryfork.board import Board, HostView
+from savoryfork.membership import Membership
+from savoryfork.peers import PeerUnavailable
+from savoryfork.proto import peer_pb2
+from savoryfork.publication import ConfigFold
+from savoryfork.settings import Settings
+from savoryfork.util import logs
+from savoryfork.util.timer import Clock
+from savoryfork.util.topic import LogClient, LogUnavailable, Record, TopicReader
+
+log = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+# A position beyond every offset: the sender asks for no records.
+NOTHING_WANTED = 2**63 - 1
+
+# Bounds one reply; a host that is further behind asks again at once.
+REPLY_BYTES = 262_144
+MAX_ROUNDS = 64
+
+# Calls in flight while all hosts are being asked.
+ASK_CONCURRENCY = 16
+SPREAD_PAUSE_MS = 200
+
+# Between two pushes of leaving marks, so that a lost availability zone causes few large messages
+# instead of many small ones.
+PUSH_PAUSE_MS = 100
+
+# A host whose ticks stopped for this long may have missed marks that are no longer passed on.
+AWAY_MS = 5_000
+
+
+class Caller(Protocol):
+    """The part of PeerClient that the exchange uses."""
+
+    async def call(self, address: str, method: str, request: Any, timeout_ms: float) -> Any:
+        """Calls another host; raises PeerUnavailable if no answer came."""
+
+
+class ConfigController:
+    """Follows the topic into the fold and writes the board's configuration sections.
+
+    `run` is the reader and lasts as long as the process; `tick`, once a second, is the checkpoint
+    duty. `config_ready` is set once the log has been read to its end or another host's complete
+    configuration has been taken, and is never taken back.
+    """
+
+    def __init__(
+        self, board: Board, fold: ConfigFold, client: LogClient, clock: Clock, rng: random.Random
+    ) -> None:
+        self.board = board
+        self.fold = fold
+        self.client = client
+        self.clock = clock
+        self.rng = rng
+        self.reader = TopicReader(
+            client,
+            defaults.CONFIG_TOPIC,
+            fold,
+            wait_ms=defaults.LOG_POLL_WAIT_MS,
+            limit=defaults.LOG_READ_LIMIT,
+            on_page=self.refresh,
+        )
+        self.woken = asyncio.Event()
+        self.checkpoint_seen = -1
+        self.checkpoint_seen_ms = clock.monotonic_ms()
+        self.checkpoint_due_ms: float | None = None
+
+    async def run(self) -> None:
+        """Reads the topic until cancelled, or until a newer schema version ends the reading."""
+        watcher = asyncio.get_running_loop().create_task(self.watch_caught_up())
+        try:
+            while self.fold.stopped_at is None:
+                reading = asyncio.get_running_loop().create_task(self.reader.run())
+                stopped = asyncio.get_running_loop().create_task(
+                    self.wait_for(lambda: self.fold.stopped_at, None)
+                )
+                try:
+                    await asyncio.wait({reading, stopped}, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    reading.cancel()
+                    stopped.cancel()
+                    results = await asyncio.gather(reading, stopped, return_exceptions=True)
+                if isinstance(results[0], Exception):
+                    log.error("event=config_reader_failed", exc_info=results[0])
+                    await asyncio.sleep(1)
+        finally:
+            watcher.cancel()
+
+    async def watch_caught_up(self) -> None:
+        """Reports an empty log, for which no page is applied."""
+        await self.reader.caught_up.wait()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Writes the fold's state to the board and wakes those who wait for a change."""
+        board, fold = self.board, self.fold
+        if fold.configuration.offset > board.configuration.offset:
+            board.configuration = fold.configuration
+            logs.event(
+                log,
+                "config_in_effect",
+                offset=fold.configuration.offset,
+                workspaces=len(fold.configuration.workspaces),
+                pipelines=len(fold.configuration.pipelines),
+            )
+        board.config_position = max(board.config_position, fold.position)
+        if self.reader.caught_up.is_set():
+            self.set_ready("log")
+        self.woken.set()
+        self.woken = asyncio.Event()
+
+    def set_ready(self, source: str) -> None:
+        """Notes that the configuration is complete."""
+        if not self.board.config_ready:
+            self.board.config_ready = True
+            logs.event(log, "config_ready", source=source, position=self.fold.position)
+
+    async def wait_for(self, probe: Callable[[], T | None], timeout_ms: float | None) -> T | None:
+        """Waits until `probe` gives something else than None; returns None after the timeout."""
+        try:
+            async with asyncio.timeout(None if timeout_ms is None else max(0, timeout_ms) / 1000):
+                while (found := probe()) is None:
+                    await self.woken.wait()
+                return found
+        except TimeoutError:
+            return probe()
+
+    # Checkpoints.
+
+    def checkpoint_delay_ms(self) -> float | None:
+        """The longest delay that a checkpoint may still have; None if none is needed.
+
+        The retention is not known beforehand. Once the log has dropped records, the number that it
+        keeps is taken as a measure: a checkpoint is due when a quarter of it is not yet covered.
+        """
+        fold = self.fold
+        if fold.position == 0 or fold.stopped_at is not None:
+            return None
+        if not (self.board.config_ready and self.board.log.available):
+            return None
+        now = self.clock.monotonic_ms()
+        if fold.checkpoint_through > self.checkpoint_seen:
+            self.checkpoint_seen, self.checkpoint_seen_ms = fold.checkpoint_through, now
+            self.checkpoint_due_ms = None
+        uncovered = fold.position - 1 - fold.checkpoint_through
+        kept = fold.position - self.reader.start
+        if self.reader.start > 0 and uncovered >= max(8, kept // 2):
+            return defaults.CHECKPOINT_URGENT_DELAY_MS
+        every = defaults.CHECKPOINT_EVERY_RECORDS
+        if self.reader.start > 0:
+            every = min(every, max(8, kept // 4))
+        if uncovered >= every or now - self.checkpoint_seen_ms >= defaults.CHECKPOINT_EVERY_MS:
+            return defaults.CHECKPOINT_DELAY_MS
+        return None
+
+    async def tick(self) -> None:
+        """Writes a checkpoint after a random delay unless another host did so meanwhile."""
+        delay_ms = self.checkpoint_delay_ms()
+        now = self.clock.monotonic_ms()
+        if delay_ms is None:
+            self.checkpoint_due_ms = None
+            return
+        latest = now + delay_ms
+        if self.checkpoint_due_ms is None or self.checkpoint_due_ms > latest:
+            self.checkpoint_due_ms = now + self.rng.uniform(0, delay_ms)
+        if now >= self.checkpoint_due_ms:
+            self.checkpoint_due_ms = None
+            await self.write_checkpoint()
+
+    async def write_checkpoint(self) -> None:
+        """Appends a checkpoint; one that is lost or lands twice does no harm."""
+        record = self.fold.checkpoint(str(uuid6.uuid7()))
+        try:
+            await self.client.append(defaults.CONFIG_TOPIC, [record])
+        except LogUnavailable:
+            return
+        logs.event(log, "config_checkpoint", through=record["through"])
+
+
+class Gossip:
+    """Exchanges positions, missing records and leaving marks with other hosts.
+
+    `tick` belongs on the timer, once a second; `handle` answers other hosts. Marks are passed on
+    for a limited time after this host heard of them; a host that was away asks for all of them by
+    sending one empty mark.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        controller: ConfigController,
+        membership: Membership,
+        client: Caller,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+        incarnation: str,
+    ) -> None:
+        self.board = board
+        self.controller = controller
+        self.fold = controller.fold
+        self.membership = membership
+        self.client = client
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.incarnation = incarnation
+        self.sent: dict[tuple[str, str], int] = {}
+        self.not_relayed: set[tuple[str, str]] = set()
+        self.last_contact_ms: float | None = None
+        self.pulling: asyncio.Task[None] | None = None
+        self.pushing: asyncio.Task[None] | None = None
+        self.push_wanted = False
+
+    # Server side.
+
+    async def handle(self, request: peer_pb2.ExchangeRequest) -> peer_pb2.ExchangeReply:
+        """Answers another host's exchange."""
+        wants_all = any(not mark.target for mark in request.leaving)
+        position = min(request.config_position, NOTHING_WANTED)
+        known = position
+        if position == NOTHING_WANTED:
+            view = self.board.hosts.get(request.host)
+            known = view.config_position if view is not None else 0
+        self.membership.note_peer(request.host, self.signed(request.config_offset), known)
+        self.take_marks(request.leaving, request.host)
+        reply = peer_pb2.ExchangeReply(
+            host=self.settings.host,
+            incarnation=self.incarnation,
+            config_position=self.fold.position,
+            config_offset=self.fold.configuration.offset + 1,
+            ready=self.board.config_ready,
+        )
+        given = {(mark.target, mark.incarnation) for mark in request.leaving}
+        reply.leaving.extend(self.marks(given, everything=wants_all))
+        if position < self.fold.position:
+            self.add_missing(reply, position)
+        elif self.fold.position < position < NOTHING_WANTED:
+            self.pull_soon(request.host)
+        return reply
+
+    @staticmethod
+    def signed(offset: int) -> int:
+        """Offsets are sent plus one, so that "none yet" is 0 and takes no byte."""
+        return offset - 1
+
+    def add_missing(self, reply: peer_pb2.ExchangeReply, position: int) -> None:
+        """Adds the records from `position` on, or a snapshot if they are no longer at hand."""
+        records = self.fold.records_from(position, REPLY_BYTES)
+        if records is None:
+            reply.snapshot = self.fold.snapshot()
+            return
+        for record in records:
+            reply.records.add(
+                offset=record.offset, time_ms=max(0, int(record.time_ms)), value=record.value
+            )
+
+    def pull_soon(self, host: str) -> None:
+        """Starts to fetch what another host has more than this one."""
+        view = self.board.hosts.get(host)
+        if view is None or self.fold.stopped_at is not None:
+            return
+        if self.pulling is None or self.pulling.done():
+            self.pulling = asyncio.get_running_loop().create_task(self.pull(view.address, host))
+
+    # Client side.
+
+    def request(self, wanted: bool, everything: bool = False) -> peer_pb2.ExchangeRequest:
+        """Builds a request; `wanted` asks for missing records, `everything` for all marks."""
+        wanted = wanted and self.fold.stopped_at is None
+        request = peer_pb2.ExchangeRequest(
+            host=self.settings.host,
+            incarnation=self.incarnation,
+            config_position=self.fold.position if wanted else NOTHING_WANTED,
+            config_offset=self.fold.configuration.offset + 1,
+        )
+        request.leaving.extend(self.marks(set()))
+        if everything:
+            request.leaving.add()
+        return request
+
+    async def exchange(
+        self, address: str, host: str, *, wanted: bool = True, everything: bool = False
+    ) -> peer_pb2.ExchangeReply | None:
+        """One exchange with one host; returns None if it did not answer."""
+        request = self.request(wanted, everything)
+        try:
+            reply = await self.client.call(address, "Exchange", request, defaults.PEER_TIMEOUT_MS)
+        except PeerUnavailable:
+            self.membership.note_peer_failed(host)
+            return None
+        self.last_contact_ms = self.clock.monotonic_ms()
+        self.membership.note_peer(
+            reply.host, self.signed(reply.config_offset), reply.config_position
+        )
+        self.take_marks(reply.leaving, reply.host, relay=not everything)
+        self.take_configuration(reply)
+        return reply
+
+    def take_configuration(self, reply: peer_pb2.ExchangeReply) -> None:
+        """Folds the records or the snapshot of a reply."""
+        before = self.fold.position
+        if reply.snapshot:
+            self.fold.adopt(reply.snapshot)
+        for sent in reply.records:
+            try:
+                value = msgspec.json.decode(sent.value)
+            except (msgspec.MsgspecError, RecursionError):
+                logs.event(log, "peer_record_unreadable", logging.WARNING, host=reply.host)
+                break
+            self.fold.apply(Record(sent.offset, sent.time_ms, value))
+        if self.fold.position > before or self.fold.stopped_at is not None:
+            self.controller.refresh()
+
+    async def pull(self, address: str, host: str) -> None:
+        """Exchanges with one host until this one has caught up with it."""
+        for _ in range(MAX_ROUNDS):
+            before = self.fold.position
+            reply = await self.exchange(address, host)
+            if reply is None or reply.config_position <= self.fold.position:
+                return
+            if self.fold.position == before:
+                return
+
+    async def tick(self) -> None:
+        """One round with a few random hosts."""
+        now = self.clock.monotonic_ms()
+        away = self.last_contact_ms is None or now - self.last_contact_ms > AWAY_MS
+        self.forget_marks()
+        if not self.board.config_ready and self.log_out():
+            await self.bootstrap()
+        chosen = self.choose(defaults.EXCHANGE_FANOUT)
+        replies = await asyncio.gather(
+            *(
+                self.exchange(view.address, view.name, everything=away and index == 0)
+                for index, view in enumerate(chosen)
+            )
+        )
+        for view, reply in zip(chosen, replies, strict=True):
+            if reply is not None and reply.config_position > self.fold.position:
+                self.pull_soon(view.name)
+
+    def choose(self, count: int) -> list[HostView]:
+        """Random live hosts."""
+        live = self.live_hosts()
+        return self.rng.sample(live, min(count, len(live)))
+
+    def live_hosts(self) -> list[HostView]:
+        """The other hosts that are not leaving, in order of name."""
+        return [view for _, view in sorted(self.board.hosts.items()) if not view.leaving]
+
+    def log_out(self) -> bool:
+        """True if the configuration can't be read from the log at present."""
+        return not self.board.log.available or self.controller.reader.expired
+
+    async def ask(
+        self, views: Iterable[HostView], *, wanted: bool
+    ) -> list[tuple[HostView, peer_pb2.ExchangeReply]]:
+        """Exchanges with all given hosts, a bounded number at a time."""
+        permits = asyncio.Semaphore(ASK_CONCURRENCY)
+
+        async def one(view: HostView) -> tuple[HostView, peer_pb2.ExchangeReply | None]:
+            async with permits:
+                return view, await self.exchange(view.address, view.name, wanted=wanted)
+
+        answers = await asyncio.gather(*(one(view) for view in views))
+        return [(view, reply) for view, reply in answers if reply is not None]
+
+    async def bootstrap(self) -> bool:
+        """Takes the configuration of the host that is furthest; returns whether one was found.
+
+        Only hosts whose own configuration is complete count. If the furthest does not answer
+        again, nothing is taken from the others: the next tick asks everyone anew.
+        """
+        if self.fold.stopped_at is not None:
+            return False
+        answers = await self.ask(list(self.board.hosts.values()), wanted=False)
+        ready = [(reply.config_position, view.name) for view, reply in answers if reply.ready]
+        if not ready:
+            return False
+        position, name = max(ready)
+        view = self.board.hosts.get(name)
+        if view is not None and self.fold.position < position:
+            await self.pull(view.address, name)
+        if self.fold.position < position:
+            return False
+        self.controller.set_ready("peer")
+        self.controller.refresh()
+        return True
+
+    async def spread(self, offset: int, deadline_ms: float) -> tuple[dict[str, int], list[str]]:
+        """Waits until every live host reports `offset`, by the monotonic `deadline_ms`.
+
+        A host that is behind learns of it by being asked and fetches the records. Returns the
+        offsets that were reported, by host, and the names of the live hosts that did not reach it.
+        """
+        reported = {self.settings.host: self.board.configuration.offset}
+        while True:
+            pending = []
+            for view in self.live_hosts():
+                if view.config_offset >= offset:
+                    reported[view.name] = view.config_offset
+                elif reported.get(view.name, -1) < offset:
+                    pending.append(view)
+            left_ms = deadline_ms - self.clock.monotonic_ms()
+            if not pending or left_ms <= 0:
+                return reported, [view.name for view in pending]
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    for view, reply in await self.ask(pending, wanted=True):
+                        reported[view.name] = self.signed(reply.config_offset)
+                    if any(reported.get(view.name, -1) < offset for view in pending):
+                        await asyncio.sleep(SPREAD_PAUSE_MS / 1000)
+            except TimeoutError:
+                continue
+
+    # Leaving marks.
+
+    def take_marks(
+        self, marks: Iterable[peer_pb2.Leaving], host: str, *, relay: bool = True
+    ) -> None:
+        """Notes another host's marks and passes new ones on at once."""
+        new = False
+        for mark in marks:
+            if mark.target and self.membership.note_leaving(mark.target, mark.incarnation, host):
+                if relay:
+                    new = True
+                else:
+                    self.not_relayed.add((mark.target, mark.incarnation))
+        if new:
+            self.push_soon()
+
+    def marks(
+        self, known: set[tuple[str, str]], *, everything: bool = False
+    ) -> list[peer_pb2.Leaving]:
+        """The marks to send, those sent least often first and then the newest."""
+        oldest = self.clock.monotonic_ms() - defaults.LEAVING_RELAY_MS
+        noted = self.membership.leaving
+        keys = [
+            key
+            for key in self.membership.leaving_marks()
+            if key not in known
+            and (everything or (noted[key] >= oldest and key not in self.not_relayed))
+        ]
+        if not everything:
+            # `sorted` is stable, so the newest stay first among equals.
+            keys = sorted(keys, key=lambda key: self.sent.get(key, 0))
+        chosen = keys[: defaults.LEAVING_PER_EXCHANGE]
+        for key in chosen:
+            self.sent[key] = self.sent.get(key, 0) + 1
+        return [peer_pb2.Leaving(target=target, incarnation=inc) for target, inc in chosen]
+
+    def forget_marks(self) -> None:
+        """Drops what is kept about marks that membership has forgotten."""
+        known = self.membership.leaving
+        self.sent = {key: count for key, count in self.sent.items() if key in known}
+        self.not_relayed &= known.keys()
+
+    def push_soon(self) -> None:
+        """Starts a push, or has the one under way followed by another."""
+        self.push_wanted = True
+        if self.pushing is None or self.pushing.done():
+            self.pushing = asyncio.get_running_loop().create_task(self.push_while_wanted())
+
+    async def push_while_wanted(self) -> None:
+        """Collects marks for a moment and pushes them together."""
+        while self.push_wanted:
+            await asyncio.sleep(PUSH_PAUSE_MS / 1000)
+            self.push_wanted = False
+            await self.push_leaving()
+
+    async def push_leaving(self) -> None:
+        """Sends the fresh marks to a few random hosts at once.
+
+        Each host that hears of a mark for the first time does the same. Random exchanges once a
+        second alone would need about five rounds for 320 hosts, more than the bound of 3 s.
+        """
+        await asyncio.gather(
+            *(
+                self.exchange(view.address, view.name, wanted=False)
+                for view in self.choose(defaults.EXCHANGE_FANOUT)
+            )
+        )
+
+    async def stop(self) -> None:
+        """Cancels what is under way."""
+        tasks = [task for task in (self.pulling, self.pushing) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/savoryfork/publication.py
+++ b/savoryfork/publication.py
@@ -539,7 +539,6 @@
         self.users: dict[str, set[str]] = {}
         self.stopped_at: int | None = None
         self.checkpoint_through = -1
-        self.checkpoint_offset = -1
         self.tail: deque[TailRecord] = deque()
         self.tail_start = 0
         self.tail_bytes = 0
@@ -578,9 +577,10 @@
             self.apply_publication(offset, value)
         elif value.get("type") == "checkpoint":
             through = value.get("through")
-            if type(through) is int and through < offset:
+            # Without content the record came from another host, which has checked the digest.
+            intact = "content" not in value or checkpoint_data(value) is not None
+            if type(through) is int and through < offset and intact:
                 self.checkpoint_through = max(self.checkpoint_through, through)
-                self.checkpoint_offset = offset
 
     def apply_publication(self, offset: int, value: dict[str, Any]) -> None:
         """Judges a publication and puts it into effect if it is accepted."""
@@ -721,7 +721,7 @@
             "files": {path: [e.offset, msgspec.Raw(e.raw)] for path, e in self.files.items()},
             "removed": list(self.removed.items()),
             "verdicts": list(self.verdicts.items()),
-            "checkpoint": [self.checkpoint_through, self.checkpoint_offset],
+            "checkpoint_through": self.checkpoint_through,
         }
         data = zlib.compress(msgspec.json.encode(state), 1)
         self.snapshot_cache = (self.position, data)
@@ -756,7 +756,7 @@
         self.users = {}
         for path in items:
             self.link(path, self.configuration)
-        self.checkpoint_through, self.checkpoint_offset = state.checkpoint
+        self.checkpoint_through = max(self.checkpoint_through, state.checkpoint_through)
         self.tail.clear()
         self.tail_bytes = 0
         self.tail_start = self.position
@@ -781,6 +781,11 @@
         Those above `through` include the ones that lie before the checkpoint's own record: they
         were appended while its writer was preparing it.
         """
+        if self.position >= page.start:
+            # Another host's records or snapshot arrived while the page was being read.
+            for record in page.records:
+                self.apply(record)
+            return True
         candidates = sorted(
             (record for record in page.records if usable(record, page.start)),
             key=lambda record: record.value["through"],
@@ -814,7 +819,7 @@
     documents: list[tuple[str, int, dict[str, Any]]]
     removed: list[tuple[str, int]]
     verdicts: list[tuple[str, Verdict]]
-    checkpoint: tuple[int, int]
+    checkpoint_through: int
 
 
 class SnapshotForm(msgspec.Struct):
@@ -826,7 +831,7 @@
     files: dict[str, tuple[int, dict[str, Any]]]
     removed: list[tuple[str, int]]
     verdicts: list[tuple[str, Verdict]]
-    checkpoint: tuple[int, int]
+    checkpoint_through: int
 
 
 def read_snapshot(snapshot: bytes) -> SnapshotState:
@@ -845,7 +850,7 @@
     except (zlib.error, msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
         raise InvalidSnapshot(f"the snapshot can't be read: {type(error).__name__}") from error
     return SnapshotState(
-        form.position, form.offset, documents, form.removed, form.verdicts, form.checkpoint
+        form.position, form.offset, documents, form.removed, form.verdicts, form.checkpoint_through
     )
 
 
@@ -863,17 +868,26 @@
     )
 
 
-def checkpoint_content(value: Mapping[str, Any]) -> bytes | None:
-    """The snapshot in a checkpoint; None if its digest or position does not fit."""
+def checkpoint_data(value: Mapping[str, Any]) -> bytes | None:
+    """The bytes in a checkpoint; None if they do not fit its digest."""
     content = value.get("content")
     if not isinstance(content, str):
         return None
     try:
         data = base64.b64decode(content, validate=True)
-        if hashlib.sha256(data).hexdigest() != value.get("digest"):
-            return None
+    except (binascii.Error, ValueError):
+        return None
+    return data if hashlib.sha256(data).hexdigest() == value.get("digest") else None
+
+
+def checkpoint_content(value: Mapping[str, Any]) -> bytes | None:
+    """The snapshot in a checkpoint; None if its digest, form or position does not fit."""
+    data = checkpoint_data(value)
+    if data is None:
+        return None
+    try:
         state = read_snapshot(data)
-    except (binascii.Error, ValueError, InvalidSnapshot):
+    except InvalidSnapshot:
         return None
     return data if state.position == value["through"] + 1 else None
 
--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -126,7 +126,8 @@
     """Follows one topic into a fold by long polls, for as long as it runs.
 
     `caught_up` is set once everything that was in the log at the first answer has been applied.
-    Each applied page wakes the tasks that wait in `changed`.
+    Each applied page wakes the tasks that wait in `changed`. `start` is the oldest offset that the
+    log kept at the last answer.
     """
 
     def __init__(
@@ -150,6 +151,7 @@
         self.caught_up = asyncio.Event()
         self.changed = asyncio.Condition()
         self.expired = False
+        self.start = 0
 
     async def run(self) -> None:
         """Reads until cancelled; outages of the log are waited out."""
@@ -165,6 +167,7 @@
         """One read, applied to the fold."""
         wait_ms = self.wait_ms if self.caught_up.is_set() else 0
         page = await self.client.read(self.topic, self.fold.position, self.limit, wait_ms)
+        self.start = page.start
         for record in page.records:
             self.fold.apply(record)
         if self.fold.position >= page.end:
