--- a/savoryfork/caller.py
+++ b/savoryfork/caller.py
@@ -198,9 +198,7 @@
             request.headers.get("Authorization", ""),
         )
 
-    async def admit(
-        self, request: web.Request, request_id: str
-    ) -> tuple[RunRequest, RunBody]:
+    async def admit(self, request: web.Request, request_id: str) -> tuple[RunRequest, RunBody]:
         """Checks a request and binds it to the configuration in effect."""
         arrived_ms = self.clock.monotonic_ms()
         workspace = self.admit_workspace(request)
@@ -321,5 +319,3 @@
         await self.write(event, data)
         await self.response.write_eof()
         return self.response
-
-
--- a/savoryfork/calls.py
+++ b/savoryfork/calls.py
@@ -27,6 +27,12 @@
 
 log = logging.getLogger(__name__)
 
+# How often the dispatcher hears of a generation's progress.
+PROGRESS_TOKENS = 16
+
+# Reasons that end a whole answer; the others are a cancelled or expired generation.
+WHOLE_ANSWER = frozenset({"stop", "length"})
+
 Scalar = str | int | float | bool
 
 
@@ -49,6 +55,7 @@
     vector: tuple[float, ...] = ()
     documents: tuple[Document, ...] = ()
     generated: str = ""
+    action: Any = None
     max_tokens: int | None = None
     priority: int = 5
 
@@ -127,6 +134,7 @@
     stream: TokenStream | None
     before_send: Callable[[], None]
     on_first_token: Callable[[], None]
+    on_progress: Callable[[int], None]
 
 
 class Exchange(NamedTuple):
@@ -229,6 +237,11 @@
     return given._replace(generated=answer)
 
 
+@output.register
+def _(stage: ActionStage, given: StageInput, answer: Any) -> StageInput:
+    return given._replace(action=answer["result"])
+
+
 class Progress:
     """Whether an attempt may have reached its target."""
 
@@ -247,9 +260,7 @@
     def __init__(self, clock: Clock, membership: Membership) -> None:
         self.clock = clock
         self.membership = membership
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=defaults.CONNECT_TIMEOUT_MS / 1000
-        )
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=defaults.CONNECT_TIMEOUT_MS / 1000)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             timeout=timeout,
@@ -268,11 +279,11 @@
         await self.session.close()
         await self.action_session.close()
 
-    async def attempt(self, stage: Stage, given: StageInput, attempt: Attempt) -> Any:
-        """Makes one attempt and returns the target's decoded answer.
+    async def attempt(self, stage: Stage, given: StageInput, attempt: Attempt) -> StageInput:
+        """Makes one attempt and returns the input of the next stage.
 
-        For a generation the answer is its whole text, and the tokens also go to the attempt's
-        stream. Raises CallError, ActionRejected or Superseded.
+        The tokens of a generation also go to the attempt's stream. Raises CallError,
+        ActionRejected or Superseded.
         """
         path, body = exchange(stage, given)
         headers = {
@@ -295,20 +306,19 @@
             ) as response:
                 await self.check_answer(response, attempt)
                 if attempt.stream is not None:
-                    return await self.read_stream(response, attempt, attempt.stream)
-                return msgspec.json.decode(await response.read())
+                    text = await self.read_stream(response, attempt, attempt.stream)
+                    return output(stage, given, text)
+                return output(stage, given, msgspec.json.decode(await response.read()))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             result = CallResult.FAILED if progress.sent else CallResult.CONNECT_FAILED
             raise CallError(type(error).__name__, result, sent=progress.sent) from error
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
             raise CallError("the answer can't be read", CallResult.FAILED, sent=True) from error
         finally:
             if attempt.stream is not None:
                 attempt.stream.end_attempt(attempt.id)
 
-    async def check_answer(
-        self, response: aiohttp.ClientResponse, attempt: Attempt
-    ) -> None:
+    async def check_answer(self, response: aiohttp.ClientResponse, attempt: Attempt) -> None:
         """Checks the status and that the answer belongs to this attempt."""
         self.note_headers(response, attempt.target)
         if response.headers.get("X-Target-State") == "draining" and response.status == 503:
@@ -341,6 +351,9 @@
             if message["attempt"] != attempt.id:
                 raise CallError("another attempt's token", CallResult.MISMATCHED, sent=True)
             if "finish_reason" in message:
+                if message["finish_reason"] not in WHOLE_ANSWER:
+                    reason = f"the target ended the stream: {message['finish_reason']}"
+                    raise CallError(reason, CallResult.FAILED, sent=True)
                 if message["tokens"] != len(stream.tokens):
                     raise CallError("tokens are missing", CallResult.FAILED, sent=True)
                 return stream.text()
@@ -348,6 +361,8 @@
             if first:
                 first = False
                 attempt.on_first_token()
+            elif message["index"] % PROGRESS_TOKENS == 0:
+                attempt.on_progress(len(stream.tokens))
         raise CallError("the stream ended without its end", CallResult.FAILED, sent=True)
 
 
@@ -370,8 +385,6 @@
         return None
     try:
         metrics = msgspec.json.decode(value[5:].encode())["named_metrics"]
-        return LoadReport(
-            int(metrics["running"]), int(metrics["waiting"]), int(metrics["tokens"])
-        )
+        return LoadReport(int(metrics["running"]), int(metrics["waiting"]), int(metrics["tokens"]))
     except (msgspec.DecodeError, KeyError, TypeError, ValueError):
         return None
--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-import time
 import uuid
 from collections.abc import Coroutine
 from typing import Any
@@ -20,7 +19,9 @@
 
 from savoryfork import defaults, settings
 from savoryfork.board import Board, LogState
-from savoryfork.burn import BurnRecorder
+from savoryfork.burn import BurnController, BurnRecorder
+from savoryfork.burncheckpoint import CheckpointController
+from savoryfork.burnreport import handle_burn
 from savoryfork.caller import CallerApp
 from savoryfork.calls import TargetClient
 from savoryfork.claimowner import ClaimOwner
@@ -31,8 +32,9 @@
 from savoryfork.gossip import ConfigController, Gossip
 from savoryfork.membership import Membership
 from savoryfork.metrics import Metrics
-from savoryfork.operator import OperatorApp
+from savoryfork.operator import OperatorInterface, json_response, operator_app
 from savoryfork.peers import PeerClient, PeerServer, PeerService
+from savoryfork.publication import ConfigFold
 from savoryfork.runner import Runner
 from savoryfork.settings import Settings, split_address
 from savoryfork.util import logs
@@ -98,15 +100,40 @@
 
     def build_configuration(self) -> None:
         """Creates the parts that keep the configuration."""
-        raise TypeError("wired below")
+        self.config = ConfigController(
+            self.board, ConfigFold(), self.log_client, self.clock, self.rng
+        )
+        self.gossip = Gossip(
+            self.board,
+            self.config,
+            self.membership,
+            self.peer_client,
+            self.settings,
+            self.clock,
+            self.rng,
+            self.incarnation,
+        )
+        self.operator = OperatorInterface(
+            self.board,
+            self.config,
+            self.gossip,
+            self.log_client,
+            self.settings,
+            self.clock,
+            self.incarnation,
+        )
 
     def build_runs(self) -> None:
         """Creates the parts that run requests."""
         config = self.settings
         self.burn = BurnRecorder()
+        self.burn_controller = BurnController(
+            self.log_client, self.burn, self.incarnation, self.clock
+        )
+        self.burn_checkpoints = CheckpointController(self.log_client, self.clock, self.rng)
         self.dispatcher = Dispatcher(self.board, self.clock, self.rng, config.policy)
         self.target_client = TargetClient(self.clock, self.membership)
-        self.owner = ClaimOwner(self.log_client, self.board, self.clock)
+        self.owner = ClaimOwner(self.log_client, self.clock)
         self.claims = Claims(
             self.owner,
             self.board,
@@ -124,3 +151,176 @@
             self.burn,
             self.metrics,
         )
+        self.callers = CallerApp(
+            self.board, self.clock, self.runner, self.claims, self.metrics, config
+        )
+
+    def subscribe(self) -> None:
+        """Subscribes the parts to the timer."""
+        every = self.timer.subscribe
+        every("host-list", defaults.HOST_LIST_PERIOD_MS, self.discovery.poll_hosts)
+        every("loads", defaults.LOAD_PERIOD_MS, self.discovery.poll_loads)
+        every("exchange", defaults.EXCHANGE_PERIOD_MS, self.gossip.tick)
+        every("config-checkpoint", defaults.EXCHANGE_PERIOD_MS, self.config.tick)
+        every("dispatch", defaults.DISPATCH_PERIOD_MS, self.tick_dispatch)
+        every("claims", defaults.CLAIM_FLUSH_PERIOD_MS, self.claims.tick)
+        every("partitions", defaults.CLAIM_IDLE_MS / 10, self.owner.tick)
+        every("burn", defaults.BURN_TICK_MS, self.burn_controller.tick)
+        every("burn-checkpoint", defaults.BURN_TICK_MS, self.burn_checkpoints.tick)
+        every("gauges", defaults.GAUGE_PERIOD_MS, self.tick_gauges)
+
+    async def listen(self) -> None:
+        """Opens the three ports."""
+        config = self.settings
+        await self.discovery.poll_hosts()
+        self.peer_server = PeerServer(
+            config.peer_address,
+            config.peer_keys,
+            PeerService(
+                self.gossip.handle,
+                self.owner.handle_claim,
+                self.owner.handle_settle,
+                self.owner.handle_lookup,
+            ),
+        )
+        await self.peer_server.start()
+        operators = operator_app(self.operator, metrics=self.handle_metrics, burn=self.handle_burn)
+        self.operator_runner = web.AppRunner(operators, access_log=None)
+        await self.serve(self.operator_runner, config.operator_address)
+        self.caller_runner = web.AppRunner(
+            self.callers.app(),
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=DRAIN_MARGIN_MS / 1000,
+        )
+        self.caller_site = await self.serve(self.caller_runner, config.caller_address)
+
+    async def serve(self, runner: web.AppRunner, address: str) -> web.TCPSite:
+        """Starts an HTTP server."""
+        await runner.setup()
+        ip, port = split_address(address)
+        site = web.TCPSite(runner, ip, port, backlog=1024, reuse_address=True)
+        await site.start()
+        return site
+
+    def follow(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Runs a coroutine until the host stops."""
+        task = self.loop.create_task(coroutine)
+        self.followers.add(task)
+        task.add_done_callback(self.followers.discard)
+
+    def note_log(self, available: bool) -> None:
+        """Takes from the log client whether the log answered."""
+        if self.board.log.available != available:
+            self.board.log = LogState(available, self.clock.monotonic_ms())
+            logs.event(log, "log_available" if available else "log_unavailable", logging.WARNING)
+
+    async def tick_dispatch(self) -> None:
+        """Lets the dispatcher age its waiters and probe its targets."""
+        self.dispatcher.tick()
+
+    async def tick_gauges(self) -> None:
+        """Writes the gauges and reports a pause of the loop."""
+        metrics, board = self.metrics, self.board
+        metrics.inflight.set({}, self.runner.inflight)
+        metrics.config_offset.set({}, board.configuration.offset)
+        metrics.log_up.set({}, int(board.log.available))
+        pause_ms = self.timer.take_pause()
+        metrics.pause.set({}, pause_ms)
+        if pause_ms >= defaults.PAUSE_THRESHOLD_MS:
+            logs.event(log, "loop_paused", logging.WARNING, pause_ms=round(pause_ms))
+        for service in board.configuration.services:
+            views = [view for view in board.targets.values() if view.service == service]
+            leaving = sum(view.leaving for view in views)
+            metrics.targets.set({"service": service, "state": "live"}, len(views) - leaving)
+            metrics.targets.set({"service": service, "state": "leaving"}, leaving)
+
+    async def handle_metrics(self, request: web.Request) -> web.Response:
+        """The exposition for a scraper."""
+        body, headers = self.metrics.render(request.headers.getall("Accept", []))
+        return web.Response(body=body, headers=headers)
+
+    async def handle_burn(self, request: web.Request) -> web.Response:
+        """The service-level burn report."""
+        await self.burn_controller.tick()
+        report = await handle_burn(
+            self.log_client,
+            self.board.configuration,
+            int(self.clock.wall_ms()),
+            request.query.get("workspace"),
+            request.query.get("pipeline"),
+        )
+        return json_response(report)
+
+    def request_stop(self) -> None:
+        """Begins a graceful stop; a second signal changes nothing."""
+        if self.stop_task is None:
+            self.stop_task = self.loop.create_task(self.finish())
+
+    async def finish(self) -> None:
+        """Stops taking work, lets every run end, then sets `stopped`."""
+        started_ms = self.clock.monotonic_ms()
+        self.board.stopping = True
+        logs.event(log, "stopping", inflight=self.runner.inflight)
+        await asyncio.sleep(self.settings.balancer_delay_ms / 1000)
+        await self.caller_site.stop()
+        deadlines = [p.deadline_ms for p in self.board.configuration.pipelines.values()]
+        await self.runner.drain(max(deadlines, default=0) + DRAIN_MARGIN_MS)
+        await self.caller_runner.cleanup()
+        await self.runner.drain(DRAIN_MARGIN_MS)
+        await self.burn_controller.close()
+        duration_ms = round(self.clock.monotonic_ms() - started_ms)
+        logs.event(log, "stopped", duration_ms=duration_ms, pending=self.claims.pending())
+        self.stopped.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes what is still open."""
+        await self.timer.stop()
+        for task in self.followers:
+            task.cancel()
+        await asyncio.gather(*self.followers, return_exceptions=True)
+        await self.gossip.stop()
+        await self.owner.stop()
+        await self.operator_runner.cleanup()
+        await self.peer_server.stop()
+        self.peer_client.close()
+        await self.target_client.close()
+        await self.discovery.close()
+        await self.log_session.close()
+
+
+def run_host(config: Settings) -> None:
+    """Runs a host until it is asked to stop."""
+    logs.setup(config.host, config.log_level)
+    service = HostService(settings=config)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        pool_size=1,
+        loop_factory=uvloop.new_event_loop,
+        catch_signals=(),
+    ) as loop:
+        loop.run_until_complete(service.stopped.wait())
+
+
+def start(argv: list[str]) -> int:
+    """Reads the settings and runs the host; returns the exit code."""
+    if FLAGS.settings is None or len(argv) > 1:
+        print("usage: savoryforkd --settings=FILE", file=sys.stderr)
+        return 2
+    try:
+        config = settings.load(FLAGS.settings)
+    except UserError as error:
+        print(error, file=sys.stderr)
+        return 2
+    run_host(config)
+    return 0
+
+
+def main() -> None:
+    """The entry point of the program `savoryforkd`."""
+    app.run(start)
+
+
+if __name__ == "__main__":
+    main()
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import logging
 import uuid
@@ -22,9 +23,8 @@
     TargetClient,
     TokenStream,
     generation_prompt,
-    output,
 )
-from savoryfork.claims import Claims, ClaimRequestData, Existing, KeyState
+from savoryfork.claims import ClaimRequestData, Claims, Existing, KeyState
 from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.metrics import Metrics
@@ -101,7 +101,6 @@
             priority=request.priority,
         )
         self.reports: list[StageReport] = []
-        self.action: Any = None
         self.sent = False
         self.action_sent = False
         self.stage: str | None = None
@@ -113,8 +112,8 @@
             answer["text"] = self.given.generated
         if self.given.documents:
             answer["documents"] = [document._asdict() for document in self.given.documents]
-        if self.action is not None:
-            answer["action"] = self.action
+        if self.given.action is not None:
+            answer["action"] = self.given.action
         return {
             "request_id": self.request.request_id,
             "answer": answer,
@@ -145,6 +144,8 @@
         self.burn = burn
         self.metrics = metrics
         self.inflight = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
         self.background: set[asyncio.Task[Any]] = set()
 
     async def run(self, request: RunRequest, on_token: TokenCallback) -> RunAnswer:
@@ -152,6 +153,7 @@
         run = Run(request, on_token)
         started_ms = self.clock.monotonic_ms()
         self.inflight += 1
+        self.idle.clear()
         kind: ErrorKind | None = None
         try:
             return await self.outcome(run)
@@ -167,6 +169,8 @@
             raise ServiceError(kind, "internal error", ran=ran) from error
         finally:
             self.inflight -= 1
+            if not self.inflight:
+                self.idle.set()
             self.account(run, kind, self.clock.monotonic_ms() - started_ms)
 
     def account(self, run: Run, kind: ErrorKind | None, duration_ms: float) -> None:
@@ -338,13 +342,13 @@
         )
 
     async def run_repeatable(self, run: Run, stage: Stage) -> None:
-        """Runs a stage that may be called more than once, until one whole answer or the deadline."""
+        """Runs a stage that may be called more than once, until a whole answer or the deadline."""
         started_ms = self.clock.monotonic_ms()
         deadline_s = (run.request.deadline_ms - started_ms) / 1000
         attempts = StageAttempts(self, run, stage)
         try:
             async with asyncio.timeout(max(0.0, deadline_s)):
-                answer, target = await attempts.first_answer()
+                run.given, target = await attempts.first_answer()
         except TimeoutError as error:
             raise ServiceError(
                 ErrorKind.DEADLINE_EXCEEDED,
@@ -352,7 +356,6 @@
                 ran=self.ran(run),
                 stage=stage.name,
             ) from error
-        run.given = output(stage, run.given, answer)
         self.report(run, stage, target, attempts.count, started_ms)
 
     def ran(self, run: Run) -> Ran:
@@ -361,9 +364,7 @@
             return Ran.UNKNOWN if run.action_sent else Ran.NO
         return Ran.UNKNOWN if run.sent else Ran.NO
 
-    def report(
-        self, run: Run, stage: Stage, target: str, attempts: int, started_ms: float
-    ) -> None:
+    def report(self, run: Run, stage: Stage, target: str, attempts: int, started_ms: float) -> None:
         """Notes what a finished stage did."""
         duration_ms = self.clock.monotonic_ms() - started_ms
         self.metrics.stage_seconds.observe(
@@ -391,7 +392,7 @@
             try:
                 slot = await self.acquire(run, stage, exclude)
                 count += 1
-                run.action = await self.attempt(run, stage, slot, None)
+                run.given = await self.attempt(run, stage, slot, None)
             except CallError as error:
                 if service.dedupes and self.clock.monotonic_ms() < run.request.deadline_ms:
                     exclude = self.next_exclude(run, stage, exclude, slot.target.name)
@@ -447,10 +448,11 @@
 
     async def attempt(
         self, run: Run, stage: Stage, slot: Slot, stream: TokenStream | None
-    ) -> Any:
+    ) -> StageInput:
         """Makes one attempt with a slot and gives the slot back."""
         action = isinstance(stage, ActionStage)
         result = CallResult.CANCELLED
+        before = len(stream.tokens) if stream else 0
 
         def before_send() -> None:
             if action:
@@ -466,12 +468,12 @@
             stream,
             before_send,
             lambda: self.dispatcher.first_token(slot),
+            lambda tokens: self.dispatcher.progress(slot, tokens - before),
         )
-        before = len(stream.tokens) if stream else 0
         try:
-            answer = await self.client.attempt(stage, run.given, frame)
+            following = await self.client.attempt(stage, run.given, frame)
             result = CallResult.ANSWERED
-            return answer
+            return following
         except ActionRejected:
             result = CallResult.ANSWERED
             raise
@@ -507,8 +509,12 @@
     async def drain(self, timeout_ms: float) -> None:
         """Waits until no run is in progress and every outcome is recorded, or for `timeout_ms`."""
         until_ms = self.clock.monotonic_ms() + timeout_ms
-        while (self.inflight or self.background) and self.clock.monotonic_ms() < until_ms:
-            await asyncio.sleep(0.02)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self.idle.wait()
+        if self.background:
+            left_ms = max(0.0, until_ms - self.clock.monotonic_ms())
+            await asyncio.wait(self.background, timeout=left_ms / 1000)
         await self.claims.drain(max(0.0, until_ms - self.clock.monotonic_ms()))
 
 
@@ -531,9 +537,9 @@
         self.exclude: frozenset[str] = frozenset()
         self.count = 0
         self.free_retries = defaults.MAX_UNSENT_ATTEMPTS
-        self.tasks: dict[asyncio.Task[Any], Slot] = {}
+        self.tasks: dict[asyncio.Task[StageInput], Slot] = {}
 
-    async def first_answer(self) -> tuple[Any, str]:
+    async def first_answer(self) -> tuple[StageInput, str]:
         """The first whole answer and the target that gave it; all other attempts are cancelled."""
         try:
             await self.start()
@@ -565,9 +571,7 @@
     def begin(self, slot: Slot) -> None:
         """Starts an attempt with a slot."""
         self.count += 1
-        task = asyncio.create_task(
-            self.runner.attempt(self.run, self.stage, slot, self.stream)
-        )
+        task = asyncio.create_task(self.runner.attempt(self.run, self.stage, slot, self.stream))
         self.tasks[task] = slot
 
     async def hedge(self) -> None:
--- a/savoryfork/util/logs.py
+++ b/savoryfork/util/logs.py
@@ -14,11 +14,16 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         Logfmter(
-            keys=["at", "time", "logger"],
+            keys=["at", "time", "host", "logger"],
             mapping={"at": "levelname", "time": "asctime", "logger": "name"},
-            defaults={"host": host},
         )
     )
+
+    def add_host(record: logging.LogRecord) -> bool:
+        record.host = host
+        return True
+
+    handler.addFilter(add_host)
     logging.basicConfig(handlers=[handler], level=level, force=True)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
 
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -421,7 +421,7 @@
         """Waits for a process to end and returns its exit code."""
         try:
             async with asyncio.timeout(timeout_s):
-                while (code := self.processes[name].poll()) is None:
+                while (code := self.processes[name].poll()) is None:  # noqa: ASYNC110
                     await asyncio.sleep(POLL_S)
                 return code
         except TimeoutError:
