--- a/standins/launch.py
+++ b/standins/launch.py
@@ -23,7 +23,7 @@
 import sys
 import tempfile
 import uuid
-from collections.abc import Mapping, Sequence
+from collections.abc import Coroutine, Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -81,6 +81,16 @@
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+async def together(calls: Iterable[Coroutine[Any, Any, None]]) -> None:
+    """Awaits all calls; the first failure cancels the others and is raised by itself."""
+    try:
+        async with asyncio.TaskGroup() as group:
+            for call in calls:
+                group.create_task(call)
+    except ExceptionGroup as failures:
+        raise failures.exceptions[0] from None
+
+
 class Deployment:
     """The running processes of one deployment, addressed by name.
 
@@ -237,9 +247,7 @@
 
     async def wait_all(self, children: Sequence[Child]) -> None:
         """Waits until all processes are up, and notes their incarnations."""
-        async with asyncio.TaskGroup() as group:
-            for child in children:
-                group.create_task(self.wait_up(child.name))
+        await together(self.wait_up(child.name) for child in children)
 
     async def wait_up(self, name: str, timeout_s: float = START_TIMEOUT_S) -> None:
         """Waits until a process answers `/healthz`; raises StartError if it does not."""
@@ -250,9 +258,7 @@
     async def wait_ready(self, *names: str, timeout_s: float = START_TIMEOUT_S) -> None:
         """Waits until the daemons, by default all that run, answer `/readyz` with 200."""
         chosen = names or tuple(n for n in self.host_names if self.processes[n].poll() is None)
-        async with asyncio.TaskGroup() as group:
-            for name in chosen:
-                group.create_task(self.wait_answer(name, "/readyz", timeout_s))
+        await together(self.wait_answer(name, "/readyz", timeout_s) for name in chosen)
 
     async def wait_answer(self, name: str, path: str, timeout_s: float) -> None:
         """Waits until a path is answered with 200."""
@@ -421,9 +427,10 @@
         """Waits for a process to end and returns its exit code."""
         try:
             async with asyncio.timeout(timeout_s):
-                while (code := self.processes[name].poll()) is None:
+                while True:
+                    if (code := self.processes[name].poll()) is not None:
+                        return code
                     await asyncio.sleep(POLL_S)
-                return code
         except TimeoutError:
             raise ExitTimeout(f"{name} still runs {timeout_s} s after a signal") from None
 
--- /dev/null
+++ b/tests/standins/test_launch.py
@@ -0,0 +1,51 @@
+"""Tests for the deployment launcher; daemons are tested with the failure tests."""
+
+from __future__ import annotations
+
+import psutil
+import pytest
+
+from standins.deployments import DeploymentSpec, ServiceSpec
+from standins.launch import Deployment, StartError
+
+SPEC = DeploymentSpec(
+    "trial",
+    ("zone-a", "zone-b"),
+    0,
+    (
+        ServiceSpec("models", "engine", 1, model="m", checks_orders=True),
+        ServiceSpec("bookings", "plain", 2, idempotent=False),
+    ),
+)
+
+
+class TestDeployment:
+    async def test_kill_restart_stop_and_shutdown(self) -> None:
+        """Guards against a restart with the old incarnation, a lost ledger, and a target that
+        does not exit cleanly."""
+        async with Deployment(SPEC) as deployment:
+            assert deployment.targets("bookings") == ["bookings-0", "bookings-1"]
+            url = deployment.url("bookings-0") + "/v1/actions/book"
+            headers = {"X-Attempt-Id": "a", "Idempotency-Key": "k"}
+            async with deployment.session.post(url, json={"fields": {}}, headers=headers) as answer:
+                assert answer.status == 200
+            before = deployment.incarnations["bookings-0"]
+            deployment.kill("bookings-0")
+            await deployment.restart("bookings-0")
+            listed = await deployment.call("GET", deployment.platform_url + "/hosts")
+            incarnations = {host["name"]: host["incarnation"] for host in listed["hosts"]}
+            assert incarnations["bookings-0"] == deployment.incarnations["bookings-0"] != before
+            assert [entry["key"] for entry in await deployment.ledger("bookings")] == ["k"]
+            deployment.stop("models-0")
+            deployment.cont("models-0")
+            assert set((await deployment.shutdown()).values()) == {0}
+
+    async def test_nothing_is_left_after_a_failure(self) -> None:
+        """Guards against processes and files that outlive a failed start or a failed test."""
+        deployment = Deployment(SPEC, flags={"bookings-1": ["--kind=unknown"]})
+        with pytest.raises(StartError, match="kind must be one of"):
+            async with deployment:
+                pass
+        assert not deployment.directory.exists()
+        pids = [process.pid for process in deployment.processes.values()]
+        assert pids and not any(psutil.pid_exists(pid) for pid in pids)
