--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,7 +17,7 @@
 from aiohttp import web
 
 from standins import server, text
-from standins.target import ATTEMPT, Identity, Target
+from standins.target import ATTEMPT, CROSSED, ECHOED, Identity, Target
 
 MAX_EVENTS = 10_000
 
@@ -370,7 +370,7 @@
             request.headers[ATTEMPT],
             model,
             # A crossed answer carries the text of another prompt as well.
-            "crossed " + body["prompt"] if request["crossed"] else body["prompt"],
+            "crossed " + body["prompt"] if request[CROSSED] else body["prompt"],
             priority,
             max(0, body.get("resume_from", 0)),
             body.get("max_tokens", 16),
@@ -395,7 +395,7 @@
         """Sends each token as an event, then the end marker unless the sequence was cut off."""
         response = web.StreamResponse()
         response.content_type = "text/event-stream"
-        attempt = request["attempt"]
+        attempt = request[ECHOED]
         copies = 2 if self.faults.hits(self.faults.duplicate) else 1
         await response.prepare(request)
         sent = 0
@@ -422,7 +422,7 @@
             return server.refuse(status, f"ended by {sequence.finish_reason}")
         return server.reply(
             {
-                "id": request["attempt"],
+                "id": request[ECHOED],
                 "choices": [{"index": 0, "text": "".join(pieces), "finish_reason": "stop"}],
                 "usage": {
                     "prompt_tokens": sequence.prompt_tokens,
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -437,13 +437,14 @@
     async def restart(self, name: str, *, list_host: bool = True) -> None:
         """Starts a process again on the same ports, killing it first if it still runs.
 
-        It is a new incarnation. It is listed at once unless `list_host` is false.
+        It is a new incarnation. It is listed at once unless `list_host` is false. The platform
+        keeps its log in memory: use its fault `down`, or `stop` and `cont`, for an outage.
         """
         if self.processes[name].poll() is None:
             self.kill(name)
         self.launch(name)
         await self.wait_up(name)
-        if name != PLATFORM and list_host:
+        if list_host:
             await self.put_hosts()
 
     # Ending.
--- a/standins/server.py
+++ b/standins/server.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar, get_args, get_type_hints
 
@@ -160,7 +161,7 @@
     """
 
     def __init__(self, value: Any, time_ms: float) -> None:
-        self.windows = [Window(time_ms, value)]
+        self.windows = deque([Window(time_ms, value)])
 
     def set(self, value: Any, time_ms: float) -> None:
         """Notes a new value."""
@@ -168,9 +169,6 @@
 
     def get(self, time_ms: float, lag_ms: float) -> Any:
         """The value of `lag_ms` ago; what was seen once is never followed by an older value."""
-        visible = 0
-        for index, window in enumerate(self.windows):
-            if window.since_ms <= time_ms - lag_ms:
-                visible = index
-        del self.windows[:visible]
+        while len(self.windows) > 1 and self.windows[1].since_ms <= time_ms - lag_ms:
+            self.windows.popleft()
         return self.windows[0].value
--- a/standins/service.py
+++ b/standins/service.py
@@ -16,7 +16,7 @@
 from aiohttp import web
 
 from standins import server, text
-from standins.target import ATTEMPT, Identity, Target
+from standins.target import ATTEMPT, CROSSED, Identity, Target
 
 KINDS = ("encoder", "retriever", "reranker", "plain")
 
@@ -194,7 +194,7 @@
         if self.faults.take_drop():
             server.drop_connection(request)
         other, self.last_answer = self.last_answer, answer
-        if request["crossed"] and other is not None:
+        if request[CROSSED] and other is not None:
             answer = other
         return server.reply(answer)
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -14,6 +14,10 @@
 
 ATTEMPT = "X-Attempt-Id"
 
+# The attempt id that the answer echoes, and whether the answer is another call's.
+ECHOED = web.RequestKey("echoed", str)
+CROSSED = web.RequestKey("crossed", bool)
+
 
 class Identity(NamedTuple):
     """Who a target is."""
@@ -175,15 +179,15 @@
         attempt = request.headers.get(ATTEMPT)
         if not attempt:
             return server.refuse(400, f"{ATTEMPT} is missing")
-        request["attempt"] = attempt
+        request[ECHOED] = attempt
         if self.draining:
             return server.refuse(503, "draining", {"X-Target-State": "draining"})
         if self.faults.hits(self.faults.fail_rate):
             return server.refuse(500, "injected failure")
         self.calls += 1
-        request["crossed"] = self.faults.hits(self.faults.crossed)
-        if request["crossed"]:
-            request["attempt"] = self.other_attempt(attempt)
+        request[CROSSED] = self.faults.hits(self.faults.crossed)
+        if request[CROSSED]:
+            request[ECHOED] = self.other_attempt(attempt)
         self.attempts = [*self.attempts[-7:], attempt]
         return await handler(request)
 
@@ -195,7 +199,7 @@
     async def add_headers(self, request: web.Request, response: web.StreamResponse) -> None:
         """Adds the headers that every answer carries."""
         response.headers["X-Incarnation"] = self.incarnation
-        attempt = request.get("attempt") or request.headers.get(ATTEMPT)
+        attempt = request.get(ECHOED) or request.headers.get(ATTEMPT)
         if attempt:
             response.headers[ATTEMPT] = attempt
         report = self.reports.get(server.now_ms(), self.report_lag_ms)
--- a/tests/standins/test_launch.py
+++ b/tests/standins/test_launch.py
@@ -2,11 +2,33 @@
 
 from __future__ import annotations
 
+import json
+import shutil
+import subprocess
+import sys
+
 import psutil
 import pytest
 
 from standins.deployments import DeploymentSpec, ServiceSpec
-from standins.launch import Deployment, StartError
+from standins.launch import ROOT, Deployment, StartError
+from tests.standins import until
+
+# Starts a deployment, prints the ids of its processes and its directory, and dies without cleanup.
+KILLED_PARENT = """
+import asyncio, json, os, signal
+from standins.launch import Deployment
+from tests.standins.test_launch import SPEC
+
+async def main():
+    async with Deployment(SPEC) as deployment:
+        pids = [process.pid for process in deployment.processes.values()]
+        deployment.stop("models-0")
+        print(json.dumps([pids, str(deployment.directory)]), flush=True)
+        os.kill(os.getpid(), signal.SIGKILL)
+
+asyncio.run(main())
+"""
 
 SPEC = DeploymentSpec(
     "trial",
@@ -49,3 +71,20 @@
         assert not deployment.directory.exists()
         pids = [process.pid for process in deployment.processes.values()]
         assert pids and not any(psutil.pid_exists(pid) for pid in pids)
+
+    async def test_children_die_with_a_killed_parent(self) -> None:
+        """Guards against processes, frozen ones included, that outlive a killed test run."""
+        parent = subprocess.run(
+            [sys.executable, "-c", KILLED_PARENT], cwd=ROOT, stdout=subprocess.PIPE, timeout=30
+        )
+        pids, directory = json.loads(parent.stdout)
+        shutil.rmtree(directory)
+
+        def ended(pid: int) -> bool:
+            try:
+                return psutil.Process(pid).status() == psutil.STATUS_ZOMBIE
+            except psutil.NoSuchProcess:
+                return True
+
+        assert len(pids) == 4
+        await until(lambda: all(ended(pid) for pid in pids))
