--- a/tests/standins/test_launch.py
+++ b/tests/standins/test_launch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import shutil
 import subprocess
@@ -74,10 +75,11 @@
 
     async def test_children_die_with_a_killed_parent(self) -> None:
         """Guards against processes, frozen ones included, that outlive a killed test run."""
-        parent = subprocess.run(
-            [sys.executable, "-c", KILLED_PARENT], cwd=ROOT, stdout=subprocess.PIPE, timeout=30
+        parent = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", KILLED_PARENT, cwd=ROOT, stdout=subprocess.PIPE
         )
-        pids, directory = json.loads(parent.stdout)
+        output, _ = await asyncio.wait_for(parent.communicate(), 30)
+        pids, directory = json.loads(output)
         shutil.rmtree(directory)
 
         def ended(pid: int) -> bool:
