--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -74,8 +74,8 @@
         raise
     except Exception:
         log.exception("event=operator_request_failed path=%s id=%s", request.path, request_id)
-        error = ServiceError(ErrorKind.INTERNAL, "a fault of this host; its log has the details")
-        return json_response(error.body(request_id), error.answer.status)
+        bug = ServiceError(ErrorKind.INTERNAL, "a fault of this host; its log has the details")
+        return json_response(bug.body(request_id), bug.answer.status)
 
 
 class OperatorInterface:
@@ -207,7 +207,7 @@
         """Raises ServiceError unless the publication was accepted with this content."""
         if verdict.state == "invalid":
             raise invalid([problem._asdict() for problem in verdict.problems])
-        if verdict.digest != content_digest(record["base"], record["files"]):
+        if verdict.digest != content_digest(record["files"]):
             reason = "the id belongs to another publication; use a new one"
             raise ServiceError(ErrorKind.PUBLICATION_CONFLICT, reason)
         if verdict.state == "conflict":
--- a/savoryfork/publication.py
+++ b/savoryfork/publication.py
@@ -71,6 +71,8 @@
     "action": "plain",
 }
 
+STAGE_LIST = list(STAGE_KINDS)
+
 
 def object_schema(required: Iterable[str], **properties: Any) -> dict[str, Any]:
     """The schema of an object without other fields than `properties`."""
@@ -121,7 +123,7 @@
     ),
 }
 
-STAGE_BASE = {"type": {"enum": list(STAGE_KINDS)}, "name": REFERENCE, "service": REFERENCE}
+STAGE_BASE = {"type": {"enum": STAGE_LIST}, "name": REFERENCE, "service": REFERENCE}
 COUNT = {"type": "integer", "minimum": 1, "maximum": 10_000}
 
 STAGE_SCHEMAS: dict[str, dict[str, Any]] = {
@@ -269,7 +271,9 @@
     elif kind == "pipeline" and isinstance(document.get("stages"), list):
         for index, stage in enumerate(document["stages"][:16]):
             problems += stage_problems(path, index, stage)
-        problems += order_problems(path, document["stages"][:16])
+        # An unknown stage type is one fault; what follows from it is not reported as well.
+        if all(isinstance(s, dict) and s.get("type") in STAGE_LIST for s in document["stages"]):
+            problems += order_problems(path, document["stages"][:16])
     return problems
 
 
@@ -301,9 +305,7 @@
     seen_names: set[str] = set()
     seen_types: set[str] = set()
     for index, stage in enumerate(stages):
-        if not isinstance(stage, dict):
-            continue
-        name, kind = stage.get("name"), stage.get("type")
+        name, kind = stage.get("name"), stage["type"]
         if isinstance(name, str):
             if name in seen_names:
                 reason = f"stage name {name!r} is used twice"
@@ -313,8 +315,7 @@
             yield Problem(path, f"stages/{index}", "a retrieve stage needs an earlier encode stage")
         if kind == "rerank" and "retrieve" not in seen_types:
             yield Problem(path, f"stages/{index}", "a rerank stage needs an earlier retrieve stage")
-        if isinstance(kind, str):
-            seen_types.add(kind)
+        seen_types.add(kind)
 
 
 # Parsing. Documents must have been checked.
@@ -479,9 +480,13 @@
     }
 
 
-def content_digest(base: Any, files: Any) -> str:
-    """Identifies the content of a publication, apart from who published it."""
-    return xxhash.xxh3_64_hexdigest(encode([base, files]))
+def content_digest(files: Any) -> str:
+    """Identifies the files of a publication.
+
+    The base is left out: an operator who repeats an id after a lost answer may have seen the
+    publication's own effect meanwhile.
+    """
+    return xxhash.xxh3_64_hexdigest(encode(files))
 
 
 def check_record(value: Any) -> list[Problem]:
@@ -600,7 +605,7 @@
         """Decides about a publish record against the present state, without changing it."""
         problems = check_record(value)
         changes = Changes({}, {}, {})
-        digest = "" if problems else content_digest(value["base"], value["files"])
+        digest = "" if problems else content_digest(value["files"])
         if not problems:
             conflicts = self.conflicts(value["base"], value["files"])
             if conflicts:
--- /dev/null
+++ b/savoryfork/ui/commands/publish.py
@@ -0,0 +1,249 @@
+"""Publishes the files of a directory.
+
+Files in DIR that differ from those in effect are published together: all or none. Files that are
+in effect but not in DIR stay; `--remove PATH` removes one. The publication takes effect only if
+none of its files was changed by somebody else since you saw them. What you saw is read at the
+start, or taken from `--base_file`, which holds the output of an earlier `show --json`. A pipeline
+step should pin its base that way, since otherwise an old DIR replaces newer files.
+
+Success means that every live host reports the new version; hosts that did not within 8 s are
+named, and will follow. A lost answer is asked for again under the same publication id. On a
+conflict the changes that were made since are shown, and nothing has taken effect.
+
+Example: savoryfork publish examples/fornaci --operator_url http://127.0.0.1:8101 \\
+             --key_file rosa.key
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import uuid6
+from absl import flags
+
+from savoryfork.errors import ErrorKind, Ran, UserError
+from savoryfork.publication import ABSENT, check_files, load_directory, load_file
+from savoryfork.ui import DONE, FAILED, client, output
+
+USAGE = "DIR"
+
+# Longer than the host's own wait of 8 s for all hosts.
+CALL_TIMEOUT_S = 15.0
+ATTEMPTS = 4
+PAUSE_S = 1.0
+
+# A host that answers so has appended nothing for this request.
+NOT_APPENDED = (ErrorKind.LOG_UNAVAILABLE, ErrorKind.NOT_READY)
+
+
+class Seen(NamedTuple):
+    """The files that the operator has seen: contents by path, and offsets by path."""
+
+    contents: dict[str, Any]
+    offsets: dict[str, int]
+
+
+def define(values: flags.FlagValues) -> None:
+    """Flags of the operator port and of the publication."""
+    client.define(values)
+    flags.DEFINE_boolean(
+        "dry_run", False, "check and show the changes without publishing", flag_values=values
+    )
+    flags.DEFINE_string(
+        "base_file",
+        None,
+        "output of `show --json` from when you last saw the files in effect",
+        flag_values=values,
+    )
+    flags.DEFINE_multi_string(
+        "remove", [], "path in effect to remove, such as service/old.json", flag_values=values
+    )
+    flags.DEFINE_string(
+        "publication_id",
+        None,
+        "id of an earlier try whose outcome is unknown (default: a new one)",
+        flag_values=values,
+    )
+
+
+def run(arguments: list[str], values: flags.FlagValues) -> int:
+    """Checks, sends and reports."""
+    directory = load_directory(output.one_argument(arguments, "DIR"))
+    both = sorted(set(values.remove) & set(directory))
+    if both:
+        raise UserError(f"in DIR and in --remove: {', '.join(both)}")
+    operator = client.from_flags(values)
+    try:
+        current = seen(operator.get("/operator/config"))
+        base = read_base(values.base_file) if values.base_file else current
+        return publish(operator, directory, current, base, values)
+    except (client.Unreachable, client.Refused) as error:
+        output.fail(f"savoryfork publish: {error}")
+        return FAILED
+
+
+def seen(config: Any) -> Seen:
+    """What one answer of `show` says; raises UserError if it has another form."""
+    try:
+        offsets = {path: int(offset) for path, offset in config["removed"].items()}
+        offsets.update({path: int(entry["offset"]) for path, entry in config["files"].items()})
+        return Seen({p: entry["content"] for p, entry in config["files"].items()}, offsets)
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise UserError("the base must be the output of `savoryfork show --json`") from error
+
+
+def read_base(path: str) -> Seen:
+    """Reads a base file."""
+    return seen(load_file(Path(path)))
+
+
+def publish(
+    operator: client.OperatorClient,
+    directory: dict[str, Any],
+    current: Seen,
+    base: Seen,
+    values: flags.FlagValues,
+) -> int:
+    """Publishes what differs from the files in effect."""
+    files = {p: doc for p, doc in directory.items() if current.contents.get(p) != doc}
+    files.update({path: None for path in values.remove})
+    merged = {p: doc for p, doc in {**current.contents, **files}.items() if doc is not None}
+    problems = [problem._asdict() for problem in check_files(merged)]
+    problems += [
+        {"file": path, "path": ".", "reason": "there is no such file to remove"}
+        for path in values.remove
+        if path not in current.contents
+    ]
+    if problems:
+        return report_invalid(problems, values)
+    if not values.json:
+        for path in sorted(files):
+            old = current.contents.get(path)
+            print("\n".join(output.diff_lines(path, old, files[path], "in effect", "new")))
+    if not files:
+        return report(values, {"verdict": "unchanged"}, "nothing to publish: all is in effect")
+    if values.dry_run:
+        stale = [p for p in files if base.offsets.get(p, ABSENT) != current.offsets.get(p, ABSENT)]
+        if stale:
+            return report_conflict(stale, base, current, values)
+        text = f"{len(files)} files would be published"
+        return report(values, {"verdict": "dry_run", "files": sorted(files)}, text)
+    body = {
+        "id": values.publication_id or str(uuid6.uuid7()),
+        "base": {path: base.offsets.get(path, ABSENT) for path in files},
+        "files": files,
+    }
+    return settle(operator, body, base, values)
+
+
+def settle(
+    operator: client.OperatorClient, body: dict[str, Any], base: Seen, values: flags.FlagValues
+) -> int:
+    """Sends a publication until its outcome is known, for a bounded number of times."""
+    reason = ""
+    # True once a try may have been appended without its verdict being known.
+    pending = values.publication_id is not None
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            time.sleep(PAUSE_S)
+        try:
+            answer = operator.call("POST", "/operator/publications", body, CALL_TIMEOUT_S)
+        except client.Unreachable as failure:
+            reason, pending = str(failure), True
+            continue
+        error = answer.error
+        kind = error.get("kind")
+        if answer.status == 200:
+            return report_accepted(answer.body, body, values)
+        if kind == ErrorKind.PUBLICATION_CONFLICT and error.get("details"):
+            paths = [entry["file"] for entry in error["details"]]
+            return report_conflict(paths, base, seen(operator.get("/operator/config")), values)
+        if kind == ErrorKind.PUBLICATION_INVALID:
+            return report_invalid(error.get("details", []), values)
+        reason = str(client.Refused(answer))
+        pending = pending or (error.get("ran") != Ran.NO and kind not in NOT_APPENDED)
+        if not error.get("retry"):
+            break
+    return report_failure(reason, pending, body["id"], values)
+
+
+def report_failure(
+    reason: str, pending: bool, publication_id: str, values: flags.FlagValues
+) -> int:
+    """Prints why there is no verdict, and whether one may still come."""
+    if values.json:
+        verdict = "unknown" if pending else "refused"
+        output.print_json({"verdict": verdict, "id": publication_id, "reason": reason})
+    note = "Nothing has taken effect."
+    if pending:
+        note = (
+            f"The outcome is not known. Repeat the command with --publication_id {publication_id};"
+            " it takes effect at most once."
+        )
+    output.fail(f"savoryfork publish: {reason}\n{note}")
+    return FAILED
+
+
+def report(values: flags.FlagValues, body: dict[str, Any], text: str) -> int:
+    """Prints a success."""
+    if values.json:
+        output.print_json(body)
+    else:
+        print(text)
+    return DONE
+
+
+def report_accepted(answer: Any, body: dict[str, Any], values: flags.FlagValues) -> int:
+    """Prints an acceptance."""
+    missing = answer["missing"]
+    text = f"accepted at offset {answer['offset']}, in effect on {len(answer['hosts'])} hosts"
+    if missing:
+        reached = sum(offset >= answer["offset"] for offset in answer["hosts"].values())
+        text = (
+            f"accepted at offset {answer['offset']}, in effect on {reached} hosts;"
+            f" not yet reported by: {', '.join(missing)}"
+        )
+    return report(values, {**answer, "id": body["id"]}, text)
+
+
+def report_invalid(problems: list[dict[str, str]], values: flags.FlagValues) -> int:
+    """Prints the faults of the files."""
+    if values.json:
+        output.print_json({"verdict": "invalid", "problems": problems})
+    else:
+        print("\n".join(output.problem_lines(problems)))
+    output.fail(f"savoryfork publish: {len(problems)} problem(s); nothing has taken effect")
+    return FAILED
+
+
+def report_conflict(paths: list[str], base: Seen, now: Seen, values: flags.FlagValues) -> int:
+    """Prints what has changed since the operator saw the files."""
+    conflicts: list[dict[str, Any]] = [
+        {
+            "file": path,
+            "base": base.offsets.get(path, ABSENT),
+            "current": now.offsets.get(path, ABSENT),
+            "seen": base.contents.get(path),
+            "in_effect": now.contents.get(path),
+        }
+        for path in sorted(paths)
+    ]
+    if values.json:
+        output.print_json({"verdict": "conflict", "conflicts": conflicts})
+    else:
+        for entry in conflicts:
+            print(f"{entry['file']}: seen at offset {entry['base']}, now {entry['current']}")
+            print(
+                "\n".join(
+                    output.diff_lines(
+                        entry["file"], entry["seen"], entry["in_effect"], "seen", "in effect"
+                    )
+                )
+            )
+    output.fail(
+        f"savoryfork publish: conflict: {len(conflicts)} file(s) changed since you saw them;"
+        " nothing has taken effect. Merge the changes and publish again."
+    )
+    return FAILED
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,278 @@
+"""Tests for the exchange between hosts and the controller of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from savoryfork import defaults, gossip
+from savoryfork.board import LogState
+from savoryfork.publication import publication_record
+from tests.fakes import FakeClock, FakeLog, FakeNetwork
+from tests.test_publication import ENC, files
+
+NAMES = [f"h{i}" for i in range(1, 9)]
+
+
+def cluster(names: list[str] = NAMES) -> tuple[FakeNetwork, FakeLog, FakeClock]:
+    log, clock = FakeLog(), FakeClock()
+    return FakeNetwork(names, log, clock.clock()), log, clock
+
+
+def publish(log: FakeLog, count: int = 1) -> int:
+    """Appends publications that each change one file; returns the last offset."""
+    offset = -1
+    for _ in range(count):
+        base = {ENC: offset}
+        value = publication_record(f"publication-{log.start + len(log.records)}", "o", base, {})
+        value["files"] = {ENC: {**files()[ENC], "max_inflight": 1 + len(log.records)}}
+        offset = log.add(value)
+    return offset
+
+
+class TestExchange:
+    async def test_an_acceptance_spreads_while_the_log_is_down(self) -> None:
+        """Guards against a version staying on the one host that read it before an outage."""
+        network, log, _ = cluster()
+        for host in network.hosts.values():
+            await host.read_log()
+        offset = publish(log)
+        await network.hosts["h1"].read_log()
+        log.down = True
+        for _ in range(3):
+            await network.tick()
+        offsets = {host.board.configuration.offset for host in network.hosts.values()}
+        assert offsets == {offset}
+        assert {host.board.config_position for host in network.hosts.values()} == {offset + 1}
+
+    @pytest.mark.parametrize("tail", [10, 500])
+    async def test_a_host_far_behind_catches_up(
+        self, monkeypatch: pytest.MonkeyPatch, tail: int
+    ) -> None:
+        """Guards against a gap when the missing records need several replies or a snapshot."""
+        monkeypatch.setattr(defaults, "CONFIG_TAIL_RECORDS", tail)
+        monkeypatch.setattr(gossip, "REPLY_BYTES", 2_000)
+        network, log, _ = cluster(["h1", "h2"])
+        publish(log, 100)
+        ahead, behind = network.hosts["h1"], network.hosts["h2"]
+        await ahead.read_log()
+        await network.tick()
+        assert behind.board.configuration == ahead.board.configuration
+        assert behind.fold.verdicts == ahead.fold.verdicts
+
+    async def test_nothing_goes_back(self) -> None:
+        """Guards against a host behind, or an old reply, reverting a version in effect."""
+        network, log, _ = cluster(["h1", "h2"])
+        publish(log, 2)
+        ahead, behind = network.hosts["h1"], network.hosts["h2"]
+        behind.fold.apply(log.records[0])
+        old = await behind.gossip.handle(ahead.gossip.request(wanted=True))
+        old.snapshot = behind.fold.snapshot()
+        await ahead.read_log()
+        ahead.gossip.take_configuration(old)
+        assert ahead.board.configuration.offset == 1
+        assert ahead.board.config_position == 2
+
+    async def test_idle_exchange_is_small(self) -> None:
+        """Guards against idle exchanges exceeding the control budget of 3 KB/s per host."""
+        network, log, _ = cluster()
+        publish(log, 50)
+        for host in network.hosts.values():
+            await host.read_log()
+        await network.tick()
+        network.calls = network.sent_bytes = 0
+        for _ in range(10):
+            await network.tick()
+        assert network.calls == 10 * len(NAMES) * defaults.EXCHANGE_FANOUT
+        assert network.sent_bytes / network.calls < 200
+
+    async def test_a_stopped_host_asks_for_nothing(self) -> None:
+        """Guards against an old program being sent the records that it can't read each second."""
+        network, log, _ = cluster(["h1", "h2"])
+        old, new = network.hosts["h1"], network.hosts["h2"]
+        publish(log)
+        for host in (old, new):
+            await host.read_log()
+        old.fold.apply(log.records[0]._replace(offset=1, value={"schema": 2}))
+        new.fold.apply(log.records[0]._replace(offset=1, value={}))
+        reply = await new.gossip.handle(old.gossip.request(wanted=True))
+        assert not reply.records and not reply.snapshot
+        await network.tick()
+        assert old.board.configuration.offset == 0
+        assert old.fold.position == 1
+
+
+class TestBootstrap:
+    async def test_takes_the_furthest_of_all_that_answer(self) -> None:
+        """Guards against a new host starting with a version older than one in effect."""
+        network, log, _ = cluster()
+        publish(log, 5)
+        for number, host in enumerate(list(network.hosts.values())[1:]):
+            for record in log.records[: number % 5]:
+                host.fold.apply(record)
+            host.board.config_ready = True
+        network.hosts["h6"].fold.apply(log.records[4])
+        new = network.hosts["h1"]
+        new.board.log = LogState(False, 0.0)
+        assert await new.gossip.bootstrap()
+        assert new.board.configuration.offset == 4
+        assert new.board.config_ready
+
+    async def test_is_not_ready_without_a_complete_answer(self) -> None:
+        """Guards against readiness on the word of a host that is itself still starting."""
+        network, log, _ = cluster(["h1", "h2"])
+        publish(log, 2)
+        network.hosts["h2"].fold.apply(log.records[0])
+        new = network.hosts["h1"]
+        new.board.log = LogState(False, 0.0)
+        await network.tick()
+        assert not new.board.config_ready
+        network.hosts["h2"].board.config_ready = True
+        network.unreachable = {"h2"}
+        await network.tick()
+        assert not new.board.config_ready
+        network.unreachable = set()
+        await network.tick()
+        assert new.board.config_ready
+
+    async def test_an_empty_log_read_to_its_end_is_ready(self) -> None:
+        """Guards against the very first host never becoming ready."""
+        network, _, _ = cluster(["h1"])
+        controller = network.hosts["h1"].controller
+        running = asyncio.create_task(controller.run())
+        found = await controller.wait_for(lambda: controller.board.config_ready or None, 5_000)
+        running.cancel()
+        assert found
+
+
+class TestController:
+    async def test_a_newer_schema_ends_the_reading(self) -> None:
+        """Guards against a host that reads the same record again and again without a pause."""
+        network, log, _ = cluster(["h1"])
+        publish(log)
+        log.add({"schema": 2, "type": "publish"})
+        host = network.hosts["h1"]
+        async with asyncio.timeout(5):
+            await host.controller.run()
+        assert host.board.configuration.offset == 0
+        assert not host.board.config_ready
+
+    async def test_restarts_from_a_checkpoint_after_retention(self) -> None:
+        """Guards against a new host that can't start once the first records have expired."""
+        network, log, _ = cluster(["h1", "h2"])
+        publish(log, 10)
+        await network.hosts["h1"].read_log()
+        await network.hosts["h1"].controller.write_checkpoint()
+        publish(log, 1)
+        log.retain(2)
+        await network.hosts["h2"].read_log()
+        await network.hosts["h1"].read_log()
+        assert network.hosts["h2"].board.configuration == network.hosts["h1"].board.configuration
+
+    async def test_checkpoints_precede_retention_and_are_few(self) -> None:
+        """Guards against records expiring uncovered, and against one checkpoint from each host."""
+        network, log, clock = cluster()
+        for host in network.hosts.values():
+            host.board.config_ready = True
+        for _ in range(600):
+            publish(log)
+            log.retain(300)
+            clock.now_ms += 1_000
+            for host in network.hosts.values():
+                await host.read_log()
+                await host.controller.tick()
+            reader = network.hosts["h1"].fold
+            assert reader.checkpoint_through + 1 >= log.start
+        written = [r for r in log.records if r.value["type"] == "checkpoint"]
+        assert 1 <= len(written) <= 8
+
+    async def test_a_checkpoint_is_repeated_in_quiet_times(self) -> None:
+        """Guards against the configuration expiring when nobody publishes for long."""
+        network, log, clock = cluster(["h1"])
+        host = network.hosts["h1"]
+        publish(log)
+        await host.read_log()
+        for _ in range(3):
+            clock.now_ms += defaults.CHECKPOINT_EVERY_MS
+            await host.controller.tick()
+            clock.now_ms += defaults.CHECKPOINT_DELAY_MS
+            await host.controller.tick()
+            await host.read_log()
+            await host.controller.tick()
+        assert [r.value["type"] for r in log.records] == ["publish"] + ["checkpoint"] * 3
+
+
+class TestLeaving:
+    async def test_a_mark_reaches_every_host_without_a_tick(self) -> None:
+        """Guards against a target getting work from some host more than 3 s after it left."""
+        names = [f"h{i}" for i in range(60)]
+        network, _, _ = cluster(names)
+        network.hosts["h0"].membership.note_leaving("t", "i", "test")
+        await network.hosts["h0"].gossip.push_leaving()
+        await network.settle()
+        knowing = [h for h in network.hosts.values() if h.membership.leaving]
+        assert len(knowing) > 0.8 * len(names)
+        await network.tick()
+        assert all(h.membership.leaving for h in network.hosts.values())
+
+    async def test_many_marks_at_once_all_arrive(self) -> None:
+        """Guards against the bound per exchange holding back all but the newest marks."""
+        network, _, _ = cluster(["h1", "h2"])
+        for number in range(150):
+            network.hosts["h1"].membership.note_leaving(f"t{number}", "i", "test")
+        for _ in range(5):
+            await network.tick()
+        assert len(network.hosts["h2"].membership.leaving) == 150
+
+    async def test_forgotten_marks_do_not_return(self) -> None:
+        """Guards against hosts handing each other back old marks without end."""
+        network, _, clock = cluster()
+        network.hosts["h1"].membership.note_leaving("t", "i", "test")
+        for _ in range(700):
+            await network.tick()
+            clock.now_ms += 1_000
+            for host in network.hosts.values():
+                host.membership.forget_missing(set(host.board.hosts), clock.now_ms)
+        assert not any(host.membership.leaving for host in network.hosts.values())
+
+    async def test_a_host_that_was_away_asks_for_all_marks(self) -> None:
+        """Guards against a host that was frozen missing marks that are no longer passed on."""
+        network, _, clock = cluster()
+        await network.tick()
+        network.unreachable = {"h8"}
+        network.hosts["h1"].membership.note_leaving("t", "i", "test")
+        for _ in range(40):
+            await network.tick()
+            clock.now_ms += 1_000
+        network.unreachable = set()
+        await network.tick()
+        assert network.hosts["h8"].membership.leaving
+
+
+class TestSpread:
+    async def test_names_the_hosts_that_did_not_report(self) -> None:
+        """Guards against a publication reported as in effect everywhere when it is not."""
+        network, log, clock = cluster()
+        offset = publish(log)
+        await network.hosts["h1"].read_log()
+        network.unreachable = {"h3"}
+
+        async def pass_time() -> None:
+            while True:
+                clock.now_ms += 100
+                await asyncio.sleep(0.01)
+
+        passing = asyncio.create_task(pass_time())
+        deadline = clock.now_ms + 3_000
+        reported, missing = await network.hosts["h1"].gossip.spread(offset, deadline)
+        passing.cancel()
+        assert missing == ["h3"]
+        assert {name for name, at in reported.items() if at >= offset} == set(NAMES) - {"h3"}
+
+
+def test_the_message_form_keeps_none() -> None:
+    """Guards against "no version yet" being read as the version at offset 0."""
+    request: Any = cluster(["h1"])[0].hosts["h1"].gossip.request(wanted=True)
+    assert gossip.Gossip.signed(request.config_offset) == -1
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,390 @@
+"""Tests for the checks and the fold of operators' files."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryfork import defaults, publication
+from savoryfork.errors import UserError
+from savoryfork.publication import (
+    ConfigFold,
+    check_files,
+    load_directory,
+    parse_files,
+    publication_record,
+)
+from savoryfork.util.topic import Page, Record
+
+DIGEST = "a" * 64
+
+
+def files() -> dict[str, Any]:
+    """A small valid set."""
+    return {
+        "service/enc.json": {"kind": "service", "type": "encoder"},
+        "service/ret.json": {"kind": "service", "type": "retriever"},
+        "service/gen.json": {"kind": "service", "type": "engine", "model": "m"},
+        "service/book.json": {"kind": "service", "type": "plain", "idempotent": False},
+        "pipeline/ask.json": {
+            "kind": "pipeline",
+            "deadline_ms": 10_000,
+            "stages": [
+                {"type": "encode", "name": "e", "service": "enc"},
+                {"type": "retrieve", "name": "r", "service": "ret", "top_k": 4},
+                {"type": "action", "name": "b", "service": "book", "action": "book"},
+            ],
+        },
+        "workspace/w.json": {
+            "kind": "workspace",
+            "key_digests": [DIGEST],
+            "pipelines": ["ask"],
+        },
+    }
+
+
+def edit(path: str, *keys: str | int, value: Any) -> dict[str, Any]:
+    """The small set with one value replaced."""
+    changed = files()
+    node = changed[path]
+    for key in keys[:-1]:
+        node = node[key]
+    node[keys[-1]] = value
+    return changed
+
+
+GEN = {"type": "generate", "name": "g", "service": "gen", "max_tokens": 5}
+BOOK = {"type": "action", "name": "b2", "service": "book", "action": "book"}
+ASK, W, ENC = "pipeline/ask.json", "workspace/w.json", "service/enc.json"
+STAGES = files()[ASK]["stages"]
+
+FAULTS = [
+    (edit(ASK, "colour", value=1), ASK, ".", "unknown field 'colour'"),
+    (edit(ASK, "deadline_s", value=1), ASK, ".", "use 'deadline_ms'"),
+    (edit(ASK, "deadline_ms", value="10s"), ASK, "deadline_ms", "milliseconds"),
+    (edit(ASK, "deadline_ms", value=0), ASK, "deadline_ms", "minimum"),
+    (edit(ASK, "deadline_ms", value=-5), ASK, "deadline_ms", "minimum"),
+    (edit(ASK, "deadline_ms", value=True), ASK, "deadline_ms", "integer"),
+    (edit(ASK, "objective", value={"attainment": 99}), ASK, "objective/attainment", "per cent"),
+    (edit(ASK, "stages", 0, "service", value="nope"), ASK, "stages/0/service", "no service 'nope'"),
+    (edit(ASK, "stages", 0, "service", value="gen"), ASK, "stages/0/service", "not encoder"),
+    (edit(ASK, "stages", 0, "type", value="guess"), ASK, "stages/0/type", "one of encode"),
+    (edit(ASK, "stages", 1, "name", value="e"), ASK, "stages/1/name", "used twice"),
+    (edit(ASK, "stages", 1, "topk", value=3), ASK, "stages/1", "unknown field 'topk'"),
+    (edit(ASK, "stages", value=STAGES[1:]), ASK, "stages/0", "earlier encode stage"),
+    (edit(ASK, "stages", value=[*STAGES, GEN]), ASK, "stages/2", "must be the last"),
+    (edit(W, "pipelines", value=["ask", "nope"]), W, "pipelines/1", "no pipeline 'nope'"),
+    (edit(W, "key_digests", value=["A" * 64]), W, "key_digests/0", "does not match"),
+    (edit(W, "key_digests", value=[DIGEST + "\n"]), W, "key_digests/0", "does not match"),
+    (edit(W, "share", value=0), W, "share", "minimum"),
+    (edit(W, "kind", value="service"), W, "kind", "workspace"),
+    (edit(ENC, "idempotent", value=False), ENC, "idempotent", "only a plain service"),
+    (edit(ENC, "type", value="plain"), ENC, ".", "must state it"),
+    ({**files(), "service/E.json": {}}, "service/E.json", ".", "the path must be"),
+    ({**files(), "service/e.json": []}, "service/e.json", ".", "object"),
+]
+
+
+class TestChecks:
+    @pytest.mark.parametrize(("changed", "file", "path", "reason"), FAULTS)
+    def test_each_fault_is_named_once(
+        self, changed: dict[str, Any], file: str, path: str, reason: str
+    ) -> None:
+        """Guards against accepting a fault, and against one fault hiding behind others."""
+        found = [p for p in check_files(changed) if p.file == file]
+        assert [p.path for p in found] == [path]
+        assert reason in found[0].reason
+
+    def test_two_non_idempotent_actions_are_refused(self) -> None:
+        """Guards against a pipeline whose first action took effect when the second fails."""
+        found = check_files(edit(ASK, "stages", value=[*STAGES, BOOK]))
+        assert [p.path for p in found] == ["stages/2", "stages/3"]
+
+    @pytest.mark.parametrize("name", ["fornaci", "nasr"])
+    def test_examples_are_valid(self, name: str) -> None:
+        """Guards against example files that can't be published."""
+        found = parse_files(load_directory(f"examples/{name}"))
+        assert len(found.workspaces) == 5
+        assert {p.deadline_ms for p in found.pipelines.values()} == {10_000}
+
+    @pytest.mark.parametrize("text", ['{"a": 1, "a": 2}', '{"a": NaN}', "{", "[" * 100_000])
+    def test_unclear_json_is_refused(self, tmp_path: Any, text: str) -> None:
+        """Guards against a repeated field silently losing its first value, and against NaN."""
+        (tmp_path / "a.json").write_text(text)
+        with pytest.raises(UserError, match=r"a\.json"):
+            load_directory(tmp_path)
+
+
+class Naive:
+    """The rules of the fold in their plainest form: everything is checked for every record."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, tuple[int, Any]] = {}
+        self.removed: dict[str, int] = {}
+        self.verdicts: dict[str, str] = {}
+        self.offset = -1
+
+    def current(self, path: str) -> int:
+        return self.files[path][0] if path in self.files else self.removed.get(path, -1)
+
+    def apply(self, record: Record) -> None:
+        value = record.value
+        if type(value.get("schema")) is not int or value.get("type") != "publish":
+            return
+        if value["id"] in self.verdicts:
+            return
+        self.verdicts[value["id"]] = self.judge(record.offset, value["base"], value["files"])
+
+    def judge(self, offset: int, base: dict[str, int], changed: dict[str, Any]) -> str:
+        malformed = publication.check_record(publication_record("x" * 8, "o", base, changed))
+        if malformed:
+            return "invalid"
+        if any(base.get(path, -1) != self.current(path) for path in {*base, *changed}):
+            return "conflict"
+        merged = {path: doc for path, (_, doc) in self.files.items()} | changed
+        gone = [path for path, doc in changed.items() if doc is None]
+        if any(path not in self.files for path in gone):
+            return "invalid"
+        if check_files({path: doc for path, doc in merged.items() if doc is not None}):
+            return "invalid"
+        for path, doc in changed.items():
+            self.files.pop(path, None)
+            self.removed.pop(path, None)
+            if doc is None:
+                self.removed[path] = offset
+            else:
+                self.files[path] = (offset, doc)
+        self.offset = offset
+        return "accepted"
+
+
+def state_of(fold: ConfigFold) -> Any:
+    """Everything that all hosts must agree on."""
+    return (
+        fold.position,
+        fold.configuration,
+        fold.files,
+        list(fold.removed.items()),
+        list(fold.verdicts.items()),
+        fold.users,
+        fold.checkpoint_through,
+    )
+
+
+SERVICES = [
+    {"kind": "service", "type": "plain", "idempotent": True},
+    {"kind": "service", "type": "plain", "idempotent": False},
+    {"kind": "service", "type": "engine", "model": "m"},
+    {"kind": "service", "type": "engine"},
+]
+
+
+def small_pipeline(names: list[str]) -> dict[str, Any]:
+    stages = [
+        {"type": "action", "name": f"x{i}", "service": name, "action": "do"}
+        for i, name in enumerate(names)
+    ]
+    return {"kind": "pipeline", "deadline_ms": 10, "stages": stages}
+
+
+def small_workspace(names: list[str]) -> dict[str, Any]:
+    return {"kind": "workspace", "key_digests": [], "pipelines": names}
+
+
+SMALL_FILES = st.dictionaries(
+    st.sampled_from(["service/a.json", "service/b.json"]),
+    st.sampled_from([*SERVICES, None]),
+    max_size=2,
+)
+SMALL_PIPELINES = st.dictionaries(
+    st.sampled_from(["pipeline/p.json", "pipeline/q.json"]),
+    st.none() | st.lists(st.sampled_from(["a", "b"]), min_size=1, max_size=2).map(small_pipeline),
+    max_size=2,
+)
+SMALL_WORKSPACES = st.dictionaries(
+    st.sampled_from(["workspace/v.json", "workspace/w.json"]),
+    st.none() | st.lists(st.sampled_from(["p", "q"]), max_size=2, unique=True).map(small_workspace),
+    max_size=1,
+)
+CHANGES = st.tuples(SMALL_FILES, SMALL_PIPELINES, SMALL_WORKSPACES).map(
+    lambda parts: parts[0] | parts[1] | parts[2]
+)
+LAG = st.integers(0, 3)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("publish"), LAG, CHANGES),
+        st.tuples(st.just("publish"), st.just(0), CHANGES),
+        st.tuples(st.just("repeat"), st.integers(0, 20), st.none()),
+        st.tuples(st.just("checkpoint"), st.integers(0, 6), st.none()),
+        st.tuples(
+            st.just("garbage"),
+            st.just(0),
+            st.sampled_from([{}, {"schema": True, "type": "publish"}, {"schema": 1, "type": "?"}]),
+        ),
+    ),
+    max_size=20,
+)
+
+
+def build_log(steps: list[Any]) -> tuple[list[Record], list[ConfigFold]]:
+    """The records that operators and hosts append, with the state before each offset."""
+    records: list[Record] = []
+    folds = [ConfigFold()]
+    publications: list[dict[str, Any]] = []
+    for offset, (step, number, content) in enumerate(steps):
+        seen = folds[max(0, offset - number)]
+        if step == "publish":
+            base = {path: seen.base_of(path) for path in content}
+            value = publication_record(f"publication-{offset}", "o", base, content)
+            publications.append(value)
+        elif step == "repeat":
+            value = publications[number % len(publications)] if publications else {}
+        elif step == "checkpoint":
+            value = seen.checkpoint(f"c{offset}") if seen.position else {}
+        else:
+            value = content
+        records.append(Record(offset, 0, json.loads(json.dumps(value))))
+        fold = ConfigFold()
+        for record in records:
+            fold.apply(record)
+        folds.append(fold)
+    return records, folds
+
+
+class TestFold:
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(STEPS)
+    def test_agrees_with_the_naive_fold(self, steps: list[Any]) -> None:
+        """Guards against an incremental check that misses what a change breaks elsewhere."""
+        records, folds = build_log(steps)
+        naive = Naive()
+        for record, fold in zip(records, folds[1:], strict=True):
+            naive.apply(record)
+            found = {path: (e.offset, json.loads(e.raw)) for path, e in fold.files.items()}
+            assert found == naive.files
+            assert dict(fold.removed) == naive.removed
+            assert {key: v.state for key, v in fold.verdicts.items()} == naive.verdicts
+            in_effect = {path: doc for path, (_, doc) in naive.files.items()}
+            assert fold.configuration == parse_files(in_effect, naive.offset)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(STEPS, st.data())
+    def test_every_way_to_catch_up_gives_the_same_state(self, steps: list[Any], data: Any) -> None:
+        """Guards against hosts that differ by how they learned of the records.
+
+        Covers a reader that starts at any retained offset, a snapshot or records from another
+        host, and old snapshots, which must never take anything back.
+        """
+        records, folds = build_log(steps)
+        last = folds[-1]
+        expected = state_of(last)
+        for start in range(len(records) + 1):
+            retained = records[start:]
+            fold = ConfigFold()
+            if fold.recover(Page(retained, start, len(records))):
+                assert state_of(fold) == expected
+            else:
+                assert not any(publication.usable(record, start) for record in retained)
+        behind = folds[data.draw(st.integers(0, len(records)), label="behind")]
+        other = ConfigFold()
+        assert other.adopt(behind.snapshot()) == (behind.position > 0)
+        for sent in last.records_from(other.position, 10**9) or []:
+            other.apply(Record(sent.offset, sent.time_ms, json.loads(sent.value)))
+        assert state_of(other) == expected
+        for old in folds:
+            assert not last.adopt(old.snapshot())
+            for record in records:
+                last.apply(record)
+            assert state_of(last) == expected
+
+    def test_a_repeat_after_a_removal_brings_nothing_back(self) -> None:
+        """Guards against a late second append finding "never published" current again."""
+        fold = ConfigFold()
+        create = publication_record("create-1", "o", {}, {ENC: files()[ENC]})
+        fold.apply(Record(0, 0, create))
+        fold.apply(Record(1, 0, publication_record("remove-1", "o", {ENC: 0}, {ENC: None})))
+        fold.verdicts.clear()
+        fold.apply(Record(2, 0, create))
+        assert fold.files == {}
+        assert fold.verdicts["create-1"].state == "conflict"
+
+    def test_a_newer_schema_stops_the_fold(self) -> None:
+        """Guards against an old program going on past a record whose rules it does not know."""
+        fold, newer = ConfigFold(), ConfigFold()
+        first = Record(0, 0, publication_record("first-one", "o", {}, {ENC: files()[ENC]}))
+        for each in (fold, newer):
+            each.apply(first)
+        before = state_of(fold)
+        fold.apply(Record(1, 0, {"schema": 2, "type": "publish"}))
+        fold.apply(Record(2, 0, publication_record("third-one", "o", {ENC: 0}, {ENC: None})))
+        newer.apply(Record(1, 0, {}))
+        assert fold.stopped_at == 1
+        assert state_of(fold) == before
+        assert not fold.adopt(newer.snapshot())
+
+    def test_a_newer_checkpoint_is_passed_over(self) -> None:
+        """Guards against a reader that can't start because a newer host wrote a checkpoint."""
+        writer = ConfigFold()
+        writer.apply(Record(5, 0, publication_record("first-one", "o", {}, {ENC: files()[ENC]})))
+        records = [
+            Record(6, 0, writer.checkpoint("c")),
+            Record(7, 0, {**writer.checkpoint("d"), "schema": 2}),
+        ]
+        reader = ConfigFold()
+        assert reader.recover(Page(records, 6, 8))
+        assert reader.configuration == writer.configuration
+        assert reader.stopped_at == 7
+
+    def test_a_damaged_checkpoint_is_not_used(self) -> None:
+        """Guards against starting from content that its digest or offset does not fit."""
+        writer = ConfigFold()
+        writer.apply(Record(5, 0, publication_record("first-one", "o", {}, {ENC: files()[ENC]})))
+        good = writer.checkpoint("c")
+        for bad in ({"digest": "0"}, {"through": 6}, {"content": "x"}, {"content": None}):
+            reader = ConfigFold()
+            assert not reader.recover(Page([Record(9, 0, {**good, **bad})], 6, 10))
+            assert reader.position == 0
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            {"schema": 1, "type": "publish", "id": ["x"]},
+            {"schema": 1, "type": "publish", "id": "x" * 8, "files": {"a": 10**400}},
+            {"schema": 1, "type": "publish", "id": "x" * 8, "files": {"a": "\ud800"}},
+            {"schema": 1, "type": "checkpoint", "through": "x", "content": 5},
+            json.loads(
+                '{"schema": 1, "type": "publish", "id": "12345678", "a":'
+                + "[" * 500
+                + "]" * 500
+                + "}"
+            ),
+            {},
+        ],
+    )
+    def test_no_record_raises(self, value: dict[str, Any]) -> None:
+        """Guards against a record of any form ending the reader on every host at once."""
+        fold = ConfigFold()
+        fold.apply(Record(0, 0, value))
+        assert fold.position == 1
+        assert fold.files == {}
+        for sent in fold.records_from(0, 1) or []:
+            json.loads(sent.value)
+
+    def test_memory_is_bounded(self) -> None:
+        """Guards against a host that grows with the number of changes."""
+        fold = ConfigFold()
+        for offset in range(3_000):
+            path = f"service/s{offset}.json"
+            value = publication_record(f"publication-{offset}", "o", {}, {path: files()[ENC]})
+            fold.apply(Record(2 * offset, 0, value))
+            drop = publication_record(f"remove-{offset}", "o", {path: 2 * offset}, {path: None})
+            fold.apply(Record(2 * offset + 1, 0, drop))
+        assert len(fold.verdicts) == publication.VERDICTS_KEPT
+        assert len(fold.removed) == publication.REMOVED_KEPT
+        assert len(fold.tail) <= defaults.CONFIG_TAIL_RECORDS
+        assert fold.tail_bytes <= publication.TAIL_BYTES
+        assert fold.records_from(0, 10**9) is None
