Prove that each answer belongs to its request and that leaving targets are left

Each mechanism was switched off in a scratch copy to see the test fail (trials):

- attempt ids not checked: texts and results of other requests in answers;
- streams without end marker accepted: short texts passed for whole answers;
- leaving not sticky against a list that lags 60 s, and evidence other than the host list ignored with the platform down: targets still got work after 3 s;
- marks not exchanged: hosts learned by their own load polls, not from the host that had seen the draining answer.

The test of late answers first asserted 3 lost hedges with one engine slowed six times and saw 2: the straggler is ejected too soon. Targets report how many calls they refused while draining, so that a call that is only refused counts as new work too.

--- a/standins/target.py
+++ b/standins/target.py
@@ -119,6 +119,7 @@
         self.draining = False
         self.attempts: list[str] = []
         self.calls = 0
+        self.refused_draining = 0
         self.reports = server.Lagged(self.report(), server.now_ms())
 
     def load(self) -> dict[str, float]:
@@ -181,6 +182,7 @@
             return server.refuse(400, f"{ATTEMPT} is missing")
         request[ECHOED] = attempt
         if self.draining:
+            self.refused_draining += 1
             return server.refuse(503, "draining", {"X-Target-State": "draining"})
         if self.faults.hits(self.faults.fail_rate):
             return server.refuse(500, "injected failure")
@@ -223,6 +225,7 @@
                 "incarnation": self.incarnation,
                 "state": "draining" if self.draining else "live",
                 "calls": self.calls,
+                "refused_draining": self.refused_draining,
                 **self.load(),
                 **self.details(),
             }
--- a/tests/failure/harness.py
+++ b/tests/failure/harness.py
@@ -399,3 +399,14 @@
 async def keys_run(deployment: Deployment, service: str) -> Counter[str]:
     """How often each idempotency key is in the ledger of a service."""
     return Counter(entry["key"] for entry in await deployment.ledger(service))
+
+
+async def attempts(deployment: Deployment, result: str) -> float:
+    """How many attempts ended with a result, over all daemons since their start."""
+    total = 0.0
+    for name in deployment.host_names:
+        async with deployment.session.get(f"{deployment.operator_url(name)}/metrics") as response:
+            for line in (await response.text()).splitlines():
+                if "attempts" in line and f'result="{result}"' in line:
+                    total += float(line.rsplit(" ", 1)[1])
+    return total
