--- a/savoryfork/claimfold.py
+++ b/savoryfork/claimfold.py
@@ -157,7 +157,7 @@
 
     def complete(self, key: str) -> bool:
         """True if every record of the key that still matters has been within reach of this fold."""
-        return not self.unsupported and key_time(key) >= self.complete_from_ms
+        return not self.unsupported and key_time(key) > self.complete_from_ms
 
     def expired(self, key: str) -> bool:
         """True if no claim of the key can win any more and its state may be forgotten."""
--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -143,7 +143,8 @@
         partition = partition_of(request.workspace, request.key)
         self.refuse_during_outage(partition, now)
         until_ms = min(request.deadline_ms, now + defaults.CLAIM_TIMEOUT_MS)
-        await self.wait_for_releases((request.workspace, request.key), until_ms)
+        if not await self.released((request.workspace, request.key), until_ms):
+            raise self.failed(partition)
         while True:
             claim = str(uuid.uuid4())
             state = await self.claim_once(request, claim, partition, until_ms)
@@ -194,8 +195,7 @@
             if asked.doubtful and not won:
                 self.start_release(request, claim)
         if asked.reply is None:
-            self.failures[partition] = self.failures.get(partition, 0) + 1
-            raise log_unavailable()
+            raise self.failed(partition)
         self.failures.pop(partition, None)
         if state is None:
             self.start_release(request, claim)
@@ -344,13 +344,19 @@
             state = asked.reply.state
             unsent.landed.set_result(state is None or state.state != EXPIRED)
 
-    async def wait_for_releases(self, key_id: KeyId, until_ms: float) -> None:
-        """Waits until this host's earlier claims of the key are released."""
+    async def released(self, key_id: KeyId, until_ms: float) -> bool:
+        """Waits until this host's earlier claims of the key are released; False if time is up."""
         while releases := self.releasing.get(key_id):
             left_ms = until_ms - self.clock.monotonic_ms()
             if left_ms <= 0:
-                raise log_unavailable()
+                return False
             await asyncio.wait(set(releases), timeout=left_ms / 1000)
+        return True
+
+    def failed(self, partition: int) -> ServiceError:
+        """Counts a claim without an answer towards the circuit breaker of its partition."""
+        self.failures[partition] = self.failures.get(partition, 0) + 1
+        return log_unavailable()
 
     def refuse_during_outage(self, partition: int, now: float) -> None:
         """Raises LOG_UNAVAILABLE during a known outage, but for a probe now and then."""
--- /dev/null
+++ b/tests/test_claimfold.py
@@ -0,0 +1,241 @@
+"""Tests for the fold of claims, against a naive version and the invariants of section 3."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from uuid6 import UUID
+
+from savoryfork.claimfold import AHEAD_MS, BUCKET_MS, KEEP_MS, RUNNING, ClaimFold, Entry, key_time
+from savoryfork.util.topic import Record
+
+START_MS = 1_700_000_000_000
+KEYS = [
+    str(UUID(int=(START_MS + shift) << 80 | index, version=7))
+    for index, shift in enumerate((0, 0, AHEAD_MS + 1_000, -KEEP_MS + 500))
+]
+
+
+class Event(NamedTuple):
+    """A record to be made: its id is `number` within its kind, so that copies occur."""
+
+    kind: str
+    key: int
+    claim: int
+    number: int
+    state: str
+    step_ms: int
+
+
+EVENTS = st.lists(
+    st.builds(
+        Event,
+        kind=st.sampled_from(["claim", "claim", "release", "outcome"]),
+        key=st.sampled_from([0, 0, 0, 1, 2, 3]),
+        claim=st.integers(0, 3),
+        number=st.integers(0, 2),
+        state=st.sampled_from(["done", "rejected", "unknown"]),
+        step_ms=st.sampled_from([0, 0, 0, 400, 2_000, KEEP_MS // 2]),
+    ),
+    max_size=14,
+)
+
+
+def records_of(events: Sequence[Event]) -> list[Record]:
+    """The log that the events make."""
+    records = []
+    time_ms = START_MS
+    for offset, event in enumerate(events):
+        time_ms += event.step_ms
+        claim = f"c{event.key}.{event.claim}"
+        value: dict[str, Any] = {"schema": 1, "type": event.kind, "workspace": "w"}
+        value |= {"key": KEYS[event.key], "id": f"{event.kind}{event.number}-{claim}"}
+        if event.kind == "claim":
+            value |= {"id": claim, "pipeline": "p", "digest": claim, "claimant": "h/1"}
+            value["deadline_ms"] = 0
+        else:
+            value["claim"] = claim
+        if event.kind == "outcome":
+            value |= {"state": event.state, "answer": {"of": event.number}}
+        records.append(Record(offset, time_ms, value))
+    return records
+
+
+def naive(records: Sequence[Record], key: str) -> tuple[str, str, Any]:
+    """State, holder and answer of a key: the rules as they read, with nothing ever forgotten."""
+    ids: set[str] = set()
+    dead: set[str] = set()
+    state, holder, answer = "", "", None
+    for record in records:
+        value = record.value
+        if value["key"] != key or value["id"] in ids:
+            continue
+        ids.add(value["id"])
+        key_ms = int(key.replace("-", "")[:12], 16)
+        if value["type"] == "claim":
+            in_window = record.time_ms - KEEP_MS <= key_ms <= record.time_ms + AHEAD_MS
+            if state in ("", "released") and value["id"] not in dead and in_window:
+                state, holder = RUNNING, value["id"]
+        elif value["type"] == "release":
+            dead.add(value["claim"])
+            if holder == value["claim"] and state == RUNNING:
+                state = "released"
+        elif holder == value["claim"] and state == RUNNING:
+            state, answer = value["state"], value["answer"]
+    return state, holder, answer
+
+
+def fold_of(records: Sequence[Record], start: int = 0) -> ClaimFold:
+    """A fold of the records from `start` on."""
+    fold = ClaimFold()
+    fold.restart(start)
+    for record in records[start:]:
+        fold.apply(record)
+    return fold
+
+
+def seen_by(fold: ClaimFold, key: str) -> tuple[str, str, Any]:
+    """State, holder and answer of a key in a fold."""
+    entry = fold.get("w", key)
+    view = entry.view() if entry is not None else None
+    return ("", "", None) if view is None else (view.state, view.claim, view.answer)
+
+
+def check_one_winner(records: Sequence[Record], make: Callable[[], ClaimFold] = ClaimFold) -> None:
+    """At most one claim holds a key until it is released, and a released one never wins again."""
+    fold = make()
+    holders: dict[str, str] = {}
+    released: set[str] = set()
+    for record in records:
+        fold.apply(record)
+        key, value = record.value["key"], record.value
+        state, holder, _ = seen_by(fold, key)
+        before = holders.get(key, "")
+        if state not in ("", "released") and holder != before:
+            assert before == "" or before in released, "two claims hold one key"
+            assert holder not in released, "a released claim won"
+            holders[key] = holder
+        if value["type"] == "release":
+            released.add(value["claim"])
+
+
+class TestAgainstNaive:
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(EVENTS)
+    def test_same_state_after_any_interleaving(self, events: list[Event]) -> None:
+        """Guards against a state that depends on more than the order of the records."""
+        records = records_of(events)
+        fold = fold_of(records)
+        for key in KEYS:
+            if not fold.expired(key):
+                assert seen_by(fold, key) == naive(records, key)
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(EVENTS, st.integers(1, 13))
+    def test_reader_after_retention_is_right_or_silent(
+        self, events: list[Event], start: int
+    ) -> None:
+        """Guards against "free" for a key whose claim is no longer in the log."""
+        kept = [r for r in records_of(events) if key_time(r.value["key"]) <= r.time_ms + AHEAD_MS]
+        records = [record._replace(offset=offset) for offset, record in enumerate(kept)]
+        fold = fold_of(records, start)
+        for key in KEYS:
+            if fold.complete(key) and not fold.expired(key):
+                assert seen_by(fold, key) == naive(records, key)
+
+    def test_retention_that_cut_off_a_claim_is_noticed(self) -> None:
+        """Guards against a second winner in a reader that could not read the first claim."""
+        fold = fold_of(sequence(("claim", 0), ("claim", 1)), start=1)
+        assert seen_by(fold, KEYS[0])[1] == "c0.1" and not fold.complete(KEYS[0])
+
+
+class WithoutTombstones(ClaimFold):
+    """A fold that ignores the release of a claim that has not landed yet."""
+
+    def apply_to(self, entry: Entry, record: Record) -> None:
+        value = record.value
+        if value["type"] != "release" or entry.claim == value["claim"]:
+            super().apply_to(entry, record)
+
+
+class WithTakeover(ClaimFold):
+    """A fold that gives a key to the next claim after the holder's deadline."""
+
+    def apply_claim(self, entry: Entry, record: Record) -> None:
+        if entry.state == RUNNING and entry.deadline_ms < record.time_ms:
+            entry.state = "released"
+        super().apply_claim(entry, record)
+
+
+def sequence(*steps: tuple[str, int]) -> list[Record]:
+    """Records of one key: kinds with the number of their claim."""
+    return records_of([Event(kind, 0, claim, 0, "done", 0) for kind, claim in steps])
+
+
+RELEASE_FIRST = (("release", 0), ("claim", 0))
+
+
+class TestOneWinner:
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(EVENTS)
+    def test_at_most_one_winner_between_releases(self, events: list[Event]) -> None:
+        """Guards against two runs of one key."""
+        check_one_winner(records_of(events))
+
+    @pytest.mark.parametrize(
+        ("make", "steps"),
+        [(WithoutTombstones, RELEASE_FIRST), (WithTakeover, (("claim", 0), ("claim", 1)))],
+    )
+    def test_versions_without_a_mechanism_fail(
+        self, make: Callable[[], ClaimFold], steps: tuple[tuple[str, int], ...]
+    ) -> None:
+        """Guards against a check that would not notice a missing mechanism."""
+        with pytest.raises(AssertionError):
+            check_one_winner(sequence(*steps), make)
+        check_one_winner(sequence(*steps))
+
+    def test_second_copy_of_a_lost_claim_does_not_win(self) -> None:
+        """Guards against a key held for a run that was told that it lost."""
+        records = sequence(("claim", 0), ("claim", 1), ("release", 0), ("claim", 1))
+        assert seen_by(fold_of(records), KEYS[0])[0] == "released"
+
+    def test_release_after_the_outcome_is_ignored(self) -> None:
+        """Guards against repeating an action that is known to be done."""
+        records = sequence(("claim", 0), ("outcome", 0), ("release", 0), ("claim", 1))
+        assert seen_by(fold_of(records), KEYS[0])[:2] == ("done", "c0.0")
+
+
+class TestBounds:
+    def test_keys_past_the_window_are_dropped(self) -> None:
+        """Guards against memory that grows with the age of the process."""
+        fold = fold_of(records_of([Event("claim", 0, 0, 0, "", 0)]))
+        assert len(fold.entries) == 1
+        later = records_of([Event("claim", 0, 1, 0, "", KEEP_MS + 2 * BUCKET_MS)])[0]
+        fold.apply(later._replace(offset=1))
+        assert (len(fold.entries), fold.buckets) == (0, {})
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            {},
+            {"schema": 1, "type": "claim", "id": "x", "workspace": "w", "key": "no time"},
+            {"schema": 1, "type": "claim", "id": "x", "workspace": "w", "key": KEYS[0]},
+            {"schema": 1, "type": "release", "id": [], "workspace": "w", "key": KEYS[0]},
+            {"schema": "1", "type": "claim", "id": "x", "workspace": "w", "key": KEYS[0]},
+        ],
+    )
+    def test_malformed_records_change_nothing(self, value: dict[str, Any]) -> None:
+        """Guards against a record that stops every reader of the partition."""
+        fold = ClaimFold()
+        fold.apply(Record(0, START_MS, value))
+        assert fold.position == 1 and seen_by(fold, KEYS[0])[0] == ""
+
+    def test_newer_schema_makes_the_fold_silent(self) -> None:
+        """Guards against an old host that answers by rules which have changed."""
+        fold = ClaimFold()
+        fold.apply(Record(0, START_MS, {"schema": 2}))
+        assert not fold.complete(KEYS[0])
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,72 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
+import looptime
 import pytest
-from uuid6 import UUID
 
 from savoryfork import defaults
-from savoryfork.board import Board, HostView, LogState
-from savoryfork.claimowner import ClaimOwner
-from savoryfork.claims import ClaimRequestData, Claims, Existing, Won
-from savoryfork.errors import ErrorKind, ServiceError
-from savoryfork.peers import PeerUnavailable
-from savoryfork.util.timer import Clock
-from tests.fakelog import FakeClient, FakeLog
+from savoryfork.board import LogState
+from savoryfork.claimowner import ClaimOwner, Reply, Status, partition_of, topic_of
+from savoryfork.claims import Asked, Existing, KeyState, Won, omitted
+from savoryfork.errors import ErrorKind, Ran, ServiceError
+from savoryfork.util.topic import LogUnavailable
+from tests.claimcluster import Cluster, Host, make_key
 
-START_MS = 1_700_000_000_000
-
-
-def loop_clock() -> Clock:
-    """A clock that follows the virtual time of the running loop."""
-    loop = asyncio.get_running_loop()
-    return Clock(lambda: loop.time() * 1000, lambda: START_MS + loop.time() * 1000)
-
-
-def make_key(number: int, age_ms: float = 0) -> str:
-    """A UUIDv7 that is `age_ms` old at the start of a test."""
-    return str(UUID(int=(int(START_MS - age_ms) << 80) | number, version=7))
-
-
-class Host:
-    """One daemon's claims; `frozen` and `killed` act on calls from other hosts."""
-
-    def __init__(self, cluster: Cluster, name: str, incarnation: str) -> None:
-        self.board = Board()
-        self.board.log = LogState(True, 0.0)
-        self.client = FakeClient(cluster.log)
-        self.owner = ClaimOwner(self.client, cluster.clock)
-        self.claims = Claims(self.owner, self.board, cluster.clock, name, incarnation, cluster.call)
-        self.frozen = self.killed = False
-
-
-class Cluster:
-    """Hosts that share a log and see each other under their names as addresses."""
-
-    def __init__(self, *names: str) -> None:
-        self.clock = loop_clock()
-        self.log = FakeLog(self.clock)
-        self.hosts = {name: Host(self, name, f"{name}-1") for name in names}
-        for name, host in self.hosts.items():
-            host.board.hosts = {
-                other: HostView(other, other, "az", "1") for other in names if other != name
-            }
-
-    async def call(self, address: str, method: str, request: object, timeout_ms: float) -> object:
-        host = self.hosts[address]
-        try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                await asyncio.sleep(0.001)
-                if host.killed:
-                    raise PeerUnavailable("killed")
-                if host.frozen:
-                    await asyncio.sleep(3600)
-                return await getattr(host.owner, f"handle_{method.lower()}")(request)
-        except TimeoutError as error:
-            raise PeerUnavailable("timeout") from error
-
-    def request(self, key: str, digest: str = "d", within_ms: float = 10_000) -> ClaimRequestData:
-        return ClaimRequestData("w", "p", key, digest, self.clock.monotonic_ms() + within_ms)
+LOG_UNAVAILABLE = ErrorKind.LOG_UNAVAILABLE
 
 
 @pytest.mark.looptime
@@ -130,3 +80,406 @@
         with pytest.raises(ServiceError) as caught:
             claims.check_key(key)
         assert caught.value.kind == kind
+
+
+async def kind_of(awaitable: Awaitable[object]) -> ErrorKind:
+    """The error kind that something is refused with."""
+    with pytest.raises(ServiceError) as caught:
+        await awaitable
+    return caught.value.kind
+
+
+async def until(condition: Callable[[], bool], cluster: Cluster, within_ms: float = 10_000) -> None:
+    """Ticks the cluster until a condition holds."""
+    end_ms = cluster.clock.monotonic_ms() + within_ms
+    while not condition():
+        assert cluster.clock.monotonic_ms() < end_ms, "the condition did not come true in time"
+        await asyncio.sleep(0.05)
+        await cluster.tick()
+
+
+def winners(results: Sequence[object]) -> int:
+    """How many claims won."""
+    return sum(isinstance(result, Won) for result in results)
+
+
+@pytest.mark.looptime
+class TestFaults:
+    async def test_log_down_is_refused_quickly_and_resumes(self) -> None:
+        """Guards against runs that hang in an outage, or stay refused after it."""
+        cluster = Cluster("a", "b", "c")
+        claims = cluster.hosts["a"].claims
+        await claims.claim(cluster.request(make_key(1)))
+        cluster.log.down = True
+        started = cluster.clock.monotonic_ms()
+        assert await kind_of(claims.claim(cluster.request(make_key(2)))) == LOG_UNAVAILABLE
+        assert cluster.clock.monotonic_ms() - started <= defaults.CLAIM_TIMEOUT_MS + 10
+        cluster.log.down = False
+        await until(lambda: claims.pending() == 0, cluster)
+        assert isinstance(await claims.claim(cluster.request(make_key(2))), Won)
+
+    async def test_known_outage_is_refused_at_once_but_for_probes(self) -> None:
+        """Guards against each run in an outage waiting for a time-out and leaving a release."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        cluster.log.down = True
+        await asyncio.sleep(2)
+        cluster.hosts["a"].board.log = LogState(False, 0.0)
+        await kind_of(claims.claim(cluster.request(make_key(1))))
+        started = cluster.clock.monotonic_ms()
+        for number in range(100):
+            assert await kind_of(claims.claim(cluster.request(make_key(number)))) == LOG_UNAVAILABLE
+        assert cluster.clock.monotonic_ms() - started < 1
+        assert claims.pending() <= 1
+        await asyncio.sleep(defaults.CLAIM_PROBE_MS / 1000)
+        cluster.log.down = False
+        assert isinstance(await claims.claim(cluster.request(make_key(1))), Won)
+
+    async def test_refused_appends_open_a_circuit_breaker(self) -> None:
+        """Guards against waiting for each time-out while the log can be read but not written."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        cluster.log.refuse_appends = True
+        for _ in range(defaults.CLAIM_FAILURES + 1):
+            await kind_of(claims.claim(cluster.request(make_key(1))))
+        started = cluster.clock.monotonic_ms()
+        assert await kind_of(claims.claim(cluster.request(make_key(1)))) == LOG_UNAVAILABLE
+        assert cluster.clock.monotonic_ms() - started < 1
+
+    @pytest.mark.parametrize("hang", [False, True])
+    async def test_lost_answer_of_an_append_is_found_in_the_log(self, hang: bool) -> None:
+        """Guards against refusing, or waiting out, a claim that has landed."""
+        cluster = Cluster("a")
+        if hang:
+            cluster.log.hang_answers = 1
+        else:
+            cluster.log.lose_answers = 1
+        started = cluster.clock.monotonic_ms()
+        claims = cluster.hosts["a"].claims
+        assert isinstance(await claims.claim(cluster.request(make_key(1))), Won)
+        assert cluster.clock.monotonic_ms() - started < 50
+        assert len(cluster.log.values("claim")) == 1
+
+    async def test_claim_that_lands_after_it_was_given_up_never_holds_the_key(self) -> None:
+        """Guards against a key held by a run that was answered as not run."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        cluster.log.land_late_ms = [20_000.0] * 40
+        assert await kind_of(claims.claim(cluster.request(make_key(1)))) == LOG_UNAVAILABLE
+        cluster.log.land_late_ms = []
+        await until(lambda: claims.pending() == 0, cluster)
+        await asyncio.sleep(60)
+        assert cluster.log.values("claim")
+        assert await claims.lookup("w", make_key(1), 0) is None
+        assert isinstance(await claims.claim(cluster.request(make_key(1))), Won)
+
+    async def test_same_key_waits_for_the_release_of_an_earlier_claim(self) -> None:
+        """Guards against a run that is refused because of this host's own abandoned claim."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        request = cluster.request(make_key(1))
+        won = await claims.claim(request)
+        assert isinstance(won, Won)
+        cluster.log.down = True
+        await claims.release(request, won.claim)
+        assert claims.pending() == 1
+        assert await kind_of(claims.claim(request)) == LOG_UNAVAILABLE
+        cluster.log.down = False
+        await cluster.tick()
+        assert isinstance(await claims.claim(request), Won)
+
+    async def test_cancelled_claim_is_released(self) -> None:
+        """Guards against a key held by a run whose caller has gone away."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        task = asyncio.ensure_future(claims.claim(cluster.request(make_key(1))))
+        await asyncio.sleep(0.0052)
+        task.cancel()
+        await asyncio.wait({task})
+        assert task.cancelled()
+        await until(lambda: claims.pending() == 0, cluster)
+        assert isinstance(await claims.claim(cluster.request(make_key(1))), Won)
+
+    async def test_win_after_the_deadline_is_released(self) -> None:
+        """Guards against a run that dispatches after its deadline."""
+        cluster = Cluster("a")
+        claims = cluster.hosts["a"].claims
+        request = cluster.request(make_key(1), within_ms=100)
+        ask = claims.ask
+
+        async def ask_before_a_pause(*args: Any) -> Asked:
+            asked = await ask(*args)
+            await asyncio.sleep(1)
+            return asked
+
+        claims.ask = ask_before_a_pause  # type: ignore[assignment,method-assign]
+        with pytest.raises(ServiceError) as caught:
+            await claims.claim(request)
+        assert (caught.value.kind, caught.value.ran) == (ErrorKind.DEADLINE_EXCEEDED, Ran.NO)
+        await until(lambda: claims.pending() == 0, cluster)
+        state = await claims.lookup("w", request.key, 0)
+        assert state is not None and state.state == "released"
+
+    async def test_reader_that_fell_behind_retention_refuses_old_keys(self) -> None:
+        """Guards against "free" for a key whose claim has been dropped from the log."""
+        cluster = Cluster("a", "b")
+        key, topic = make_key(1), topic_of(partition_of("w", make_key(1)))
+        first, second = cluster.by_rank(key)
+        await first.claims.claim(cluster.request(key))
+        await second.claims.claim(cluster.request(key))
+        cluster.log.trim(topic, 1)
+        first.killed = True
+        assert await kind_of(second.claims.claim(cluster.request(key))) == LOG_UNAVAILABLE
+        assert await kind_of(second.claims.lookup("w", key, 0)) == LOG_UNAVAILABLE
+
+    async def test_status_of_a_key_past_the_window_is_not_unknown(self) -> None:
+        """Guards against "never claimed" for a key whose state has been forgotten."""
+        claims = Cluster("a").hosts["a"].claims
+        old = make_key(1, defaults.DEDUPLICATION_WINDOW_MS + 1)
+        assert await kind_of(claims.lookup("w", old, 0)) == ErrorKind.IDEMPOTENCY_KEY_EXPIRED
+
+
+@pytest.mark.looptime
+class TestSeveralHosts:
+    @pytest.mark.parametrize("hosts", [("a",), ("a", "b", "c")])
+    async def test_one_of_many_simultaneous_requests_wins(self, hosts: tuple[str, ...]) -> None:
+        """Guards against two runs of a key that arrives more than once at the same time."""
+        cluster = Cluster(*hosts)
+        claims = [cluster.hosts[name].claims for name in hosts]
+        request = cluster.request(make_key(1))
+        results = await asyncio.gather(*(claims[n % len(hosts)].claim(request) for n in range(30)))
+        assert winners(results) == 1
+
+    async def test_two_daemons_with_one_name(self) -> None:
+        """Guards against taking another process's claim for one's own because of its name."""
+        cluster = Cluster("a")
+        twin = Host(cluster, "a", "a-2")
+        request = cluster.request(make_key(1))
+        results = await asyncio.gather(
+            cluster.hosts["a"].claims.claim(request), twin.claims.claim(request)
+        )
+        assert winners(results) == 1
+        lost = next(result for result in results if isinstance(result, Existing))
+        assert lost.state.claimant in ("a/a-1", "a/a-2")
+
+    @pytest.mark.parametrize("fault", ["killed", "reply lost", "frozen"])
+    async def test_next_owner_answers_for_the_first(self, fault: str) -> None:
+        """Guards against a lost or doubled claim when the owner fails at any point."""
+        cluster = Cluster("a", "b", "c")
+        first, _, entry = cluster.by_rank(make_key(1))
+        request = cluster.request(make_key(1))
+        if fault == "killed":
+            first.killed = True
+        elif fault == "frozen":
+            first.awake.clear()
+        else:
+            first.lose_replies = 1
+        assert isinstance(await entry.claims.claim(request), Won)
+        assert len({record["id"] for record in cluster.log.values("claim")}) == 1
+        first.awake.set()
+        await asyncio.sleep(1)
+        state = await entry.claims.lookup("w", request.key, 0)
+        assert state is not None and state.state == "running"
+
+    async def test_owner_that_wakes_after_the_claim_was_given_up(self) -> None:
+        """Guards against a paused owner that appends a claim nobody runs any more."""
+        cluster = Cluster("a", "b", "c")
+        first, second, entry = cluster.by_rank(make_key(1))
+        first.awake.clear()
+        second.killed = entry.client.cut_off = True
+        request = cluster.request(make_key(1))
+        assert await kind_of(entry.claims.claim(request)) == LOG_UNAVAILABLE
+        entry.client.cut_off = False
+        await until(lambda: entry.claims.pending() == 0, cluster)
+        first.awake.set()
+        await asyncio.sleep(2)
+        assert isinstance(await entry.claims.claim(request), Won)
+
+    async def test_retry_at_another_host_waits_for_the_answer(self) -> None:
+        """Guards against a retry that misses the outcome of the run it repeats."""
+        cluster = Cluster("a", "b", "c")
+        request = cluster.request(make_key(1))
+        won = await cluster.hosts["a"].claims.claim(request)
+        assert isinstance(won, Won)
+        waiting = asyncio.ensure_future(cluster.hosts["b"].claims.lookup("w", make_key(1), 5_000))
+        await asyncio.sleep(3)
+        assert not waiting.done()
+        await cluster.hosts["a"].claims.settle(request, won.claim, "done", "answer")
+        state = await waiting
+        assert state is not None and (state.state, state.answer) == ("done", "answer")
+
+    async def test_drain_writes_what_is_pending(self) -> None:
+        """Guards against an outcome that is lost when its host stops."""
+        cluster = Cluster("a", "b")
+        claims = cluster.hosts["a"].claims
+        request = cluster.request(make_key(1), within_ms=2_000)
+        won = await claims.claim(request)
+        assert isinstance(won, Won)
+        cluster.log.down = True
+        assert not await claims.settle(request, won.claim, "done", "answer")
+        cluster.log.down = False
+        await claims.drain(5_000)
+        assert claims.pending() == 0
+        state = await cluster.hosts["b"].claims.lookup("w", request.key, 0)
+        assert state is not None and state.answer == "answer"
+
+
+@pytest.mark.looptime
+class TestStoredAnswers:
+    @pytest.mark.parametrize(
+        ("answer", "stored", "missing"),
+        [
+            ({"answer": {"text": "t" * 5_000}}, {"answer": {"text": "t" * 5_000}}, []),
+            (
+                {"id": 1, "answer": {"text": "t" * 300_000, "action": "booked"}},
+                {"id": 1, "answer": {"action": "booked"}, "omitted": ["text"]},
+                ["text"],
+            ),
+            ("t" * 300_000, {"omitted": ["answer"]}, ["answer"]),
+        ],
+    )
+    async def test_answer_is_whole_or_marked(
+        self, answer: object, stored: object, missing: list[str]
+    ) -> None:
+        """Guards against handing out a shortened answer as the whole one."""
+        claims = Cluster("a").hosts["a"].claims
+        request = Cluster("a").request(make_key(1))
+        won = await claims.claim(request)
+        assert isinstance(won, Won)
+        assert await claims.settle(request, won.claim, "done", answer)
+        state = await claims.lookup("w", request.key, 0)
+        assert state is not None and state.answer == stored
+        assert omitted(state) == missing
+
+
+class WithoutReadingBack(ClaimOwner):
+    """An owner that trusts its own state and the answer of the append."""
+
+    async def claim(self, record: dict[str, Any], size: int, budget_ms: float) -> Reply:
+        partition = self.partition(partition_of(record["workspace"], record["key"]))
+        await partition.caught_up(self.clock.monotonic_ms() + budget_ms)
+        entry = partition.fold.get(record["workspace"], record["key"])
+        if entry is not None and entry.state == "running":
+            return Reply(Status.SETTLED, entry.view())
+        try:
+            await self.client.append(partition.topic, [record])
+        except LogUnavailable:
+            return Reply(Status.LOG_UNAVAILABLE)
+        held = KeyState("running", record["id"], "p", record["digest"], "", 0, 0, None)
+        return Reply(Status.SETTLED, held)
+
+
+class Simulation:
+    """Random runs of a few keys on three hosts under random faults.
+
+    `sent` counts the actions sent for each key. A run whose host crashed after it won leaves its
+    key held for good; every other key must be free or settled in the end.
+    """
+
+    def __init__(self, seed: int, owner: type[ClaimOwner]) -> None:
+        self.random = random.Random(seed)
+        self.cluster = Cluster("a", "b", "c")
+        for host in self.cluster.hosts.values():
+            host.owner = host.claims.owner = owner(host.client, self.cluster.clock)
+        self.sent: dict[str, int] = {}
+        self.abandoned: set[str] = set()
+        self.done: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Runs it all and checks the invariants."""
+        runs = [self.one_run(number) for number in range(40)]
+        await asyncio.gather(*runs, *(self.one_fault() for _ in range(12)))
+        cluster = self.cluster
+        cluster.log.land_late_ms = []
+        claims = [host.claims for host in cluster.hosts.values()]
+        await until(lambda: not any(c.pending() for c in claims), cluster, 30_000)
+        await asyncio.sleep(10)
+        assert all(count == 1 for count in self.sent.values()), "an action was sent twice"
+        for key in {make_key(number) for number in range(5)} - self.abandoned:
+            state = await claims[0].lookup("w", key, 0)
+            assert state is None or state.state != "running", "a key is held by nobody"
+            if key in self.done:
+                assert state is not None and state.answer == self.done[key]
+            assert (key in self.sent) == (key in self.done)
+
+    async def one_run(self, number: int) -> None:
+        """Claims a key at a random host and then acts as a run may."""
+        await asyncio.sleep(self.random.uniform(0, 8))
+        claims = self.random.choice(list(self.cluster.hosts.values())).claims
+        key = make_key(self.random.randrange(5))
+        request = self.cluster.request(key, within_ms=self.random.choice([300, 3_000]))
+        try:
+            won = await claims.claim(request)
+        except ServiceError as error:
+            assert error.ran == Ran.NO
+            return
+        if not isinstance(won, Won):
+            return
+        await asyncio.sleep(self.random.uniform(0, 0.3))
+        act = self.random.random()
+        if act < 0.4:
+            await claims.release(request, won.claim)
+        elif act < 0.5:
+            self.abandoned.add(key)
+        else:
+            self.sent[key] = self.sent.get(key, 0) + 1
+            self.done.setdefault(key, won.claim)
+            await claims.settle(request, won.claim, "done", won.claim)
+
+    async def one_fault(self) -> None:
+        """One fault of a random kind for a while."""
+        log, host = self.cluster.log, self.random.choice(list(self.cluster.hosts.values()))
+        await asyncio.sleep(self.random.uniform(0, 8))
+        kind, length_s = self.random.randrange(7), self.random.uniform(0.1, 2.0)
+        if kind == 0:
+            log.lose_answers += self.random.randrange(1, 4)
+        elif kind == 1:
+            log.land_late_ms += [self.random.uniform(1, 5_000) for _ in range(3)]
+        elif kind == 2:
+            log.hang_answers += 1
+        elif kind == 3:
+            host.lose_replies += 2
+        elif kind == 4:
+            host.awake.clear()
+            await asyncio.sleep(length_s)
+            host.awake.set()
+        elif kind == 5:
+            host.client.cut_off = True
+            await asyncio.sleep(length_s)
+            host.client.cut_off = False
+        else:
+            log.down, log.latency_ms = True, self.random.choice([1.0, 300.0])
+            await asyncio.sleep(length_s)
+            log.down, log.latency_ms = False, 1.0
+
+
+def simulate(seed: int, owner: type[ClaimOwner] = ClaimOwner) -> None:
+    """Runs one simulation in virtual time."""
+
+    async def body() -> None:
+        try:
+            await Simulation(seed, owner).run()
+        finally:
+            rest = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in rest:
+                task.cancel()
+            await asyncio.gather(*rest, return_exceptions=True)
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(body())
+    finally:
+        loop.close()
+
+
+class TestSimulation:
+    @pytest.mark.parametrize("seed", range(40))
+    def test_no_key_runs_twice_and_none_stays_held(self, seed: int) -> None:
+        """Guards against a double run or a stuck key under combinations of faults."""
+        simulate(seed)
+
+    def test_version_without_reading_back_fails(self) -> None:
+        """Guards against a simulation that would not notice two winners."""
+        with pytest.raises(AssertionError, match="sent twice"):
+            for seed in range(10):
+                simulate(seed, WithoutReadingBack)
