--- a/savoryfork/ui/commands/report.py
+++ b/savoryfork/ui/commands/report.py
@@ -42,6 +42,8 @@
         output.print_json(report)
         return DONE
     print(burnview.table(report))
+    if not report["series"]:
+        print("No run yet in a finished minute; hosts write each minute's counts within 20 s.")
     if values.plot:
         print(burnview.plot(report))
     return DONE
