--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -231,7 +231,7 @@
         network, _, clock = cluster()
         network.hosts["h1"].membership.note_leaving("t", "i", "test")
         network.unreachable = {"h8"}
-        for second in range(1_100):
+        for second in range(1_250):
             if second == 590:
                 network.unreachable = set()
             await network.tick()
