Tell a stand-in from another process that took its port

Cause: with several test runs on one machine, the port of a child that failed to start was taken by another run's process, which answered /healthz, so that the start seemed to succeed (seen once: test_nothing_is_left_after_a_failure did not raise). Ruled out: a fault of the child, which exited as it should. /healthz of a stand-in now names its process id, and the launcher compares it.

--- a/standins/launch.py
+++ b/standins/launch.py
@@ -270,7 +270,7 @@
                         raise StartError(f"{name} exited with {code}:\n{self.stderr(name)[-2000:]}")
                     try:
                         async with self.session.get(self.children[name].url + path) as response:
-                            if response.status == 200:
+                            if response.status == 200 and await self.is_own(name, response):
                                 return
                             last = f"status {response.status}"
                     except (aiohttp.ClientError, TimeoutError) as error:
@@ -282,6 +282,11 @@
                 f"{self.stderr(name)[-2000:]}"
             ) from None
 
+    async def is_own(self, name: str, response: aiohttp.ClientResponse) -> bool:
+        """False if a process of somebody else answers, which took the port before ours did."""
+        body = await response.json()
+        return bool(body.get("pid", self.pid(name)) == self.pid(name))
+
     async def find_incarnation(self, name: str) -> str:
         """The incarnation of a process: of a target from `/state`, of a daemon from its status.
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -134,8 +134,8 @@
 
 
 async def healthz(request: web.Request) -> web.Response:
-    """Answers while the process is up."""
-    return reply({"status": "up"})
+    """Answers while the process is up; the id tells it from another process on its port."""
+    return reply({"status": "up", "pid": os.getpid()})
 
 
 def drop_connection(request: web.Request) -> None:
