--- a/standins/server.py
+++ b/standins/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 import time
 from collections import deque
