--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -41,6 +41,9 @@
 RANKING_KEPT_MS = 500
 FLUSH_CONCURRENCY = 256
 
+# Less time than this is none: a timer for a rounding error of it may fire before the clock moves.
+SHORTEST_MS = 1.0
+
 
 class ClaimRequestData(NamedTuple):
     """What a claim is made for; `deadline_ms` is the run's deadline in monotonic milliseconds."""
@@ -283,7 +286,7 @@
     async def drain(self, timeout_ms: float) -> None:
         """Writes what is pending, for at most `timeout_ms`."""
         until_ms = self.clock.monotonic_ms() + timeout_ms
-        while self.unsent and (left_ms := until_ms - self.clock.monotonic_ms()) > 0:
+        while self.unsent and (left_ms := until_ms - self.clock.monotonic_ms()) >= SHORTEST_MS:
             await self.tick()
             wait_ms = min(left_ms, defaults.CLAIM_FLUSH_PERIOD_MS)
             await asyncio.wait(
@@ -348,7 +351,7 @@
         """Waits until this host's earlier claims of the key are released; False if time is up."""
         while releases := self.releasing.get(key_id):
             left_ms = until_ms - self.clock.monotonic_ms()
-            if left_ms <= 0:
+            if left_ms < SHORTEST_MS:
                 return False
             await asyncio.wait(set(releases), timeout=left_ms / 1000)
         return True
@@ -404,7 +407,7 @@
         owners = self.owners(partition)
         for name in owners:
             left_ms = until_ms - self.clock.monotonic_ms()
-            if left_ms <= 0:
+            if left_ms < SHORTEST_MS:
                 break
             budget_ms = left_ms
             if name != owners[-1]:
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from savoryfork.util.bucket import TokenBucket
 from savoryfork.util.timer import Clock
 from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, Page, Record
 
@@ -28,6 +29,8 @@
         self.late: set[asyncio.Future[None]] = set()
         self.appends = 0
         self.refuse_appends = False
+        self.limit: TokenBucket | None = None
+        self.limit_refuses = False
 
     def land(self, topic: str, body: bytes) -> int:
         """Adds records at the log's present time."""
@@ -79,6 +82,10 @@
         await self.pass_wire()
         fake = self.fake
         fake.appends += 1
+        while fake.limit is not None and not fake.limit.take(fake.clock.monotonic_ms()):
+            if fake.limit_refuses:
+                raise LogUnavailable("over the limit")
+            await asyncio.sleep(0.001)
         if fake.refuse_appends:
             raise LogUnavailable("refused")
         if fake.land_late_ms:
