--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import uuid
-from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -18,32 +17,19 @@
 from savoryfork import defaults
 from savoryfork.board import Board
 from savoryfork.claimfold import EXPIRED, RELEASED, RUNNING, KeyId, KeyState, key_time
-from savoryfork.claimowner import ClaimOwner, Reply, Status, decode_reply, partition_of, topic_of
+from savoryfork.claimowner import ClaimOwner, partition_of
+from savoryfork.claimpeers import SHORTEST_MS, Asked, Owners, PeerCall
 from savoryfork.errors import ErrorKind, Ran, ServiceError
-from savoryfork.peers import PeerUnavailable
 from savoryfork.proto import peer_pb2
-from savoryfork.util import logs, rendezvous
+from savoryfork.util import logs
 from savoryfork.util.timer import Clock
 
 __all__ = ["ClaimRequestData", "Claims", "Existing", "KeyState", "Won", "omitted"]
 
 log = logging.getLogger(__name__)
 
-PeerCall = Callable[[str, str, Any, float], Awaitable[Any]]
-Local = Callable[[float], Awaitable[Reply]]
-Message = Callable[[int], Any]
-
-# An owner replies that the log is unavailable before the call itself times out: a call that times
-# out closes the connection for all calls to that host.
-REPLY_MARGIN_MS = 50
-
-OWNERS_ASKED = 3
-RANKING_KEPT_MS = 500
 FLUSH_CONCURRENCY = 256
 
-# Less time than this is none: a timer for a rounding error of it may fire before the clock moves.
-SHORTEST_MS = 1.0
-
 
 class ClaimRequestData(NamedTuple):
     """What a claim is made for; `deadline_ms` is the run's deadline in monotonic milliseconds."""
@@ -67,13 +53,6 @@
     state: KeyState
 
 
-class Asked(NamedTuple):
-    """The reply to a request; `doubtful` if an owner may have appended without reading it back."""
-
-    reply: Reply | None
-    doubtful: bool
-
-
 class Unsent(NamedTuple):
     """A release or outcome that is not known to be in the log."""
 
@@ -101,14 +80,11 @@
         self.owner = owner
         self.board = board
         self.clock = clock
-        self.host = host
         self.claimant = f"{host}/{incarnation}"
-        self.call = call
+        self.owners = Owners(owner, board, clock, host, call)
         self.unsent: dict[str, Unsent] = {}
         self.sending: dict[str, asyncio.Task[None]] = {}
         self.releasing: dict[KeyId, set[asyncio.Future[bool]]] = {}
-        self.rankings: dict[int, tuple[float, list[str]]] = {}
-        self.avoided: dict[str, float] = {}
         self.failures: dict[int, int] = {}
         self.probe_ms: dict[int, float] = {}
 
@@ -182,7 +158,7 @@
         encoded = msgspec.json.encode(record)
         asked = Asked(None, True)
         try:
-            asked = await self.ask(
+            asked = await self.owners.ask(
                 partition,
                 until_ms,
                 lambda budget_ms: self.owner.claim(record, len(encoded), budget_ms),
@@ -262,7 +238,7 @@
         def wait_left() -> int:
             return int(max(0.0, end_ms - self.clock.monotonic_ms()))
 
-        asked = await self.ask(
+        asked = await self.owners.ask(
             partition,
             end_ms + defaults.CLAIM_TIMEOUT_MS,
             lambda budget_ms: self.owner.lookup(workspace, key, wait_left(), budget_ms),
@@ -297,15 +273,12 @@
 
     async def tick(self) -> None:
         """Retries what is pending: one record as a probe during an outage, else all of it."""
-        now = self.clock.monotonic_ms()
         limit = FLUSH_CONCURRENCY if self.board.log.available else 1
         for record_id in list(self.unsent):
             if len(self.sending) >= limit:
                 break
             if record_id not in self.sending:
                 self.send(record_id)
-        for name in [name for name, until_ms in self.avoided.items() if until_ms <= now]:
-            del self.avoided[name]
 
     def write(self, request: ClaimRequestData, fields: dict[str, Any]) -> asyncio.Future[bool]:
         """Starts to write a release or an outcome and keeps it until it is in the log."""
@@ -333,7 +306,7 @@
         record = unsent.record
         partition = partition_of(record["workspace"], record["key"])
         encoded = msgspec.json.encode(record)
-        asked = await self.ask(
+        asked = await self.owners.ask(
             partition,
             self.clock.monotonic_ms() + defaults.CLAIM_TIMEOUT_MS,
             lambda budget_ms: self.owner.settle(record, unsent.size, budget_ms),
@@ -375,67 +348,6 @@
             raise log_unavailable()
         self.probe_ms[scope] = now + defaults.CLAIM_PROBE_MS
 
-    def owners(self, partition: int) -> list[str]:
-        """The hosts to ask, best first; this host is always among them.
-
-        Hosts that leave, or did not answer a moment ago, come after the others.
-        """
-        now = self.clock.monotonic_ms()
-        kept = self.rankings.get(partition)
-        if kept is None or kept[0] <= now:
-            names = rendezvous.ranked(topic_of(partition), [self.host, *self.board.hosts])
-            kept = self.rankings[partition] = (now + RANKING_KEPT_MS, names)
-        live = []
-        for name in kept[1]:
-            view = self.board.hosts.get(name)
-            if name == self.host:
-                live.append(name)
-            elif view is not None and view.reachable and not view.leaving:
-                live.extend([name] if self.avoided.get(name, 0.0) <= now else [])
-        asked = live[:OWNERS_ASKED]
-        return asked if self.host in asked else [*asked, self.host]
-
-    async def ask(
-        self,
-        partition: int,
-        until_ms: float,
-        local: Local,
-        method: str,
-        message: Message,
-        wait_left: Callable[[], int] = lambda: 0,
-    ) -> Asked:
-        """Asks the owners in turn until one has settled the matter or the time is over."""
-        doubtful = False
-        owners = self.owners(partition)
-        for name in owners:
-            left_ms = until_ms - self.clock.monotonic_ms()
-            if left_ms < SHORTEST_MS:
-                break
-            budget_ms = left_ms
-            if name != owners[-1]:
-                budget_ms = min(left_ms, defaults.CLAIM_ATTEMPT_MS + wait_left())
-            if name == self.host:
-                reply = await local(budget_ms)
-            else:
-                reply = await self.ask_peer(name, method, message, budget_ms)
-            if reply.status == Status.SETTLED:
-                return Asked(reply, doubtful)
-            doubtful = doubtful or reply.status == Status.LOG_UNAVAILABLE
-        return Asked(None, doubtful)
-
-    async def ask_peer(self, name: str, method: str, message: Message, budget_ms: float) -> Reply:
-        """Asks another host; one that does not answer is passed over for a while."""
-        view = self.board.hosts.get(name)
-        if view is None:
-            return Reply(Status.NOT_OWNER)
-        request = message(int(max(1.0, budget_ms - REPLY_MARGIN_MS)))
-        try:
-            return decode_reply(await self.call(view.address, method, request, budget_ms))
-        except PeerUnavailable as error:
-            self.avoided[name] = self.clock.monotonic_ms() + defaults.CLAIM_PROBE_MS
-            logs.event(log, "claim_owner_failed", host=name, error=str(error))
-            return Reply(Status.LOG_UNAVAILABLE)
-
 
 def check_same_request(request: ClaimRequestData, state: KeyState) -> None:
     """Raises IDEMPOTENCY_KEY_MISMATCH if the key was claimed for another request."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -13,7 +13,8 @@
 from savoryfork import defaults
 from savoryfork.board import LogState
 from savoryfork.claimowner import ClaimOwner, Reply, Status, partition_of, topic_of
-from savoryfork.claims import Asked, Existing, KeyState, Won, omitted
+from savoryfork.claimpeers import Asked
+from savoryfork.claims import Existing, KeyState, Won, omitted
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.util.topic import LogUnavailable
 from tests.claimcluster import Cluster, Host, make_key
@@ -208,14 +209,14 @@
         cluster = Cluster("a")
         claims = cluster.hosts["a"].claims
         request = cluster.request(make_key(1), within_ms=100)
-        ask = claims.ask
+        ask = claims.owners.ask
 
         async def ask_before_a_pause(*args: Any) -> Asked:
             asked = await ask(*args)
             await asyncio.sleep(1)
             return asked
 
-        claims.ask = ask_before_a_pause  # type: ignore[assignment,method-assign]
+        claims.owners.ask = ask_before_a_pause  # type: ignore[assignment,method-assign]
         with pytest.raises(ServiceError) as caught:
             await claims.claim(request)
         assert (caught.value.kind, caught.value.ran) == (ErrorKind.DEADLINE_EXCEEDED, Ran.NO)
