--- a/savoryfork/burn.py
+++ b/savoryfork/burn.py
@@ -152,6 +152,7 @@
         self.max_pairs = max_pairs
         self.buckets: dict[int, Bucket] = {}
         self.carried: dict[Pair, Tally] = {}
+        self.carried_latency: Counter[tuple[str, str, int]] = Counter()
         self.dropped = 0
 
     def record(
@@ -196,20 +197,19 @@
         for minute in sorted(self.buckets):
             if minute != current or everything:
                 bucket = self.buckets.pop(minute)
-                self.select_pairs(bucket, everything)
+                self.select(bucket, everything)
                 taken.append(bucket)
-        if everything and self.carried:
+        if everything and (self.carried or self.carried_latency):
             bucket = Bucket(current)
-            self.select_pairs(bucket, everything)
+            self.select(bucket, everything)
             taken.append(bucket)
         return taken
 
-    def select_pairs(self, bucket: Bucket, everything: bool) -> None:
-        """Leaves in a bucket the pairs that are due and carries the others."""
+    def select(self, bucket: Bucket, everything: bool) -> None:
+        """Leaves in a bucket the pairs and histograms that are due and carries the others."""
+        self.select_latency(bucket, everything)
         merge_tallies(self.carried, bucket.pairs)
-        detail = 1
-        while detail * self.record_pairs < len(self.carried):
-            detail *= 2
+        detail = slots(len(self.carried), self.record_pairs)
         bucket.detail = detail
         if detail == 1 or everything:
             bucket.pairs, self.carried = self.carried, {}
@@ -218,12 +218,34 @@
         for pair in [p for p in self.carried if slot(p) % detail == bucket.minute % detail]:
             bucket.pairs[pair] = self.carried.pop(pair)
 
+    def select_latency(self, bucket: Bucket, everything: bool) -> None:
+        """Does the same for histograms, by slots of their own."""
+        self.carried_latency.update(bucket.latency)
+        histograms = {key[:2] for key in self.carried_latency}
+        count = 1 if everything else slots(len(histograms), defaults.BURN_RECORD_HISTOGRAMS)
+        due = {pair for pair in histograms if slot(pair) % count == bucket.minute % count}
+        bucket.latency = Counter()
+        for key in [k for k in self.carried_latency if k[:2] in due]:
+            bucket.latency[key] = self.carried_latency.pop(key)
+
     def give_back(self, bucket: Bucket) -> None:
         """Carries the pairs of a bucket again, to bound what waits during an outage."""
         merge_tallies(self.carried, bucket.pairs)
         bucket.pairs = {}
 
 
+def slots(count: int, limit: int) -> int:
+    """The smallest power of two that divides `count` entries into slots of `limit` on average.
+
+    >>> slots(128, 128), slots(129, 128), slots(600, 128)
+    (1, 2, 8)
+    """
+    result = 1
+    while result * limit < count:
+        result *= 2
+    return result
+
+
 def slot(pair: Pair) -> int:
     """A hash that is the same on every host."""
     return xxhash.xxh3_64_intdigest("\x00".join(pair).encode())
@@ -254,13 +276,13 @@
     spent: list[tuple[int, str, str, int]]
 
 
-def pack(content: Any) -> str:
-    """Encodes as text for a record: msgpack, compressed, in base85.
+def pack(content: Any, level: int = 9) -> str:
+    """Encodes as text for a record: msgpack, compressed at a zlib level, in base85.
 
     >>> msgspec.msgpack.decode(unpack(pack([1, "a"])))
     [1, 'a']
     """
-    return base64.b85encode(zlib.compress(msgspec.msgpack.encode(content), 9)).decode()
+    return base64.b85encode(zlib.compress(msgspec.msgpack.encode(content), level)).decode()
 
 
 def unpack(data: str) -> bytes:
--- a/savoryfork/burncheckpoint.py
+++ b/savoryfork/burncheckpoint.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import random
 import sys
@@ -26,7 +27,7 @@
 
 from savoryfork import defaults
 from savoryfork.burn import SCHEMA, Pair, pack, unpack
-from savoryfork.burntotals import Bin, BurnFold, KeepSeries, Totals, keep_all
+from savoryfork.burntotals import Bin, BurnFold, KeepSeries, keep_all
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
@@ -37,6 +38,9 @@
 HEADERS_READ = 64
 LOAD_ATTEMPTS = 3
 
+# Level 9 took 16 s for a full checkpoint and held the loop for 1.1 s.
+PART_COMPRESSION = 1
+
 
 class Meta(NamedTuple):
     """The first part: everything but the bins."""
@@ -83,17 +87,9 @@
     return array("I", [column[index] for index in order])
 
 
-def spenders_kept(totals: Totals, bin_: Bin) -> list[tuple[tuple[int, str, str], int]]:
-    """The spenders of a bin: all those of pipelines, the largest of pairs up to the bound."""
-    pipelines = {index for (_, workspace), index in totals.series.items() if not workspace}
-    own = [item for item in bin_.spent.items() if item[0][0] in pipelines]
-    others = [item for item in bin_.spent.items() if item[0][0] not in pipelines]
-    others.sort(key=lambda item: (-item[1], item[0]))
-    return own + others[: defaults.BURN_MAX_SPENDERS]
-
-
-def parts_of(fold: BurnFold) -> Iterator[str]:
+def parts_of(fold: BurnFold) -> Iterator[str | None]:
     """The parts of a checkpoint, one at a time, since packing all at once would hold the loop.
+    None is a step without a part.
 
     Series without runs in the last 30 days are left out.
     """
@@ -101,7 +97,8 @@
     totals = fold.totals
     used: set[int] = set()
     for _, _, bin_ in totals.bins():
-        used.update(index for index, count in enumerate(bin_.total) if count)
+        used.update(itertools.compress(itertools.count(), bin_.total))
+        yield None
     series = sorted((pair, index) for pair, index in totals.series.items() if index in used)
     order = [index for _, index in series]
     rank = {index: position for position, index in enumerate(order)}
@@ -124,15 +121,15 @@
                 bin_.detail,
                 column_bytes(bin_.total, order),
                 column_bytes(bin_.bad, order),
-                sorted((rank[k[0]], k[1], k[2], n) for k, n in spenders_kept(totals, bin_)),
+                sorted((rank[k[0]], k[1], k[2], n) for k, n in bin_.spent.items()),
                 sorted((*key, count) for key, count in bin_.latency.items()),
             )
         )
         if len(part) * len(order) >= defaults.BURN_PART_CELLS:
-            yield pack(part)
+            yield pack(part, PART_COMPRESSION)
             part = []
     if part:
-        yield pack(part)
+        yield pack(part, PART_COMPRESSION)
 
 
 class Restorer:
@@ -169,6 +166,7 @@
         self.rank = {index: position for position, index in enumerate(self.order)}
         totals = self.fold.totals
         totals.series = {pair: position for position, (_, pair) in enumerate(kept)}
+        totals.pipelines = {i for (_, owner), i in totals.series.items() if not owner}
         totals.newest, totals.dropped = meta.newest, meta.dropped
         self.fold.since_ms, self.fold.skipped = meta.since_ms, meta.skipped
         self.fold.seen = dict(meta.seen)
@@ -247,7 +245,7 @@
             fold.since_ms = page.records[0].time_ms
         for record in page.records:
             fold.apply(record)
-        await asyncio.sleep(0)
+            await asyncio.sleep(0)
     return fold
 
 
@@ -281,6 +279,9 @@
     offsets = []
     size = 0
     for number, data in enumerate(parts_of(fold)):
+        await asyncio.sleep(0)
+        if data is None:
+            continue
         digest.update(data.encode())
         size += len(data)
         record = {"schema": SCHEMA, "type": "part", "id": f"{checkpoint_id}:{number}", "data": data}
--- a/savoryfork/burnreport.py
+++ b/savoryfork/burnreport.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Generator, Mapping, Sequence
 from typing import NamedTuple, TypedDict
 
 from savoryfork import defaults
 from savoryfork.burn import LATENCY_BOUNDS_MS, MINUTE_MS
 from savoryfork.burncheckpoint import load
-from savoryfork.burntotals import LEVELS, LatencyKey, Totals, Window
+from savoryfork.burntotals import LEVELS, LatencyKey, Totals, Window, finish
 from savoryfork.pipeline import Configuration, Objective
 from savoryfork.util.topic import LogClient
 
 WINDOWS: dict[str, int] = {"5m": 5, "1h": 60, "6h": 360, "3d": 4_320, "30d": 43_200}
 DAY_MINUTES = 1_440
 TOP_SPENDERS = 5
+STEP_PAIRS = 500
 
 
 class AlarmRule(NamedTuple):
@@ -277,22 +279,34 @@
     *,
     max_pairs: int = defaults.BURN_REPORT_PAIRS,
 ) -> BurnReport:
+    """The report of `report_steps`."""
+    return finish(report_steps(totals, objectives, now_ms, max_pairs))
+
+
+def report_steps(
+    totals: Totals, objectives: Mapping[str, Objective], now_ms: int, max_pairs: int
+) -> Generator[None, None, BurnReport]:
     """Reports on all series in `totals`; `now_ms` is Unix time.
 
     `objectives` maps pipelines to objectives; a pipeline that is no longer configured gets the
     default one. Of the (pipeline, workspace) pairs, those with alarms and then those with the
-    least budget left are reported, `max_pairs` in all.
+    least budget left are reported, `max_pairs` in all. Yields between steps, since a report on
+    42,000 pairs would hold the loop for too long.
     """
     now_minute = max(now_ms // MINUTE_MS, totals.newest)
     default = Objective()
     days = {objectives.get(name, default).window_days for name, _ in totals.series}
     lengths = {**{f"{n}d": n * DAY_MINUTES for n in days}, **WINDOWS}
-    windows = {name: totals.window(length, now_minute) for name, length in lengths.items()}
+    windows: dict[str, Window] = {}
+    for name, length in lengths.items():
+        windows[name] = yield from totals.window_steps(length, now_minute)
     exact = dict.fromkeys(WINDOWS, False)
     coarse = {name: windows[name].detail > length for name, length in WINDOWS.items()}
     chosen: list[tuple[tuple[str, str], int, Sums, list[Alarm]]] = []
     pairs = []
     for pair, index in totals.series.items():
+        if index % STEP_PAIRS == 0:
+            yield
         objective = objectives.get(pair[0], default)
         sums = series_sums(windows, objective, index)
         if not any(sums.total.values()):
@@ -309,6 +323,7 @@
     series: list[SeriesReport] = []
     for (pipeline, workspace), index, sums, alarms in sorted(chosen, key=lambda entry: entry[0]):
         objective = objectives.get(pipeline, default)
+        yield
         budget_window = windows[f"{objective.window_days}d"]
         series.append(
             SeriesReport(
@@ -364,7 +379,14 @@
     """
     fold = await load(client, series_filter(workspace, pipeline))
     objectives = {name: entry.objective for name, entry in configuration.pipelines.items()}
-    report = burn_report(fold.totals, objectives, now_ms)
+    steps = report_steps(fold.totals, objectives, now_ms, defaults.BURN_REPORT_PAIRS)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            report: BurnReport = stop.value
+            break
+        await asyncio.sleep(0)
     report["since_ms"] = fold.since_ms or None
     report["skipped"] = fold.skipped
     return report
--- a/savoryfork/burntotals.py
+++ b/savoryfork/burntotals.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
+import operator
 import zlib
 from array import array
 from collections import Counter
-from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from collections.abc import Callable, Generator, Iterator
+from typing import NamedTuple, TypeVar, cast
 
 import msgspec
 
@@ -21,6 +22,17 @@
 from savoryfork.burn import SCHEMA, MinuteContent, Pair, unpack
 from savoryfork.util.topic import Fold, Record
 
+T = TypeVar("T")
+
+
+def finish(steps: Generator[None, None, T]) -> T:
+    """Runs a computation that yields between its steps, and returns its result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return cast(T, stop.value)
+
 
 class Level(NamedTuple):
     """Bins of `width` minutes, kept for `span` minutes before they move to the next level."""
@@ -38,6 +50,10 @@
 )
 
 KeepSeries = Callable[[str, str], bool]
+
+# Latency is reported for the last hour only, so wider bins don't keep it.
+LATENCY_LEVEL = 1
+
 SpentKey = tuple[int, str, str]
 LatencyKey = tuple[str, str, int]
 
@@ -66,9 +82,17 @@
         self.total = add_columns(self.total, other.total)
         self.bad = add_columns(self.bad, other.bad)
         self.spent.update(other.spent)
-        self.latency.update(other.latency)
         self.detail = max(self.detail, other.detail)
 
+    def trim(self, pipelines: set[int]) -> None:
+        """Keeps the spenders of pipelines and the largest of pairs, up to the bound."""
+        if len(self.spent) <= 2 * defaults.BURN_MAX_SPENDERS:
+            return
+        others = [item for item in self.spent.items() if item[0][0] not in pipelines]
+        others.sort(key=lambda item: (-item[1], item[0]))
+        for key, _ in others[defaults.BURN_MAX_SPENDERS :]:
+            del self.spent[key]
+
 
 def add_columns(left: array[int], right: array[int]) -> array[int]:
     """The sum of two columns, as long as the longer one.
@@ -78,10 +102,8 @@
     """
     if len(left) < len(right):
         left, right = right, left
-    result = array(left.typecode, left)
-    for index, value in enumerate(right):
-        if value:
-            result[index] += value
+    result = array(left.typecode, map(operator.add, left, right))
+    result.extend(left[len(right) :])
     return result
 
 
@@ -99,12 +121,14 @@
     """Counts of all series by time. `newest` is the last minute of the log seen.
 
     The bin of a count depends only on its minute and on `newest`, so equal records in any order
-    and with any checkpoints in between give equal totals.
+    and with any checkpoints in between give equal totals. Only which pairs keep their error kinds
+    can differ, once a bin has more than `BURN_MAX_SPENDERS` of them; its counts stay exact.
     """
 
     def __init__(self) -> None:
         self.series: dict[Pair, int] = {}
         self.levels: list[dict[int, Bin]] = [{} for _ in LEVELS]
+        self.pipelines: set[int] = set()
         self.newest = 0
         self.dropped = 0
 
@@ -116,6 +140,8 @@
                 self.dropped += 1
                 return None
             index = self.series[pair] = len(self.series)
+            if not pair[1]:
+                self.pipelines.add(index)
         return index
 
     def advance(self, minute: int) -> None:
@@ -129,6 +155,9 @@
                 target = self.bin(start)
                 if target is not None:
                     target.merge(bin_)
+                    if index < LATENCY_LEVEL:
+                        target.latency.update(bin_.latency)
+                    target.trim(self.pipelines)
 
     def aged(self, level: Level, start: int) -> bool:
         """True if a bin has left the span of its level."""
@@ -148,6 +177,9 @@
         if bin_ is None:
             return
         bin_.detail = max(bin_.detail, detail)
+        keep_latency = not self.aged(
+            LEVELS[LATENCY_LEVEL], minute - minute % LEVELS[LATENCY_LEVEL].width
+        )
         for row in content.pipelines:
             if not keep(row.pipeline, ""):
                 continue
@@ -158,7 +190,7 @@
                 bin_.spent[series, kind, stage] += count
             for stage, first, counts in row.latency:
                 for index, count in enumerate(counts, first):
-                    if count:
+                    if count and keep_latency:
                         bin_.latency[row.pipeline, stage, index] += count
         rows: list[int | None] = []
         for name, workspace, total, bad in zip(
@@ -177,6 +209,7 @@
             pair_series = rows[row_index]
             if pair_series is not None:
                 bin_.spent[pair_series, kind, stage] += count
+        bin_.trim(self.pipelines)
 
     def bins(self) -> Iterator[tuple[int, int, Bin]]:
         """All bins as (level, start, bin), oldest first."""
@@ -189,6 +222,10 @@
             yield index, start, bin_
 
     def window(self, minutes: int, now_minute: int) -> Window:
+        """The sums of `window_steps`."""
+        return finish(self.window_steps(minutes, now_minute))
+
+    def window_steps(self, minutes: int, now_minute: int) -> Generator[None, None, Window]:
         """Sums every bin that overlaps the last `minutes` minutes, the current one included.
 
         The sum may therefore reach back further by up to one bin: not at all for 5 minutes, up to
@@ -207,6 +244,7 @@
             spent.update(bin_.spent)
             latency.update(bin_.latency)
             detail = max(detail, bin_.detail)
+            yield
         return Window(total, bad, spent, latency, detail)
 
 
--- a/savoryfork/ui/burnview.py
+++ b/savoryfork/ui/burnview.py
@@ -82,14 +82,18 @@
 def plot(report: BurnReport, width: int = 100, height: int = 25) -> str:
     """Burn rates over the last 30 days, a line for each pipeline, without colours."""
     now_minute = report["now_ms"] / 60_000
-    plotext.clear_figure()
-    plotext.plotsize(width, height)
+    figure = plotext.figure
+    figure.clear()
+    figure.theme("colorless")
+    figure.plot_size(width, height)
     for series in report["series"]:
         if series["workspace"] is None and series["history"]:
             hours = [(point["end_minute"] - now_minute) / 60 for point in series["history"]]
             rates = [point["burn_rate"] for point in series["history"]]
-            plotext.plot(hours, rates, label=series["pipeline"])
-    plotext.title("burn rate")
-    plotext.xlabel("hours from now")
-    plotext.theme("clear")
-    return str(plotext.build())
+            signal = figure.signal(hours, rates)
+            signal.lines()
+            signal.label(series["pipeline"])
+            figure.draw(signal)
+    figure.title("burn rate")
+    figure.label("hours from now")
+    return str(figure.build())
