--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,424 @@
+"""The scenarios of the bench: requests, measures and targets."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+from bench import virtual
+from bench.virtual import Arrival, Outcome, Reports, Result, Setting, StageLoad, named
+from savoryfork.board import Board, TargetView
+from savoryfork.dispatch import Dispatcher, ServiceState
+from savoryfork.pipeline import (
+    ActionStage,
+    GenerateStage,
+    Pipeline,
+    RerankStage,
+    RetrieveStage,
+    Service,
+)
+from savoryfork.util.timer import Clock
+
+BASELINES = ("round_robin", "least_outstanding")
+ENGINE = Service("engines", "engine", max_inflight=8)
+SEARCH = Service("search", "retriever", max_inflight=16)
+RERANK = Service("rerank", "reranker", max_inflight=16)
+PLAIN = Service("orders", "plain", idempotent=False, max_inflight=16)
+SERVICES = {s.name: s for s in (ENGINE, SEARCH, RERANK, PLAIN)}
+
+
+class ReportedLeast(Dispatcher):
+    """A naive balancer that trusts reports: the target with the least reported load, always."""
+
+    def __init__(self, board: Board, clock: Clock, rng: random.Random) -> None:
+        super().__init__(board, clock, rng, "least_outstanding")
+
+    def plain_choice(self, state: ServiceState, allowed: Mapping[str, TargetView]) -> str | None:
+        limit = state.service.max_inflight
+        free = [name for name, v in allowed.items() if len(self.target(v).slots) < limit]
+        load = {name: allowed[name].running + allowed[name].waiting for name in free}
+        return min(free, key=lambda name: (load[name], name), default=None)
+
+
+class Row(NamedTuple):
+    """One line of results, in the form that `make bench` prints."""
+
+    scenario: str
+    measure: str
+    unit: str
+    better: str
+    baselines: Mapping[str, float]
+    policy: float
+    runs: int
+    seed: int
+
+
+class Check(NamedTuple):
+    """A stated target and whether it was met."""
+
+    text: str
+    met: bool
+
+
+class Report(NamedTuple):
+    """The outcome of a scenario."""
+
+    row: Row
+    checks: Sequence[Check]
+    notes: Sequence[str]
+
+
+Runs = Mapping[str, Sequence[Result]]
+
+
+class Scenario(NamedTuple):
+    """`make` gives the settings by seed, `policies` what runs, `judge` the report."""
+
+    name: str
+    settings: Mapping[str, Callable[[int], Setting]]
+    policies: Mapping[str, virtual.Policy]
+    judge: Callable[[Mapping[str, Runs], int, int], Report]
+
+
+def poisson(
+    rng: random.Random, rate: Callable[[float], float], peak: float, end: float
+) -> list[float]:
+    """Arrival times in ms up to `end`, with `rate(ms)` per second, at most `peak`."""
+    times: list[float] = []
+    at = 0.0
+    while True:
+        at += rng.expovariate(peak) * 1000
+        if at >= end:
+            return times
+        if rng.random() < rate(at) / peak:
+            times.append(at)
+
+
+def generated(rng: random.Random, prompt: float, output: float, most: int) -> StageLoad:
+    """A generation with lognormal prompt and output around the given medians."""
+    tokens = min(most, max(1, round(output * rng.lognormvariate(0, 0.4))))
+    return StageLoad(max(1, round(prompt * rng.lognormvariate(0, 0.3))), tokens, 0.0)
+
+
+def plain(rng: random.Random, ms: float) -> StageLoad:
+    """A call that is not generation, with lognormal time around `ms`."""
+    return StageLoad(0, 0, ms * rng.lognormvariate(0, 0.4))
+
+
+def quantile(values: Sequence[float], q: float) -> float:
+    """Nearest-rank quantile; 0 if there are no values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(q * len(ordered)))] if ordered else 0.0
+
+
+def times(results: Sequence[Result], pick: Callable[[Outcome], bool]) -> list[float]:
+    """Times of all requests of a kind; one without an answer counts with its whole deadline."""
+    return [
+        DEADLINES[o.pipeline] if o.kind else o.took_ms
+        for result in results
+        for o in result.outcomes
+        if pick(o)
+    ]
+
+
+def share(results: Sequence[Result], pick: Callable[[Outcome], bool]) -> float:
+    """Share of requests of a kind that were answered in full within their deadline."""
+    kinds = [o.kind for result in results for o in result.outcomes if pick(o)]
+    return sum(not kind for kind in kinds) / max(1, len(kinds))
+
+
+def pipeline(name: str, deadline_ms: int, priority: int, *stages: Any) -> Pipeline:
+    """A pipeline."""
+    return Pipeline(name, tuple(stages), deadline_ms, priority)
+
+
+SEARCH_STAGE = RetrieveStage("search", "search", 8)
+RERANK_STAGE = RerankStage("rerank", "rerank", 4)
+NOTE = pipeline("note", 10_000, 5, GenerateStage("write", "engines", 64))
+PLAN = pipeline("plan", 60_000, 5, GenerateStage("draft", "engines", 800))
+CHAT = pipeline(
+    "chat", 10_000, 2, SEARCH_STAGE, RERANK_STAGE, GenerateStage("answer", "engines", 200)
+)
+SUMMARY = pipeline("summary", 10_000, 5, SEARCH_STAGE, GenerateStage("sum", "engines", 300))
+BATCHED = pipeline(
+    "batched", 10_000, 8, SEARCH_STAGE, RERANK_STAGE, GenerateStage("fill", "engines", 200)
+)
+BOOKING = pipeline("booking", 10_000, 1, SEARCH_STAGE, ActionStage("book", "orders", "book"))
+DEADLINES = {p.name: float(p.deadline_ms) for p in (NOTE, PLAN, CHAT, SUMMARY, BATCHED, BOOKING)}
+
+
+def arrival(rng: random.Random, at: float, kind: Pipeline) -> Arrival:
+    """Draws a request of a pipeline."""
+    loads: list[StageLoad] = []
+    for stage in kind.stages:
+        if isinstance(stage, RetrieveStage):
+            loads.append(plain(rng, 20))
+        elif isinstance(stage, RerankStage):
+            loads.append(plain(rng, 40))
+        elif isinstance(stage, ActionStage):
+            loads.append(plain(rng, 60))
+        elif kind is PLAN:
+            loads.append(generated(rng, 8_000, 400, 800))
+        elif kind is NOTE:
+            loads.append(generated(rng, 150, 30, 64))
+        else:
+            loads.append(generated(rng, 500, 80, stage.max_tokens))
+    workspace = rng.choices(["w0", "w1", "w2", "w3", "w4"], [4, 3, 1, 1, 1])[0]
+    return Arrival(at, workspace, 1.0, kind, f"{kind.name}-{rng.randrange(8)}", tuple(loads))
+
+
+def mixed(rng: random.Random, at: float) -> Arrival:
+    """Draws a request of the mixed pipelines."""
+    kind = rng.choices([CHAT, SUMMARY, BATCHED, BOOKING], [4, 3, 2, 1])[0]
+    return arrival(rng, at, kind)
+
+
+def policies(*extra: tuple[str, virtual.Policy]) -> dict[str, virtual.Policy]:
+    """The adaptive policy, the baselines and others."""
+    return {name: named(name) for name in ("adaptive", *BASELINES)} | dict(extra)
+
+
+def row(
+    scenario: str,
+    measure: str,
+    unit: str,
+    better: str,
+    values: Mapping[str, float],
+    runs: int,
+    seed: int,
+) -> Row:
+    """A row from one value for each policy."""
+    rounded = {name: round(value, 4) for name, value in values.items()}
+    adaptive = rounded.pop("adaptive")
+    return Row(scenario, measure, unit, better, rounded, adaptive, runs, seed)
+
+
+def best(values: Mapping[str, float], better: str) -> float:
+    """The value of the better baseline."""
+    found = [values[name] for name in BASELINES]
+    return max(found) if better == "higher" else min(found)
+
+
+# Short work behind long work.
+
+
+def short_behind_long(seed: int) -> Setting:
+    """Haulers' notes all the time; kiln logs in bursts, as at dawn and between loads."""
+    rng = random.Random(seed)
+    found = [arrival(rng, at, NOTE) for at in poisson(rng, lambda at: 12.0, 12.0, 60_000)]
+
+    def bursts(at: float) -> float:
+        return 20.0 if at % 25_000 < 4_000 else 0.6
+
+    found += [arrival(rng, at, PLAN) for at in poisson(rng, bursts, 20.0, 60_000)]
+    found.sort(key=lambda a: a.at_ms)
+    return Setting(SERVICES, {"engines": 6, "search": 4, "rerank": 4, "orders": 4}, 8, found)
+
+
+def judge_short(found: Mapping[str, Runs], runs: int, seed: int) -> Report:
+    results = found[""]
+    short = {
+        n: quantile(times(r, lambda o: o.pipeline == "note"), 0.99) for n, r in results.items()
+    }
+    long = {n: quantile(times(r, lambda o: o.pipeline == "plan"), 0.99) for n, r in results.items()}
+    ratio = short["adaptive"] / best(short, "lower")
+    long_ratio = long["adaptive"] / best(long, "lower")
+    return Report(
+        row("short-behind-long", "p99 of short work", "ms", "lower", short, runs, seed),
+        [
+            Check(f"short p99 {ratio:.2f} of the better baseline (at most 0.3)", ratio <= 0.3),
+            Check(
+                f"long p99 {long_ratio:.2f} of the better baseline (at most 1.1)", long_ratio <= 1.1
+            ),
+        ],
+        [
+            f"long p99 {rounded(long)}",
+            f"answered {rounded({n: share(r, any_) for n, r in results.items()})}",
+        ],
+    )
+
+
+def any_(outcome: Outcome) -> bool:
+    return True
+
+
+def rounded(values: Mapping[str, float]) -> str:
+    """Values for a note."""
+    return " ".join(f"{name}={value:.4g}" for name, value in values.items())
+
+
+# Slowed targets.
+
+
+def slowed_targets(seed: int) -> Setting:
+    rng = random.Random(seed)
+    found = [arrival(rng, at, NOTE) for at in poisson(rng, lambda at: 40.0, 40.0, 60_000)]
+    reports = Reports(1_000, 1_000)
+    replicas = {"engines": 6, "search": 4, "rerank": 4, "orders": 4}
+    return Setting(SERVICES, replicas, 8, found, reports, (10.0, 2_000, 4_000))
+
+
+def judge_slowed(found: Mapping[str, Runs], runs: int, seed: int) -> Report:
+    results = found[""]
+    p99 = {n: quantile(times(r, any_), 0.99) for n, r in results.items()}
+    p50 = {n: quantile(times(r, any_), 0.5) for n, r in results.items()}
+    ratio = p99["adaptive"] / best(p99, "lower")
+    extra = max(result.extra for result in results["adaptive"])
+    return Report(
+        row("slowed-targets", "p99", "ms", "lower", p99, runs, seed),
+        [
+            Check(f"p99 {ratio:.2f} of the better baseline (at most 0.4)", ratio <= 0.4),
+            Check(f"extra calls {extra:.3f} of calls (at most 0.05)", extra <= 0.05),
+        ],
+        [f"p50 {rounded(p50)}"],
+    )
+
+
+# Crest.
+
+CREST = (20_000.0, 40_000.0)
+BASE_RATE = 22.0
+
+
+def crest(seed: int) -> Setting:
+    """Demand rises fivefold within 2 s, stays for 18 s and falls back."""
+    rng = random.Random(seed)
+
+    def rate(at: float) -> float:
+        rise = min(1.0, max(0.0, (at - CREST[0]) / 2_000))
+        fall = min(1.0, max(0.0, (CREST[1] - at) / 2_000))
+        return BASE_RATE * (1 + 4 * min(rise, fall))
+
+    found = [mixed(rng, at) for at in poisson(rng, rate, 5 * BASE_RATE, 70_000)]
+    return Setting(SERVICES, {"engines": 6, "search": 4, "rerank": 4, "orders": 4}, 8, found)
+
+
+def judge_crest(found: Mapping[str, Runs], runs: int, seed: int) -> Report:
+    results = found[""]
+
+    def within(start: float, end: float) -> Callable[[Outcome], bool]:
+        return lambda o: start <= o.at_ms < end
+
+    during = {n: share(r, within(*CREST)) for n, r in results.items()}
+    before = {n: share(r, within(5_000, CREST[0])) for n, r in results.items()}
+    after = {n: share(r, within(CREST[1], 70_000)) for n, r in results.items()}
+    ratio = during["adaptive"] / max(1e-9, best(during, "higher"))
+    by_priority = [
+        share(
+            results["adaptive"], lambda o, p=p: CREST[0] <= o.at_ms < CREST[1] and o.priority == p
+        )
+        for p in (1, 2, 5, 8)
+    ]
+    ordered = by_priority == sorted(by_priority, reverse=True)
+    return Report(
+        row("crest", "attainment during the crest", "share", "higher", during, runs, seed),
+        [
+            Check(f"attainment {ratio:.2f} of the better baseline's (at least 1.5)", ratio >= 1.5),
+            Check(
+                f"attainment after the crest {after['adaptive']:.3f} (at least 0.95)",
+                after["adaptive"] >= 0.95,
+            ),
+            Check(
+                f"by priority 1, 2, 5, 8: {[round(v, 3) for v in by_priority]} (falling)", ordered
+            ),
+        ],
+        [f"before {rounded(before)}", f"after {rounded(after)}"],
+    )
+
+
+# Attainment.
+
+
+def attainment(seed: int) -> Setting:
+    """Mixed pipelines at 80 % of what the engines can serve."""
+    rng = random.Random(seed)
+    found = [mixed(rng, at) for at in poisson(rng, lambda at: MIXED_80, MIXED_80, 60_000)]
+    return Setting(SERVICES, {"engines": 6, "search": 4, "rerank": 4, "orders": 4}, 8, found)
+
+
+# 80 % of the engines' capacity of 55 mixed requests a second (see `capacity`).
+MIXED_80 = 44.0
+
+
+def judge_attainment(found: Mapping[str, Runs], runs: int, seed: int) -> Report:
+    results = found[""]
+    whole = {n: share(r, any_) for n, r in results.items()}
+    p99 = {n: quantile(times(r, any_), 0.99) for n, r in results.items()}
+    return Report(
+        row("attainment", "answered in full within deadline", "share", "higher", whole, runs, seed),
+        [Check(f"attainment {whole['adaptive']:.4f} (at least 0.99)", whole["adaptive"] >= 0.99)],
+        [f"p99 {rounded(p99)}"],
+    )
+
+
+# Stale reports.
+
+HOSTS = (1, 8, 32)
+AGES = (0, 1_000, 5_000)
+
+
+def stale(hosts: int, age_ms: float) -> Callable[[int], Setting]:
+    """The same load through some hosts, with reports up to `age_ms` old."""
+
+    def make(seed: int) -> Setting:
+        rng = random.Random(seed)
+        kinds = [NOTE] * 19 + [PLAN]
+        found = [
+            arrival(rng, at, rng.choice(kinds))
+            for at in poisson(rng, lambda at: STALE_RATE, STALE_RATE, 30_000)
+        ]
+        replicas = {"engines": 12, "search": 1, "rerank": 1, "orders": 1}
+        service = ENGINE._replace(max_inflight=32 if hosts == 1 else 8)
+        services = {**SERVICES, "engines": service}
+        return Setting(services, replicas, hosts, found, Reports(max(20.0, age_ms)))
+
+    return make
+
+
+STALE_RATE = 60.0
+
+
+def judge_stale(found: Mapping[str, Runs], runs: int, seed: int) -> Report:
+    notes: list[str] = []
+    p99: dict[str, float] = {}
+    for key, results in found.items():
+        p99 = {
+            n: quantile(times(r, lambda o: o.pipeline == "note"), 0.99) for n, r in results.items()
+        }
+        spread = {n: sum(x.spread for x in r) / len(r) for n, r in results.items()}
+        notes.append(
+            f"{key}: p99 of short work {rounded(p99)}; largest/mean load {rounded(spread)}"
+        )
+    worst = p99["adaptive"] / p99["reported_least"]
+    ratio = p99["adaptive"] / best(p99, "lower")
+    return Report(
+        row(
+            "stale-reports",
+            "p99 of short work, 32 hosts, reports 5 s old",
+            "ms",
+            "lower",
+            p99,
+            runs,
+            seed,
+        ),
+        [
+            Check(f"p99 {worst:.2f} of the naive use of reports (at most 0.5)", worst <= 0.5),
+            Check(f"p99 {ratio:.2f} of the better baseline (at most 1.1)", ratio <= 1.1),
+        ],
+        notes,
+    )
+
+
+SCENARIOS = [
+    Scenario("short-behind-long", {"": short_behind_long}, policies(), judge_short),
+    Scenario("slowed-targets", {"": slowed_targets}, policies(), judge_slowed),
+    Scenario("crest", {"": crest}, policies(), judge_crest),
+    Scenario("attainment", {"": attainment}, policies(), judge_attainment),
+    Scenario(
+        "stale-reports",
+        {f"hosts={h} age={a // 1000}s": stale(h, a) for h in HOSTS for a in AGES},
+        policies(("reported_least", ReportedLeast)),
+        judge_stale,
+    ),
+]
