Bound long work over all targets, probe on passive evidence, expect demand above

Cause: with eight hosts the per-target share of a host rounds up to the whole target, so long work held every slot; each ejecting host sent a probe every few hundred ms into a target whose own calls already showed that it was slow; the door did not count more important work still to come. Change: a bound on long calls and on long prompts over all targets of a service; a probe only if no pending call shows the target slow; the wait at the door is divided by 1 - load above.

--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -33,7 +33,7 @@
 SHORT_QUANTILE = 0.05
 
 # The share of a target's slots that long work may hold.
-LONG_SHARE = 0.75
+LONG_SHARE = 0.85
 
 # A call gains this many milliseconds of rank for each millisecond that it waits.
 AGEING = 4.0
@@ -42,6 +42,9 @@
 # near the limit the less important one is refused.
 CAUTION_PER_PRIORITY = 0.03
 
+# Demand is what was admitted within this time.
+DEMAND_MS = 1_000.0
+
 # From this length on, a queue takes from each workspace only its share of the places.
 CONTENDED_QUEUE = 64
 
@@ -160,6 +163,32 @@
     return max(1, min(limit - 1, int(limit * LONG_SHARE)))
 
 
+def long_share(targets: int, capacity: float, hosts: int) -> float:
+    """How many long calls one of `hosts` hosts may have on all `targets` together.
+
+    The share of a host in the capacity of one target is often below one call, so a bound for each
+    target cannot hold long work back when hosts do not coordinate; the bound over all targets can.
+
+    >>> long_share(6, 16.0, 8)
+    9.0
+    """
+    return max(1.0, LONG_SHARE * capacity * targets / hosts)
+
+
+def queue_ms(ahead_ms: float, above_ms: float, slots: int, call_ms: float) -> float:
+    """Expected wait in the queue: (ahead + one call) / slots / (1 - load of more important work).
+
+    `ahead_ms` is the work that is served first, `above_ms` the more important work admitted
+    within `DEMAND_MS`: as much of it will come while this work waits.
+
+    >>> queue_ms(100.0, 0.0, 4, 20.0), queue_ms(100.0, 2_000.0, 4, 20.0)
+    (30.0, 60.0)
+    """
+    slots = max(1, slots)
+    above = min(0.95, above_ms / (DEMAND_MS * slots))
+    return (ahead_ms + call_ms) / slots / (1 - above)
+
+
 def rank(work: Work, expected_ms: float, arrived_ms: float) -> tuple[int, float]:
     """Place in the queue: priority, then expected work less the ageing of `AGEING` per waited ms.
 
--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -55,7 +55,8 @@
     """The right to make one call to one target, held until `Dispatcher.release`.
 
     `next_ms` is the expected time from `last_ms`, the last sign of the call, to the next one;
-    `tokens` counts the tokens that have arrived.
+    `tokens` counts the tokens that have arrived. `straggling` is set once the call itself shows
+    that its target is a straggler, so that a hedge is worth sending before its delay.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.next_ms = prediction.expected_ms
         self.tokens = 0
         self.marked_tokens = 0
+        self.straggling = asyncio.Event()
 
 
 class Waiter:
@@ -136,6 +138,9 @@
         self.held: Counter[str] = Counter()
         self.shares: dict[str, float] = {}
         self.coming: dict[tuple[str, str], deque[tuple[float, float, int]]] = {}
+        self.offered: deque[tuple[float, float, int]] = deque()
+        self.long = 0
+        self.long_prefills = 0
         self.durations = Window(64)
         self.capacities = Window(16)
         self.pool = routing.Pool(0.0, admission.CALL_MS, float("inf"), 1)
@@ -229,6 +234,7 @@
             until = now + COMING_PATIENCE * reach + COMING_GRACE_MS
             entry = (until, sum(times[index][1:]), item.priority)
             state.coming.setdefault((pipeline.name, stage.name), deque()).append(entry)
+            state.offered.append((now, entry[1], item.priority))
             rest = [(s.service, w) for s, w in stages[index + 1 :]]
             self.later[pipeline.name, stage.name] = rest
             reach += sum(times[index])
@@ -268,7 +274,10 @@
         free = state.slots - held
         if not state.queue and free > 0 and ahead < free * state.pool.call_ms:
             return 0.0
-        return (ahead + state.pool.call_ms) / max(1, state.slots)
+        while state.offered and state.offered[0][0] < now - admission.DEMAND_MS:
+            state.offered.popleft()
+        above = sum(ms for _, ms, priority in state.offered if priority < work.priority)
+        return admission.queue_ms(ahead, above, state.slots, state.pool.call_ms)
 
     # The queue.
 
@@ -435,6 +444,9 @@
             room = len(target.slots) < limit
             return room and (not waiter.long or target.long < admission.long_slots(limit))
 
+        if waiter.long and not self.long_allowed(state, waiter, len(allowed)):
+            return None
+
         open_ = all(target.health.ejected for target in states.values())
 
         def weight(name: str) -> float:
@@ -471,6 +483,14 @@
         first = routing.first_ms(load(name), state.pool, prompt)
         return self.start(state, waiter, allowed[name], first, now, name == home)
 
+    def long_allowed(self, state: ServiceState, waiter: Waiter, targets: int) -> bool:
+        """Whether long work is within its bounds over all targets of the service."""
+        pool = state.pool
+        if state.long >= admission.long_share(targets, pool.capacity, pool.hosts):
+            return False
+        bound = max(1, targets // pool.hosts)
+        return waiter.prediction.first_ms == 0 or state.long_prefills < bound
+
     def plain_choice(self, state: ServiceState, allowed: Mapping[str, TargetView]) -> str | None:
         """The baselines: the next target in turn, or the one with the least own calls."""
         names = list(allowed)
@@ -498,8 +518,11 @@
 
     def pace_of(self, target: TargetState, now: float) -> float:
         """The pace of a target: that of ended intervals or of calls without an answer, if worse."""
-        pending = ejection.pending_pace((now - s.last_ms, s.next_ms) for s in target.slots)
-        return max(ejection.pace_at(target.health, now), pending)
+        return max(ejection.pace_at(target.health, now), self.pending(target, now))
+
+    def pending(self, target: TargetState, now: float) -> float:
+        """The pace that the calls without an answer show."""
+        return ejection.pending_pace((now - s.last_ms, s.next_ms) for s in target.slots)
 
     def home(
         self, state: ServiceState, work: Work, names: list[str], load: routing.Lookup
@@ -520,7 +543,10 @@
             return None
         for name, target in states.items():
             health = target.health
-            if health.ejected and not target.probing and now >= health.probe_ms:
+            if not health.ejected or target.probing or now < health.probe_ms:
+                continue
+            pending = self.pending(target, now)
+            if pending < ejection.SLOW:
                 return name
         return None
 
@@ -543,6 +569,8 @@
         target = self.target(view)
         target.slots.add(slot)
         target.long += slot.long
+        state.long += slot.long
+        state.long_prefills += slot.long and slot.prediction.first_ms > 0
         target.prefill_ms += waiter.prediction.first_ms
         target.note(now)
         state.held[waiter.work.workspace] += 1
@@ -556,15 +584,22 @@
         now = self.clock.monotonic_ms()
         slot.first_ms = now - slot.started_ms
         target = self.target(slot.target)
-        target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
-        target.health = ejection.observe(target.health, slot.first_ms, slot.next_ms, now)
         state = self.services[slot.target.service]
+        self.end_prefill(state, target, slot)
+        target.health = ejection.observe(target.health, slot.first_ms, slot.next_ms, now)
         if slot.at_home:
             state.model.learn_prefix(slot.first_ms, slot.prediction.first_ms)
         slot.last_ms = now
         slot.tokens = slot.marked_tokens = 1
         slot.next_ms = self.token_ms(state)
 
+    def end_prefill(self, state: ServiceState, target: TargetState, slot: Slot) -> None:
+        """The prompt of a call is no longer being processed."""
+        target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
+        if slot.long and not slot.outgrown and slot.prediction.first_ms > 0:
+            state.long_prefills -= 1
+            self.pump(state)
+
     def token_ms(self, state: ServiceState) -> float:
         """The usual time between tokens at the present load."""
         usual = state.model.token.quantile(0.5, admission.TOKEN_MS)
@@ -597,6 +632,7 @@
         if self.adaptive and not slot.long and state.model.is_long(grown):
             slot.long = True
             self.target(slot.target).long += 1
+            state.long += 1
 
     def release(self, slot: Slot, result: CallResult, output_tokens: int) -> None:
         """Ends a call; a second release of the same slot does nothing."""
@@ -608,8 +644,9 @@
         target = self.target(slot.target)
         target.slots.discard(slot)
         target.long -= slot.long
+        state.long -= slot.long
         if slot.first_ms is None:
-            target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
+            self.end_prefill(state, target, slot)
         target.note(now)
         state.held[slot.work.workspace] -= 1
         self.forget(state, slot.work.workspace)
@@ -735,3 +772,10 @@
         healths = {name: target.health for name, target in states.items()}
         for name, health in ejection.review(healths, paces, now).items():
             states[name].health = health
+        for name, target in states.items():
+            if paces[name] < ejection.EJECT:
+                continue
+            for slot in target.slots:
+                late = now - slot.last_ms
+                if late > ejection.EJECT * max(slot.next_ms, ejection.JITTER_MS):
+                    slot.straggling.set()
