--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -247,11 +247,11 @@
         self.calls += 1
         try:
             delay = self.dispatcher.hedge_delay_ms(service, work)
-            if delay is not None:
-                if not await self.hedge_time(tasks, delay) and self.dispatcher.take_hedge(service):
-                    self.extra += 1
-                    used = frozenset(getattr(task, "target", "") for task in tasks)
-                    tasks.add(asyncio.ensure_future(self.attempt(service, work, load, used - {""})))
+            late = delay is not None and not await self.hedge_time(tasks, delay)
+            if late and self.dispatcher.take_hedge(service):
+                self.extra += 1
+                used = frozenset(getattr(task, "target", "") for task in tasks)
+                tasks.add(asyncio.ensure_future(self.attempt(service, work, load, used - {""})))
             pending = tasks
             while pending:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -158,7 +158,7 @@
     """How many of a target's `limit` slots long work may hold; one is kept free if possible.
 
     >>> [long_slots(limit) for limit in (1, 2, 4, 16)]
-    [1, 1, 3, 12]
+    [1, 1, 3, 13]
     """
     return max(1, min(limit - 1, int(limit * LONG_SHARE)))
 
@@ -170,7 +170,7 @@
     target cannot hold long work back when hosts do not coordinate; the bound over all targets can.
 
     >>> long_share(6, 16.0, 8)
-    9.0
+    10.2
     """
     return max(1.0, LONG_SHARE * capacity * targets / hosts)
 
--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -141,6 +141,7 @@
         self.offered: deque[tuple[float, float, int]] = deque()
         self.long = 0
         self.long_prefills = 0
+        self.most_running = 0
         self.durations = Window(64)
         self.capacities = Window(16)
         self.pool = routing.Pool(0.0, admission.CALL_MS, float("inf"), 1)
@@ -484,9 +485,13 @@
         return self.start(state, waiter, allowed[name], first, now, name == home)
 
     def long_allowed(self, state: ServiceState, waiter: Waiter, targets: int) -> bool:
-        """Whether long work is within its bounds over all targets of the service."""
+        """Whether long work is within its bounds over all targets of the service.
+
+        A capacity that no report has shown yet counts as a little more than was seen running.
+        """
         pool = state.pool
-        if state.long >= admission.long_share(targets, pool.capacity, pool.hosts):
+        capacity = min(pool.capacity, max(state.service.max_inflight, 1.5 * state.most_running))
+        if state.long >= admission.long_share(targets, capacity, pool.hosts):
             return False
         bound = max(1, targets // pool.hosts)
         return waiter.prediction.first_ms == 0 or state.long_prefills < bound
@@ -740,6 +745,7 @@
                 target.surveyed_ms = view.reported_ms
                 state.capacities.add(float(view.running))
             then = view.running + view.waiting - target.own_at(view.reported_ms)
+            state.most_running = max(state.most_running, view.running)
             others.append(max(0.0, float(then)))
         state.pool = routing.Pool(
             others=statistics.fmean(others),
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,107 @@
+"""Tests of the choice of a target."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryfork import routing
+from savoryfork.routing import Load, Pool
+
+POOL = Pool(others=4.0, call_ms=500.0, capacity=16.0, hosts=8)
+LOADS = st.builds(
+    Load,
+    own=st.integers(0, 8),
+    own_then=st.integers(0, 8),
+    prefill_ms=st.floats(0, 1_000),
+    running=st.integers(0, 16),
+    waiting=st.integers(0, 50),
+    age_ms=st.floats(0, 10_000),
+    pace=st.floats(1, 20),
+)
+
+
+def naive_completion(load: Load, pool: Pool, prompt: float, rest: float) -> float:
+    """Written out once more, step by step."""
+    then = load.running + load.waiting - load.own_then
+    if then < 0:
+        then = 0
+    known = math.exp(-load.age_ms / pool.call_ms)
+    total = load.own + known * then + (1 - known) * pool.others
+    beyond = total + 1 - pool.capacity
+    wait = beyond / pool.capacity * pool.call_ms if beyond > 0 else 0.0
+    return load.pace * (wait + load.prefill_ms + prompt + rest * (1 + routing.CROWDING * total))
+
+
+class TestCompletion:
+    @settings(derandomize=True)
+    @given(LOADS, st.floats(0, 1e3), st.floats(0, 1e4))
+    def test_equals_the_naive_version(self, load, prompt, rest):
+        """Guards the documented formula."""
+        found = routing.completion_ms(load, POOL, prompt, rest)
+        assert math.isclose(found, naive_completion(load, POOL, prompt, rest), rel_tol=1e-9)
+
+    def test_old_report_tells_nothing(self):
+        """A stale report must not keep attracting (or repelling) calls."""
+        idle = Load(0, 0, 0.0, 0, 0, 60_000.0, 1.0)
+        busy = idle._replace(running=16, waiting=40)
+        assert math.isclose(routing.load_now(idle, POOL), routing.load_now(busy, POOL))
+        assert routing.load_now(idle._replace(own=3), POOL) > routing.load_now(busy, POOL)
+
+
+class TestLimit:
+    @settings(derandomize=True)
+    @given(LOADS, st.integers(1, 32))
+    def test_stays_within_bounds(self, load, most):
+        """A limit of 0 would stop a target for good."""
+        assert 1 <= routing.limit(load, POOL, most) <= most
+
+    def test_excess_is_given_back(self):
+        """Hosts must withdraw from a target whose own queue grows."""
+        load = Load(6, 6, 0.0, 16, 32, 0.0, 1.0)
+        assert routing.limit(load, POOL, 8) < 6
+
+
+class TestSample:
+    @settings(derandomize=True)
+    @given(st.lists(st.floats(0, 1), max_size=12), st.integers(1, 4), st.integers(0, 99))
+    def test_finds_every_usable_target_and_no_other(self, weights, count, seed):
+        """A target of weight 0 must get nothing; the only usable one must be found."""
+        by_name = {f"t{i}": weight for i, weight in enumerate(weights)}
+        drawn = routing.sample(list(by_name), by_name.__getitem__, random.Random(seed), count)
+        assert all(by_name[name] > 0 for name in drawn)
+        assert len(set(drawn)) == len(drawn) <= count
+        assert bool(drawn) == any(weight > 0 for weight in weights)
+
+    def test_spreads_hosts_that_see_the_same(self):
+        """Hosts with the same stale report must not all choose the same target."""
+        names = [f"t{i}" for i in range(12)]
+        costs = {name: float(i) for i, name in enumerate(names)}
+        chosen = []
+        for host in range(320):
+            rng = random.Random(host)
+            drawn = routing.sample(names, lambda name: 1.0, rng, routing.SAMPLES)
+            chosen.append(routing.choose({name: costs[name] for name in drawn}, rng))
+        assert max(chosen.count(name) for name in names) <= 320 * routing.SAMPLES / 12 * 1.3
+
+
+class TestHome:
+    @settings(derandomize=True)
+    @given(st.lists(st.integers(0, 50), min_size=1, max_size=12), st.text(max_size=5))
+    def test_is_never_over_its_bound(self, loads, prefix):
+        """A popular prefix must not overload one target."""
+        by_name = {f"t{i}": float(n) for i, n in enumerate(loads)}
+        mean = sum(loads) / len(loads)
+        found = routing.home(prefix, list(by_name), by_name.__getitem__, mean)
+        assert found is None or by_name[found] <= routing.AFFINITY_BOUND * mean + 1
+
+    def test_moves_little_when_a_target_leaves(self):
+        """Losing one target must not move the prefixes of the others."""
+        names = [f"t{i}" for i in range(6)]
+        for key in range(50):
+            before = routing.home(str(key), names, lambda name: 0.0, 0.0)
+            after = routing.home(str(key), names[1:], lambda name: 0.0, 0.0)
+            assert before in (after, "t0")
