--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -120,6 +120,7 @@
             self.rng,
             self.incarnation,
         )
+        self.membership.on_own_evidence = self.gossip.push_soon
         self.operator = OperatorInterface(
             self.board,
             self.config,
--- a/savoryfork/membership.py
+++ b/savoryfork/membership.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from savoryfork.board import Board, HostView, TargetView
@@ -18,6 +18,9 @@
 # must not empty a service at once, while a target that is gone refuses connections anyway.
 FORGET_MS = 30_000
 
+# Sources that only this host has seen, so that the other hosts must be told at once.
+OWN_EVIDENCE = frozenset({"answer", "load_poll"})
+
 # Leaving words are remembered for longer than any lag of the host list.
 LEAVING_KEPT_MS = 600_000
 
@@ -58,6 +61,7 @@
         self.replaced: dict[tuple[str, str], float] = {}
         self.missing_since: dict[str, float] = {}
         self.listed_ms: float | None = None
+        self.on_own_evidence: Callable[[], None] = lambda: None
 
     def apply_host_list(self, entries: Iterable[HostEntry]) -> None:
         """Takes one answer of the platform's host list."""
@@ -130,6 +134,8 @@
         if known is not None and known.incarnation == incarnation:
             self.board.targets[target] = known._replace(leaving=True)
         logs.event(log, "target_leaving", target=target, incarnation=incarnation, source=source)
+        if source in OWN_EVIDENCE:
+            self.on_own_evidence()
         return True
 
     def leaving_marks(self) -> list[tuple[str, str]]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -93,3 +93,15 @@
         fixture.listed("b")
         fixture.membership.note_load("orders-0", "a", LoadReport(9, 9, 900))
         assert fixture.board.targets["orders-0"].running == 0
+
+    def test_own_evidence_is_passed_on_at_once(self) -> None:
+        """Guards against other hosts hearing of a draining target only at their next exchange."""
+        fixture = Fixture()
+        told: list[bool] = []
+        fixture.membership.on_own_evidence = lambda: told.append(True)
+        fixture.listed("a")
+        fixture.membership.note_leaving("orders-0", "a", "host_list")
+        fixture.listed("b")
+        fixture.membership.note_leaving("orders-0", "b", "answer")
+        fixture.membership.note_leaving("orders-0", "b", "load_poll")
+        assert told == [True]
