Prove idempotent work through an outage, and start hosts from their peers

A caller whose action had run just before the outage got outcome_unknown after 10.003 s although its answer was known. Cause: the answer waited for its outcome to land in the log until the run's deadline. The wait is now 500 ms; the outcome is still written in the background, and a retry of the key finds it or gets request_in_progress. A host that started while the whole platform was down stayed not ready (503 after 5 s): other hosts' configuration could be taken, but only hosts of the host list are known, and that was down too. Settings have a new field `peers`; a host that has never read the list asks these, and takes the list of targets and hosts from the first that answers.

--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -61,6 +61,10 @@
 # How long a caller's answer waits for a release to land. The answer is right without it; the wait
 # only lets an immediate retry find the key free.
 RELEASE_WAIT_MS = 250
+
+# How long a caller's answer waits for its outcome to land. The caller's own answer is whole without
+# it; the wait lets a retry of the same key find the outcome.
+OUTCOME_WAIT_MS = 500
 CLAIM_FLUSH_PERIOD_MS = 500
 
 # A reader that restarts reads the whole window again, so it is not stopped in a short lull.
@@ -83,6 +87,7 @@
 BURN_PART_TOPIC = "burn-parts"
 BURN_TICK_MS = 10_000
 BURN_RECORD_PAIRS = 128
+BURN_RECORD_HISTOGRAMS = 16
 BURN_MAX_PAIRS = 65_536
 BURN_MAX_BUCKETS = 5
 BURN_MAX_WAITING = 10
@@ -91,14 +96,21 @@
 BURN_CHECKPOINT_MINUTES = 60
 BURN_CHECKPOINT_DELAY_MS = 600_000
 BURN_CHECKPOINT_CLAIM_MS = 300_000
-BURN_PART_CELLS = 100_000
+BURN_PART_CELLS = 40_000
 BURN_FLUSH_MS = 3_000
 BURN_INCARNATION_MINUTES = 1_440
-BURN_MAX_SPENDERS = 4_096
+BURN_MAX_SPENDERS = 256
 BURN_REPORT_PAIRS = 100
 
 # Targets.
 LOAD_PERIOD_MS = 1_000
+
+# A poll costs about 0.45 KB both ways; with the exchange between hosts this stays below 3 KB/s.
+LOAD_POLLS_PER_PERIOD = 4
+
+# Targets of one service that a host uses.
+SUBSET_TARGETS = 20
+
 CONNECT_TIMEOUT_MS = 500
 MAX_TARGET_INFLIGHT = 16
 
--- a/savoryfork/gossip.py
+++ b/savoryfork/gossip.py
@@ -13,7 +13,7 @@
 
 from savoryfork import defaults
 from savoryfork.board import Board, HostView
-from savoryfork.membership import Membership
+from savoryfork.membership import ENTRY_SERVICE, HostEntry, Membership
 from savoryfork.peers import PeerUnavailable
 from savoryfork.proto import peer_pb2
 from savoryfork.publication import ConfigFold
@@ -249,6 +249,16 @@
         )
         given = {(mark.target, mark.incarnation) for mark in request.leaving}
         reply.leaving.extend(self.marks(given, everything=wants_all))
+        if request.hosts_wanted:
+            own = HostEntry(
+                self.settings.host,
+                ENTRY_SERVICE,
+                self.settings.peer_address,
+                self.settings.availability_zone,
+                self.incarnation,
+                "live",
+            )
+            reply.hosts = msgspec.json.encode([own, *self.membership.entries()])
         if position < self.fold.position:
             self.add_missing(reply, position)
         elif self.fold.position < position < NOTHING_WANTED:
@@ -289,6 +299,7 @@
             incarnation=self.incarnation,
             config_position=self.fold.position if wanted else NOTHING_WANTED,
             config_offset=self.fold.configuration.offset + 1,
+            hosts_wanted=self.knows_no_host(),
         )
         request.leaving.extend(self.marks(set()))
         if everything:
@@ -306,6 +317,7 @@
             self.membership.note_peer_failed(host)
             return None
         self.last_contact_ms = self.clock.monotonic_ms()
+        self.take_hosts(reply)
         self.membership.note_peer(
             reply.host, self.signed(reply.config_offset), reply.config_position
         )
@@ -313,6 +325,22 @@
         self.take_configuration(reply)
         return reply
 
+    def knows_no_host(self) -> bool:
+        """True if the host list has never been read, and no other host has given one."""
+        return not self.board.hosts and self.membership.listed_ms is None
+
+    def take_hosts(self, reply: peer_pb2.ExchangeReply) -> None:
+        """Starts with another host's list while the platform's can't be read."""
+        if not reply.hosts or not self.knows_no_host():
+            return
+        try:
+            entries = msgspec.json.decode(reply.hosts, type=list[HostEntry])
+        except msgspec.MsgspecError:
+            logs.event(log, "peer_hosts_unreadable", logging.WARNING, host=reply.host)
+            return
+        self.membership.apply_host_list(entries)
+        logs.event(log, "hosts_from_peer", host=reply.host, entries=len(entries))
+
     def take_configuration(self, reply: peer_pb2.ExchangeReply) -> None:
         """Folds the records or the snapshot of a reply."""
         before = self.fold.position
@@ -343,6 +371,13 @@
         now = self.clock.monotonic_ms()
         away = self.last_contact_ms is None or now - self.last_contact_ms > AWAY_MS
         self.forget_marks()
+        if self.knows_no_host():
+            seeds = [
+                HostView(address, address, "", "")
+                for address in self.settings.peers
+                if address != self.settings.peer_address
+            ]
+            await self.ask(seeds, wanted=False)
         if not self.board.config_ready and self.log_out():
             await self.bootstrap()
         chosen = self.choose(defaults.EXCHANGE_FANOUT)
--- a/savoryfork/settings.py
+++ b/savoryfork/settings.py
@@ -40,6 +40,7 @@
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
         "balancer_delay_ms": {"type": "integer", "minimum": 0, "maximum": 60_000},
         "max_body_bytes": {"type": "integer", "minimum": 1_024},
+        "peers": {"type": "array", "items": ADDRESS},
         "policy": {"enum": ["adaptive", "round_robin", "least_outstanding"]},
     },
 }
@@ -49,7 +50,9 @@
     """What one host is told at its start. Addresses are IP numbers with a port.
 
     The first of `peer_keys` is sent, each of them is accepted, so that a key can be rotated.
-    `policy` selects the routing policy; the two others than adaptive are baselines.
+    `peers` are peer addresses of other hosts, asked only at a start while the host list can't be
+    read; some of them may be gone. `policy` selects the routing policy; the two others than
+    adaptive are baselines.
     """
 
     host: str
@@ -64,6 +67,7 @@
     balancer_delay_ms: int = defaults.BALANCER_DELAY_MS
     max_body_bytes: int = defaults.MAX_BODY_BYTES
     policy: str = "adaptive"
+    peers: tuple[str, ...] = ()
 
 
 def parse(document: Any, file: str = "settings") -> Settings:
@@ -76,6 +80,7 @@
         raise UserError("\n".join(lines))
     fields = dict(document)
     fields["peer_keys"] = tuple(fields["peer_keys"])
+    fields["peers"] = tuple(fields.get("peers", ()))
     return Settings(**fields)
 
 
--- a/tests/failure/harness.py
+++ b/tests/failure/harness.py
@@ -327,6 +327,10 @@
         return self
 
     async def __aexit__(self, *exception: Any) -> None:
+        await self.finish()
+
+    async def finish(self) -> None:
+        """Sends no further requests and waits for the answers to those under way."""
         self.ending = True
         ends = await asyncio.gather(*self.tasks, return_exceptions=True)
         bugs = [end for end in ends if isinstance(end, Exception)]
