--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -98,7 +98,7 @@
     """
 
     def __init__(self) -> None:
-        self.prefill = Window(RATES)
+        self.prefills: dict[int, Window] = {}
         self.token = Window(RATES)
         self.sizes = Window(4 * HISTORY)
         self.slowdowns = Window(4 * HISTORY)
@@ -110,6 +110,21 @@
         key = (work.pipeline, work.stage, work.prompt_tokens.bit_length() // 2)
         return self.histories.setdefault(key, Window(HISTORY))
 
+    def prefill(self, work: Work) -> Window:
+        """Time to the first token per prompt token, for prompts of similar length."""
+        return self.prefills.setdefault(work.prompt_tokens.bit_length() // 2, Window(RATES))
+
+    def prefill_ms(self, work: Work) -> float:
+        """The prefill rate: lower quartile; for a new size of prompt the least rate of all.
+
+        Short prompts wait behind others, so their typical rate would overstate a long prompt.
+        """
+        window = self.prefill(work)
+        if len(window) >= MIN_EVIDENCE:
+            return window.quantile(0.25)
+        rates = [w.quantile(0.0) for w in self.prefills.values() if len(w)]
+        return min(rates, default=PREFILL_MS_PER_TOKEN)
+
     def predict(self, work: Work) -> Prediction:
         """Predicts a call.
 
@@ -125,12 +140,14 @@
             return Prediction(0.0, history.quantile(0.5, CALL_MS), lower, 0.0)
         prompt = work.prompt_tokens + PROMPT_OVERHEAD_TOKENS
         tokens = min(work.max_tokens, history.quantile(0.5, work.max_tokens / 2))
-        first = self.prefill.quantile(0.25, PREFILL_MS_PER_TOKEN) * prompt
+        first = self.prefill_ms(work) * prompt
         rest = self.token.quantile(0.25, TOKEN_MS) * tokens
         lower = 0.0
         if sure and len(self.token) >= MIN_EVIDENCE:
             least = min(work.max_tokens, history.quantile(0.0))
-            lower = self.prefill.quantile(0.0) * prompt + self.token.quantile(0.0) * (least - 1)
+            lower = self.prefill(work).quantile(0.0) * prompt + self.token.quantile(0.0) * (
+                least - 1
+            )
         return Prediction(first, rest, max(0.0, lower), tokens)
 
     def learn(
@@ -143,7 +160,7 @@
             return
         self.history(work).add(float(max(1, tokens)))
         if first_ms is not None:
-            self.prefill.add(first_ms / (work.prompt_tokens + PROMPT_OVERHEAD_TOKENS))
+            self.prefill(work).add(first_ms / (work.prompt_tokens + PROMPT_OVERHEAD_TOKENS))
             if tokens > 1:
                 self.token.add((total_ms - first_ms) / (tokens - 1))
 
@@ -179,6 +196,17 @@
     return max(1.0, LONG_SHARE * capacity * targets / hosts)
 
 
+def reserved(targets: int) -> int:
+    """How many of a service's targets get no long work at all.
+
+    A slot is not enough for short work where the prompts of long work delay the whole batch.
+
+    >>> [reserved(n) for n in (1, 3, 4, 6, 100)]
+    [0, 0, 1, 1, 15]
+    """
+    return round(targets * (1 - LONG_SHARE))
+
+
 def queue_ms(ahead_ms: float, above_ms: float, slots: int, call_ms: float) -> float:
     """Expected wait in the queue: (one call + ahead / (1 - load of more important work)) / slots.
 
--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -16,6 +16,7 @@
 from savoryfork.board import Board, TargetView
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.pipeline import Pipeline, Service
+from savoryfork.util import rendezvous
 from savoryfork.util.timer import Clock
 from savoryfork.util.window import Window
 
@@ -144,7 +145,9 @@
         self.offered: deque[tuple[float, float, int]] = deque()
         self.long = 0
         self.long_prefills = 0
+        self.long_prefill_ms = 0.0
         self.most_running = 0
+        self.kept: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
         self.durations = Window(64)
         self.capacities = Window(16)
         self.pool = routing.Pool(0.0, admission.CALL_MS, float("inf"), 1)
@@ -440,16 +443,25 @@
         states = {name: self.target(view) for name, view in allowed.items()}
         loads: dict[str, routing.Load] = {}
 
+        names = list(allowed)
+        kept = self.kept(state, names)
+        others = state.long_prefill_ms * (state.pool.hosts - 1) / max(1, len(names) - len(kept))
+
         def load(name: str) -> routing.Load:
             if name not in loads:
-                loads[name] = self.load_of(state, allowed[name], states[name], now)
+                found = self.load_of(state, allowed[name], states[name], now)
+                if name not in kept:
+                    found = found._replace(prefill_ms=found.prefill_ms + others)
+                loads[name] = found
             return loads[name]
 
         def free(name: str) -> bool:
             limit = routing.limit(load(name), state.pool, state.service.max_inflight)
             target = states[name]
             room = len(target.slots) < limit
-            return room and (not waiter.long or target.long < admission.long_slots(limit))
+            if not room or not waiter.long:
+                return room
+            return name not in kept and target.long < admission.long_slots(limit)
 
         if waiter.long and not self.long_allowed(state, waiter, len(allowed)):
             return None
@@ -471,8 +483,11 @@
             slot.probe = states[probe].probing = True
             return slot
         prediction = waiter.prediction
-        names = list(allowed)
         candidates = routing.sample(names, weight, self.rng, routing.SAMPLES)
+        if kept and not waiter.long:
+            candidates += routing.sample(
+                [n for n in kept if n not in candidates], weight, self.rng, 1
+            )
         if not candidates:
             return None
         costs = {
@@ -502,6 +517,18 @@
         bound = max(1, targets // pool.hosts)
         return waiter.prediction.first_ms == 0 or state.long_prefills < bound
 
+    def kept(self, state: ServiceState, names: list[str]) -> frozenset[str]:
+        """The targets kept free of long work: the same ones on every host, by rendezvous.
+
+        Other hosts are taken to have as much long work elsewhere as this one.
+        """
+        key = tuple(names)
+        if state.kept[0] != key:
+            count = admission.reserved(len(names))
+            order = rendezvous.ranked(f"{state.service.name}/short", names)
+            state.kept = key, frozenset(order[:count])
+        return state.kept[1]
+
     def plain_choice(self, state: ServiceState, allowed: Mapping[str, TargetView]) -> str | None:
         """The baselines: the next target in turn, or the one with the least own calls."""
         names = list(allowed)
@@ -581,7 +608,9 @@
         target.slots.add(slot)
         target.long += slot.long
         state.long += slot.long
-        state.long_prefills += slot.long and slot.prediction.first_ms > 0
+        if slot.long and slot.prediction.first_ms > 0:
+            state.long_prefills += 1
+            state.long_prefill_ms += slot.prediction.first_ms
         target.prefill_ms += waiter.prediction.first_ms
         target.note(now)
         state.held[waiter.work.workspace] += 1
@@ -609,6 +638,7 @@
         target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
         if slot.long and not slot.outgrown and slot.prediction.first_ms > 0:
             state.long_prefills -= 1
+            state.long_prefill_ms = max(0.0, state.long_prefill_ms - slot.prediction.first_ms)
             self.pump(state)
 
     def token_ms(self, state: ServiceState) -> float:
--- a/savoryfork/hedging.py
+++ b/savoryfork/hedging.py
@@ -11,9 +11,10 @@
 RETRY_RESERVE = 3.0
 
 # The slowdown (actual over expected) that a call must exceed: a high quantile of recent ones,
-# because the budget allows a hedge for one call in twenty, and never less than LEAST_SLOWDOWN.
-SLOW_QUANTILE = 0.95
-LEAST_SLOWDOWN = 1.5
+# never less than LEAST_SLOWDOWN. At the 95 % quantile, calls of ordinary length spent the budget
+# before a straggler needed it.
+SLOW_QUANTILE = 0.98
+LEAST_SLOWDOWN = 2.0
 MIN_EVIDENCE = 16
 
 
