--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -73,7 +73,7 @@
     except web.HTTPException:
         raise
     except Exception:
-        log.exception("event=operator_request_failed path=%s id=%s", request.path, request_id)
+        logs.failure(log, "operator_request_failed", path=request.path, id=request_id)
         bug = ServiceError(ErrorKind.INTERNAL, "a fault of this host; its log has the details")
         return json_response(bug.body(request_id), bug.answer.status)
 
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -164,7 +164,7 @@
             raise
         except Exception as error:
             kind = ErrorKind.INTERNAL
-            log.exception("event=run_failed request=%s", request.request_id)
+            logs.failure(log, "run_failed", request=request.request_id)
             ran = Ran.UNKNOWN if run.sent else Ran.NO
             raise ServiceError(kind, "internal error", ran=ran) from error
         finally:
--- a/savoryfork/util/logs.py
+++ b/savoryfork/util/logs.py
@@ -30,8 +30,15 @@
 
 def event(logger: logging.Logger, name: str, level: int = logging.INFO, **fields: Any) -> None:
     """Logs one event. Fields that are None are left out; prompt text and keys never go in."""
-    if not logger.isEnabledFor(level):
-        return
-    pairs = {"event": name}
-    pairs.update({key: value for key, value in fields.items() if value is not None})
-    logger.log(level, pairs)
+    if logger.isEnabledFor(level):
+        logger.log(level, pairs_of(name, fields))
+
+
+def failure(logger: logging.Logger, name: str, **fields: Any) -> None:
+    """Logs the exception that is being handled, a bug, with its traceback."""
+    logger.error(pairs_of(name, fields), exc_info=True)
+
+
+def pairs_of(name: str, fields: dict[str, Any]) -> dict[str, Any]:
+    """The pairs of one line, the event's name first."""
+    return {"event": name} | {key: value for key, value in fields.items() if value is not None}
--- a/savoryfork/util/timer.py
+++ b/savoryfork/util/timer.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from savoryfork.util import logs
+
 log = logging.getLogger(__name__)
 
 Callback = Callable[[], Awaitable[None]]
@@ -118,4 +120,4 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            log.exception("event=timer_callback_failed name=%s", subscription.name)
+            logs.failure(log, "timer_callback_failed", name=subscription.name)
--- a/tests/failure/test_outage.py
+++ b/tests/failure/test_outage.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import AsyncIterator
 from typing import Any
--- /dev/null
+++ b/tests/util/test_logs.py
@@ -0,0 +1,42 @@
+"""Tests for the key=value log lines."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from savoryfork.util import logs
+
+
+class TestLines:
+    @pytest.fixture(autouse=True)
+    def restore(self) -> object:
+        """Puts the root logger back as it was."""
+        root = logging.getLogger()
+        handlers, level = list(root.handlers), root.level
+        yield
+        root.handlers, root.level = handlers, level
+
+    def test_one_line_with_host_and_fields(self, capsys: pytest.CaptureFixture[str]) -> None:
+        """Guards against lines that a log store can't split into pairs."""
+        logs.setup("host-0")
+        logs.event(logging.getLogger("x"), "run_ended", request="r1", error=None, note='a "b"\nc')
+        line = capsys.readouterr().err
+        assert line.count("\n") == 1
+        assert "event=run_ended request=r1" in line
+        assert "host=host-0" in line
+        assert "error=" not in line
+
+    def test_failure_keeps_its_traceback_on_the_line(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """Guards against a bug whose traceback is lost or spread over several lines."""
+        logs.setup("host-0")
+        try:
+            raise ValueError("broken")
+        except ValueError:
+            logs.failure(logging.getLogger("x"), "run_failed", request="r1")
+        line = capsys.readouterr().err
+        assert line.count("\n") == 1
+        assert "event=run_failed" in line and "ValueError: broken" in line
