--- a/savoryfork/util/timer.py
+++ b/savoryfork/util/timer.py
@@ -120,4 +120,4 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            logs.failure(log, "timer_callback_failed", name=subscription.name)
+            logs.failure(log, "timer_callback_failed", subscription=subscription.name)
