Answer retried keys truthfully and within their bound

Cause: failure tests with real processes showed three faults. * A key whose claimant was killed was answered request_in_progress for 60 s after its deadline; the stated bound is deadline + 10 s. * log_unavailable, overloaded, no_targets and not_ready said "ran": "no" to a retried key whose earlier request had run at a host that is gone. The refused request did not run, but the caller asks about its key. * At the deadline a run whose action was answered, but whose outcome was not in the log yet, was answered outcome_unknown although the whole answer was at hand. Found by reading, on the same path: a draining answer of another attempt counted as "not run"; a redirect would have sent an action twice; a service that dedupes could answer "not run" after an earlier attempt had been sent.

Ruled out: a second run.

Change: a claim counts as lost 5 s after its deadline (CLAIM_LOST_AFTER_MS, the permitted clock skew), and a waiting retry wakes then. Refusals before the key's state is known withdraw "not run". The whole answer is given at the deadline. Attempt ids are checked before the draining word.

--- a/savoryfork/caller.py
+++ b/savoryfork/caller.py
@@ -15,7 +15,7 @@
 
 from savoryfork import defaults
 from savoryfork.board import Board
-from savoryfork.claims import Claims
+from savoryfork.claims import Claims, lost
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import Configuration, Pipeline, Workspace, non_idempotent
@@ -152,7 +152,8 @@
                 raise ServiceError(ErrorKind.UNKNOWN_REQUEST, "no request has this key")
         except ServiceError as error:
             return self.error(error, request_id)
-        body: dict[str, Any] = {"key": key, "state": state.state}
+        shown = "unknown" if lost(state, self.clock.wall_ms()) else state.state
+        body: dict[str, Any] = {"key": key, "state": shown}
         if state.state == "done":
             body["answer"] = state.answer
         return json_response(body)
@@ -161,11 +162,14 @@
         """Runs a pipeline for a caller."""
         request_id = uuid.uuid4().hex
         stream: EventStream | None = None
+        run: RunRequest | None = None
         try:
             run, body = await self.admit(request, request_id)
             stream = EventStream(request) if body.get("stream") else None
             answer = await self.run(run, stream)
         except ServiceError as error:
+            if run is None and "Idempotency-Key" in request.headers:
+                error.allow_earlier_run()
             self.metrics.refusals.inc({"kind": error.kind.value})
             if stream is not None and stream.started:
                 return await stream.end("error", error.body(request_id))
--- a/savoryfork/calls.py
+++ b/savoryfork/calls.py
@@ -303,6 +303,8 @@
                 data=msgspec.json.encode(body),
                 headers=headers,
                 trace_request_ctx=progress,
+                # Following a redirect would send the request a second time.
+                allow_redirects=False,
             ) as response:
                 await self.check_answer(response, attempt)
                 if attempt.stream is not None:
@@ -321,10 +323,11 @@
     async def check_answer(self, response: aiohttp.ClientResponse, attempt: Attempt) -> None:
         """Checks the status and that the answer belongs to this attempt."""
         self.note_headers(response, attempt.target)
-        if response.headers.get("X-Target-State") == "draining" and response.status == 503:
-            raise CallError("draining", CallResult.CANCELLED, sent=False, draining=True)
+        # Another attempt's refusal says nothing of this one, which may have run.
         if response.headers.get("X-Attempt-Id") != attempt.id:
             raise CallError("another attempt's answer", CallResult.MISMATCHED, sent=True)
+        if response.headers.get("X-Target-State") == "draining" and response.status == 503:
+            raise CallError("draining", CallResult.CANCELLED, sent=False, draining=True)
         if response.status == 422 and attempt.key is not None:
             raise ActionRejected(msgspec.json.decode(await response.read()))
         if response.status != 200:
--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -25,7 +25,7 @@
 from savoryfork.util import logs, rendezvous
 from savoryfork.util.timer import Clock
 
-__all__ = ["ClaimRequestData", "Claims", "Existing", "KeyState", "Won", "omitted"]
+__all__ = ["ClaimRequestData", "Claims", "Existing", "KeyState", "Won", "lost", "omitted"]
 
 log = logging.getLogger(__name__)
 
@@ -432,6 +432,15 @@
             return Reply(Status.LOG_UNAVAILABLE)
 
 
+def lost(state: KeyState, wall_ms: float) -> bool:
+    """True if a run has not ended although its own caller must have been answered long ago.
+
+    Its claimant is gone, or frozen, or still waits for the answer of the action; nobody can tell.
+    """
+    end_ms = state.deadline_wall_ms + defaults.CLAIM_LOST_AFTER_MS
+    return state.state == RUNNING and wall_ms >= end_ms
+
+
 def check_same_request(request: ClaimRequestData, state: KeyState) -> None:
     """Raises IDEMPOTENCY_KEY_MISMATCH if the key was claimed for another request."""
     if (request.pipeline, request.digest) != (state.pipeline, state.digest):
--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -45,6 +45,10 @@
 CLAIM_TIMEOUT_MS = 1_500
 DEDUPLICATION_WINDOW_MS = 3_600_000
 CLOCK_SKEW_MS = 5_000
+
+# A claim without an outcome this long after its deadline is answered as outcome_unknown. The
+# claimant itself answers so at the deadline; the clocks may differ by CLOCK_SKEW_MS.
+CLAIM_LOST_AFTER_MS = 5_000
 MAX_STORED_ANSWER_BYTES = 262_144
 
 # Larger answers are read back from the log when a caller asks for them again. Kept in memory, an
--- a/savoryfork/errors.py
+++ b/savoryfork/errors.py
@@ -112,6 +112,15 @@
         """The row of the table for this error's kind."""
         return ANSWERS[self.kind]
 
+    def allow_earlier_run(self) -> None:
+        """Withdraws "not run" from a refusal that came before the state of the key was known.
+
+        The refused request did not run, but an earlier one with the same idempotency key may have,
+        and the caller asks about the key. Errors that no retry can help keep their answer.
+        """
+        if self.ran is Ran.NO and self.answer.retry:
+            self.ran = Ran.UNKNOWN
+
     def body(self, request_id: str) -> dict[str, Any]:
         """The JSON body that reports this error to a caller or an operator."""
         error: dict[str, Any] = {
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -24,7 +24,7 @@
     TokenStream,
     generation_prompt,
 )
-from savoryfork.claims import ClaimRequestData, Claims, Existing, KeyState
+from savoryfork.claims import ClaimRequestData, Claims, Existing, KeyState, lost
 from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.metrics import Metrics
@@ -89,7 +89,12 @@
 
 
 class Run:
-    """The state of one run. `sent` is True once any attempt may have reached a target."""
+    """The state of one run.
+
+    `sent` is True once any attempt may have reached a target. `held` is True once the run holds
+    its key, so that no earlier run of the key can have taken effect. `whole` is the answer of a
+    run under a claim whose outcome may not be recorded yet.
+    """
 
     def __init__(self, request: RunRequest, on_token: TokenCallback) -> None:
         self.request = request
@@ -103,6 +108,8 @@
         self.reports: list[StageReport] = []
         self.sent = False
         self.action_sent = False
+        self.held = False
+        self.whole: RunAnswer | None = None
         self.stage: str | None = None
 
     def answer(self) -> RunAnswer:
@@ -159,13 +166,16 @@
             return await self.outcome(run)
         except ServiceError as error:
             kind = error.kind
+            if request.key is not None and not run.held:
+                error.allow_earlier_run()
             raise
         except asyncio.CancelledError:
             raise
         except Exception as error:
             kind = ErrorKind.INTERNAL
             log.exception("event=run_failed request=%s", request.request_id)
-            ran = Ran.UNKNOWN if run.sent else Ran.NO
+            known = request.key is None or run.held
+            ran = Ran.NO if known and not run.sent else Ran.UNKNOWN
             raise ServiceError(kind, "internal error", ran=ran) from error
         finally:
             self.inflight -= 1
@@ -231,6 +241,7 @@
         if isinstance(claimed, Existing):
             self.metrics.claims.inc({"result": "existing"})
             return await self.existing_answer(run, claimed.state)
+        run.held = True
         self.metrics.claims.inc({"result": "won"})
         # The action and its outcome go on when the caller is gone or its deadline has passed.
         task = asyncio.create_task(self.run_holding(run, data, claimed.claim))
@@ -241,6 +252,8 @@
         done, _ = await asyncio.wait([task], timeout=remaining_s)
         if done:
             return task.result()
+        if run.whole is not None:
+            return run.whole
         if run.action_sent:
             raise ServiceError(
                 ErrorKind.OUTCOME_UNKNOWN,
@@ -273,7 +286,7 @@
             else:
                 await asyncio.shield(self.claims.release(data, claim))
             raise
-        answer = run.answer()
+        answer = run.whole = run.answer()
         await self.settle(data, claim, "done", answer)
         return answer
 
@@ -287,7 +300,9 @@
         request = run.request
         assert request.key is not None
         if state.state == "running":
-            wait_ms = max(0.0, request.deadline_ms - self.clock.monotonic_ms() - 50)
+            wait_ms = request.deadline_ms - self.clock.monotonic_ms() - 50
+            lost_ms = state.deadline_wall_ms + defaults.CLAIM_LOST_AFTER_MS
+            wait_ms = max(0.0, min(wait_ms, lost_ms - self.clock.wall_ms()))
             latest = await self.claims.lookup(request.workspace.name, request.key, wait_ms)
             state = latest or state
         if state.state == "done" and state.answer is not None:
@@ -302,7 +317,7 @@
             raise rejected(state.answer, None)
         if state.state == "unknown":
             raise ServiceError(ErrorKind.OUTCOME_UNKNOWN, "an earlier run's outcome is unknown")
-        if state.state == "running" and self.clock.wall_ms() > state.deadline_wall_ms + 60_000:
+        if lost(state, self.clock.wall_ms()):
             raise ServiceError(
                 ErrorKind.OUTCOME_UNKNOWN, "an earlier run of this key ended without an outcome"
             )
@@ -388,17 +403,19 @@
         service = run.request.configuration.services[stage.service]
         exclude: frozenset[str] = frozenset()
         count = 0
+        sent_before = False
         while True:
             try:
                 slot = await self.acquire(run, stage, exclude)
                 count += 1
                 run.given = await self.attempt(run, stage, slot, None)
             except CallError as error:
+                sent_before = sent_before or error.sent
                 if service.dedupes and self.clock.monotonic_ms() < run.request.deadline_ms:
                     exclude = self.next_exclude(run, stage, exclude, slot.target.name)
                     await asyncio.sleep(0.02 * min(count, 10))
                     continue
-                if error.sent:
+                if sent_before:
                     run.action_sent = True
                     raise ServiceError(
                         ErrorKind.OUTCOME_UNKNOWN,
