Skip unreadable records, keep calls in flight, and take seed peers

Causes: * LogClient.call decoded a page as a whole, so a lone surrogate, deep nesting or an out-of-range number raised DecodeError or RecursionError out of TopicReader.run and ended the reader. The decoder's recursion limit also depends on the caller's stack, so hosts could differ. * PeerClient.call closed the shared channel after any timeout, which broke the claims in flight. * A daemon that starts while the platform is down has no host list, hence nobody to ask.

Change: values are decoded one by one; one that can't be read, or is nested deeper than 100, is an empty object on every host. A channel without an answer takes no new calls and is closed when its last call ends; an error answer keeps it. `seed_peers` in the settings are asked at the bootstrap.

--- a/savoryfork/claimfold.py
+++ b/savoryfork/claimfold.py
@@ -193,7 +193,7 @@
             self.recent.append((value["id"], key_id))
             if not expired:
                 self.apply_to(self.entry(key_id), record)
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError, ValueError, OverflowError):
             return
 
     def apply_to(self, entry: Entry, record: Record) -> None:
--- a/savoryfork/gossip.py
+++ b/savoryfork/gossip.py
@@ -390,20 +390,29 @@
         """
         if self.fold.stopped_at is not None:
             return False
-        answers = await self.ask(list(self.board.hosts.values()), wanted=False)
+        candidates = self.bootstrap_hosts()
+        answers = await self.ask(candidates.values(), wanted=False)
         ready = [(reply.config_position, view.name) for view, reply in answers if reply.ready]
         if not ready:
             return False
         position, name = max(ready)
-        view = self.board.hosts.get(name)
-        if view is not None and self.fold.position < position:
-            await self.pull(view.address, name)
+        if self.fold.position < position:
+            await self.pull(candidates[name].address, name)
         if self.fold.position < position:
             return False
         self.controller.set_ready("peer")
         self.controller.refresh()
         return True
 
+    def bootstrap_hosts(self) -> dict[str, HostView]:
+        """The known hosts by name, and the seed peers that are not among them by address."""
+        hosts = dict(self.board.hosts)
+        known = {self.settings.peer_address, *(view.address for view in hosts.values())}
+        for address in self.settings.seed_peers:
+            if address not in known:
+                hosts[address] = HostView(address, address, "", "")
+        return hosts
+
     async def spread(self, offset: int, deadline_ms: float) -> tuple[dict[str, int], list[str]]:
         """Waits until every live host reports `offset`, by the monotonic `deadline_ms`.
 
--- a/savoryfork/peers.py
+++ b/savoryfork/peers.py
@@ -89,44 +89,68 @@
             raise GRPCError(Status.UNAUTHENTICATED, "unknown peer key")
 
 
+class SharedChannel:
+    """A channel and the number of calls in flight on it.
+
+    `retired` channels take no new calls and are closed when the last call has ended.
+    """
+
+    def __init__(self, address: str) -> None:
+        ip, port = split_address(address)
+        self.channel = Channel(ip, port)
+        self.calls = 0
+        self.retired = False
+
+    def end_call(self) -> None:
+        """Notes that a call has ended."""
+        self.calls -= 1
+        if self.retired and not self.calls:
+            self.channel.close()
+
+
 class PeerClient:
-    """Keeps one channel to each other host, opened at its first use."""
+    """Keeps one channel to each other host, opened at its first use.
+
+    After a call without an answer the next call opens a new connection, since the old one may be
+    dead. Other calls on the old one go on: one slow answer says nothing about theirs.
+    """
 
     def __init__(self, key: str) -> None:
         self.metadata = {"authorization": f"Bearer {key}"}
-        self.channels: dict[str, Channel] = {}
+        self.channels: dict[str, SharedChannel] = {}
 
-    def stub(self, address: str) -> peer_grpc.PeerStub:
-        """The stub for the host at `address` (ip:port)."""
-        channel = self.channels.get(address)
-        if channel is None:
-            ip, port = split_address(address)
-            channel = self.channels[address] = Channel(ip, port)
-        return peer_grpc.PeerStub(channel)
+    def shared(self, address: str) -> SharedChannel:
+        """The channel for new calls to the host at `address` (ip:port)."""
+        shared = self.channels.get(address)
+        if shared is None:
+            shared = self.channels[address] = SharedChannel(address)
+        return shared
 
     async def call(self, address: str, method: str, request: Any, timeout_ms: float) -> Any:
         """Calls `method` of the host at `address`; raises PeerUnavailable if no answer came."""
+        shared = self.shared(address)
+        shared.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                unary = getattr(self.stub(address), method)
+                unary = getattr(peer_grpc.PeerStub(shared.channel), method)
                 return await unary(request, metadata=self.metadata)
-        except (
-            TimeoutError,
-            OSError,
-            GRPCError,
-            ProtocolError,
-            StreamTerminatedError,
-        ) as error:
-            self.drop(address)
+        except GRPCError as error:
+            # The host answered, so the connection is good.
+            raise PeerUnavailable(f"{address}: {method}: {error.status.name}") from error
+        except (TimeoutError, OSError, ProtocolError, StreamTerminatedError) as error:
+            self.retire(address, shared)
             raise PeerUnavailable(f"{address}: {method}: {type(error).__name__}") from error
+        finally:
+            shared.end_call()
 
-    def drop(self, address: str) -> None:
-        """Forgets a channel, so that the next call opens a new connection."""
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def retire(self, address: str, shared: SharedChannel) -> None:
+        """Lets the next call open a new connection; the calls in flight go on."""
+        shared.retired = True
+        if self.channels.get(address) is shared:
+            del self.channels[address]
 
     def close(self) -> None:
         """Closes all channels."""
-        for address in list(self.channels):
-            self.drop(address)
+        channels, self.channels = self.channels, {}
+        for shared in channels.values():
+            shared.channel.close()
--- a/savoryfork/settings.py
+++ b/savoryfork/settings.py
@@ -36,6 +36,7 @@
         "peer_address": ADDRESS,
         "platform_url": URL,
         "peer_keys": {"type": "array", "items": KEY, "minItems": 1, "maxItems": 2},
+        "seed_peers": {"type": "array", "items": ADDRESS, "maxItems": 64},
         "operator_keys": {"type": "object", "additionalProperties": KEY},
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
         "balancer_delay_ms": {"type": "integer", "minimum": 0, "maximum": 60_000},
@@ -49,7 +50,9 @@
     """What one host is told at its start. Addresses are IP numbers with a port.
 
     The first of `peer_keys` is sent, each of them is accepted, so that a key can be rotated.
-    `policy` selects the routing policy; the two others than adaptive are baselines.
+    `policy` selects the routing policy; the two others than adaptive are baselines. `seed_peers`
+    are peer addresses to take the configuration from if the platform is down at the start, when
+    there is no host list; they are used for nothing else.
     """
 
     host: str
@@ -64,6 +67,7 @@
     balancer_delay_ms: int = defaults.BALANCER_DELAY_MS
     max_body_bytes: int = defaults.MAX_BODY_BYTES
     policy: str = "adaptive"
+    seed_peers: tuple[str, ...] = ()
 
 
 def parse(document: Any, file: str = "settings") -> Settings:
@@ -75,7 +79,8 @@
         lines = [f"{file}: {'/'.join(map(str, e.path)) or '.'}: {e.message}" for e in errors]
         raise UserError("\n".join(lines))
     fields = dict(document)
-    fields["peer_keys"] = tuple(fields["peer_keys"])
+    for name in ("peer_keys", "seed_peers"):
+        fields[name] = tuple(fields.get(name, ()))
     return Settings(**fields)
 
 
--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -14,6 +15,15 @@
 
 log = logging.getLogger(__name__)
 
+# A record nested deeper than this has no effect. The decoder's own limit depends on how deep the
+# stack is at the call, so it would differ between hosts.
+MAX_NESTING = 100
+
+BRACKETS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
+# Brackets that enclose the value of a record: the answer, its list of records, and the record.
+VALUE_NESTING = 3
+
 
 class Record(NamedTuple):
     """One record of a topic; `time_ms` is the log's Unix time of the append."""
@@ -44,6 +54,90 @@
         self.end = end
 
 
+class RawRecord(msgspec.Struct):
+    """A record whose value is not decoded yet."""
+
+    offset: int
+    time_ms: int
+    value: msgspec.Raw
+
+
+class RawPage(msgspec.Struct):
+    """The body of a read's answer."""
+
+    records: list[RawRecord]
+    start: int
+    end: int
+
+
+def nesting(value: bytes) -> int:
+    """How deep a JSON text is nested; needs no recursion itself.
+
+    >>> nesting(b'{"a": [1, "[["]}')
+    2
+    """
+    depth = deepest = 0
+    for token in BRACKETS.finditer(value):
+        if token[0] in b"[{":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif token[0] in b"]}":
+            depth -= 1
+    return deepest
+
+
+def decode_value(value: bytes) -> Any | None:
+    """The value of a record, None if it can't be read; the same on every host.
+
+    >>> decode_value(b'{"a": 1}'), decode_value(b'{"a": "\\\\ud800"}')
+    ({'a': 1}, None)
+    """
+    brackets = value.count(b"[") + value.count(b"{")
+    if brackets > MAX_NESTING and nesting(value) > MAX_NESTING:
+        return None
+    try:
+        return msgspec.json.decode(value)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return None
+
+
+def without_unreadable(body: bytes) -> bytes:
+    """The body of a read's answer with an empty object for each value that can't be read."""
+    parts = []
+    depth = begin = copied = 0
+    for token in BRACKETS.finditer(body):
+        if token[0] in b"[{":
+            if depth == VALUE_NESTING:
+                begin = token.start()
+            depth += 1
+        elif token[0] in b"]}":
+            depth -= 1
+            if depth == VALUE_NESTING and decode_value(body[begin : token.end()]) is None:
+                parts += [body[copied:begin], b"{}"]
+                copied = token.end()
+    return b"".join([*parts, body[copied:]])
+
+
+def decode_page(topic: str, body: bytes) -> Page:
+    """Decodes the answer to a read; a record that can't be read gets an empty value.
+
+    An empty value has no effect on any fold, so that one bad record does not stop the topic.
+    Raises msgspec.DecodeError if the answer is not of the form of a page.
+    """
+    try:
+        page = msgspec.json.decode(body, type=RawPage)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        page = msgspec.json.decode(without_unreadable(body), type=RawPage)
+    records = []
+    for raw in page.records:
+        value = decode_value(bytes(raw.value))
+        if not isinstance(value, dict) or not value:
+            value = {}
+            logs.event(log, "record_unreadable", logging.WARNING, topic=topic, offset=raw.offset)
+        records.append(Record(raw.offset, raw.time_ms, value))
+    return Page(records, page.start, page.end)
+
+
 class LogClient:
     """Reads and appends over HTTP. `on_state` is told whether each call got an answer."""
 
@@ -68,7 +162,10 @@
         """
         body = msgspec.json.encode({"records": list(records)})
         answer = await self.call("POST", topic, timeout_ms or self.timeout_ms, data=body)
-        return int(answer["first_offset"])
+        try:
+            return int(msgspec.json.decode(answer)["first_offset"])
+        except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+            raise LogUnavailable(f"{topic}: the answer to an append can't be read") from error
 
     async def read(self, topic: str, offset: int, limit: int, wait_ms: float = 0) -> Page:
         """Reads from `offset` on, waiting up to `wait_ms` for a first record.
@@ -77,10 +174,12 @@
         """
         params = {"from": str(offset), "limit": str(limit), "wait_ms": str(int(wait_ms))}
         answer = await self.call("GET", topic, self.timeout_ms + wait_ms, params=params)
-        records = [Record(r["offset"], r["time_ms"], r["value"]) for r in answer["records"]]
-        return Page(records, answer["start"], answer["end"])
+        try:
+            return decode_page(topic, answer)
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+            raise LogUnavailable(f"{topic}: the answer to a read can't be read") from error
 
-    async def call(self, method: str, topic: str, timeout_ms: float, **kwargs: Any) -> Any:
+    async def call(self, method: str, topic: str, timeout_ms: float, **kwargs: Any) -> bytes:
         """One HTTP call; every failure but an expired offset is LogUnavailable."""
         url = f"{self.url}/topics/{topic}/records"
         try:
@@ -99,7 +198,7 @@
             self.on_state(False)
             raise LogUnavailable(f"{topic}: the log answered {status}")
         self.on_state(True)
-        return msgspec.json.decode(body)
+        return body
 
 
 class Fold:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,13 +3,28 @@
 from __future__ import annotations
 
 import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryfork.calls import CallError, StageInput, Superseded, TokenStream, output
-from savoryfork.pipeline import RerankStage, RetrieveStage
+from savoryfork.board import Board, TargetView
+from savoryfork.calls import (
+    Attempt,
+    CallError,
+    StageInput,
+    Superseded,
+    TargetClient,
+    TokenStream,
+    output,
+)
+from savoryfork.dispatch import CallResult
+from savoryfork.membership import Membership
+from savoryfork.pipeline import ActionStage, RerankStage, RetrieveStage
+from savoryfork.util.timer import system_clock
 
 TOKENS = [f"t{index} " for index in range(12)]
 
@@ -65,3 +80,74 @@
         answer = {"results": [{"index": 3, "relevance_score": 1.0}]}
         with pytest.raises(LookupError):
             output(RerankStage("r", "s", 2), self.GIVEN, answer)
+
+
+@contextlib.asynccontextmanager
+async def target(
+    handler: Callable[[web.Request], Awaitable[web.Response]],
+) -> AsyncIterator[tuple[TargetClient, TargetView]]:
+    """A target that answers every action by `handler`, and a client for it."""
+    app = web.Application()
+    app.router.add_post("/v1/actions/{action}", handler)
+    async with TestServer(app) as server:
+        clock = system_clock()
+        client = TargetClient(clock, Membership(Board(), clock, "host-a"))
+        view = TargetView("orders-0", "orders", f"{server.host}:{server.port}", "zone-a", "i")
+        try:
+            yield client, view
+        finally:
+            await client.close()
+
+
+async def attempt_action(
+    client: TargetClient, view: TargetView, before_send: Callable[[], None] = lambda: None
+) -> CallError:
+    """Makes one attempt that must fail, and returns its error."""
+    deadline_ms = client.clock.monotonic_ms() + 2_000
+    frame = Attempt(
+        "mine", view, deadline_ms, "key", None, before_send, lambda: None, lambda tokens: None
+    )
+    with pytest.raises(CallError) as caught:
+        await client.attempt(ActionStage("s", "orders", "place"), StageInput("", {}), frame)
+    return caught.value
+
+
+class TestActionAttempt:
+    async def test_nothing_leaves_after_a_veto(self) -> None:
+        """Guards against an action that reaches its target although the last check stopped it."""
+        calls = []
+
+        async def answer(request: web.Request) -> web.Response:
+            calls.append(request)
+            return web.json_response({"result": 1}, headers={"X-Attempt-Id": "mine"})
+
+        def veto() -> None:
+            raise CallError("late", CallResult.CANCELLED, sent=False)
+
+        async with target(answer) as (client, view):
+            error = await attempt_action(client, view, veto)
+        assert not error.sent and not calls
+
+    async def test_draining_answer_of_another_attempt_is_no_refusal(self) -> None:
+        """Guards against "not run" for an action that ran and got another call's answer."""
+
+        async def answer(request: web.Request) -> web.Response:
+            headers = {"X-Attempt-Id": "other", "X-Target-State": "draining"}
+            return web.json_response({}, status=503, headers=headers)
+
+        async with target(answer) as (client, view):
+            error = await attempt_action(client, view)
+        assert error.sent and error.result is CallResult.MISMATCHED
+
+    async def test_redirect_is_not_followed(self) -> None:
+        """Guards against an action that is sent a second time because a target redirects it."""
+        calls = []
+
+        async def answer(request: web.Request) -> web.Response:
+            calls.append(request)
+            headers = {"X-Attempt-Id": "mine", "Location": "/v1/actions/again"}
+            return web.Response(status=307, headers=headers)
+
+        async with target(answer) as (client, view):
+            error = await attempt_action(client, view)
+        assert error.sent and len(calls) == 1
--- /dev/null
+++ b/tests/test_runner.py
@@ -0,0 +1,108 @@
+"""Tests for the last checks before an action leaves, against a target over loopback."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from aiohttp import web
+
+from savoryfork import defaults
+from savoryfork.board import Board, TargetView
+from savoryfork.burn import BurnRecorder
+from savoryfork.calls import CallError, TargetClient
+from savoryfork.dispatch import CallResult
+from savoryfork.errors import Ran, ServiceError
+from savoryfork.metrics import Metrics
+from savoryfork.pipeline import (
+    ActionStage,
+    Configuration,
+    Objective,
+    Pipeline,
+    Service,
+    Workspace,
+)
+from savoryfork.runner import Run, Runner, RunRequest
+from savoryfork.util.timer import Clock, TimerService
+from tests.test_calls import target
+
+STAGE = ActionStage("place", "orders", "place")
+
+
+def make_run(deadline_ms: float, *, dedupes: bool) -> Run:
+    """A run of one action on a service that is not idempotent."""
+    service = Service("orders", "plain", False, False, dedupes, 8, "")
+    pipeline = Pipeline("p", (STAGE,), 1_000, 1, Objective(0.9, 30))
+    workspace = Workspace("w", (), ("p",), 1.0)
+    configuration = Configuration(0, {"orders": service}, {"p": pipeline}, {"w": workspace})
+    request = RunRequest(
+        "r", workspace, pipeline, configuration, "", {}, None, 1, deadline_ms, "key", "digest"
+    )
+    return Run(request, lambda index, text: None)
+
+
+class Targets:
+    """A dispatcher that gives out the same target again and again."""
+
+    def __init__(self, view: Any) -> None:
+        self.view = view
+
+    async def acquire(self, *given: Any) -> Any:
+        return SimpleNamespace(target=self.view)
+
+    def release(self, *given: Any) -> None:
+        pass
+
+
+def make_runner(client: TargetClient, view: Any, clock: Clock) -> Runner:
+    """A runner whose claims are not used."""
+    board = Board()
+    board.targets[view.name] = view
+    timer = TimerService(clock, defaults.TIMER_TICK_MS)
+    targets, claims = cast(Any, Targets(view)), cast(Any, None)
+    return Runner(board, timer, targets, client, claims, BurnRecorder(), Metrics())
+
+
+class TestAction:
+    async def test_deadline_is_checked_before_the_first_byte(self) -> None:
+        """Guards against an action that leaves after the deadline when the process was paused
+        between the choice of a target and the connection to it."""
+        calls = []
+
+        async def answer(request: web.Request) -> web.Response:
+            calls.append(request)
+            return web.json_response({"result": 1})
+
+        async with target(answer) as (client, view):
+            run = make_run(client.clock.monotonic_ms(), dedupes=False)
+            runner = make_runner(client, view, client.clock)
+            slot = cast(Any, SimpleNamespace(target=view))
+            with pytest.raises(CallError) as caught:
+                await runner.attempt(run, STAGE, slot, None)
+        assert caught.value.result is CallResult.CANCELLED and not caught.value.sent
+        assert not calls and not run.action_sent
+
+    async def test_unsent_attempt_does_not_hide_an_earlier_one(self) -> None:
+        """Guards against "not run" when the last attempt never left but one before it did, at a
+        service that recognizes repeated keys."""
+        failures = [
+            (1_000.0, CallError("reset", CallResult.FAILED, sent=True)),
+            (3_000.0, CallError("late", CallResult.CANCELLED, sent=False)),
+        ]
+        now_ms = 0.0
+
+        async def attempt(run: Run, *given: Any) -> Any:
+            nonlocal now_ms
+            now_ms, error = failures.pop(0)
+            run.action_sent = run.action_sent or error.sent
+            raise error
+
+        view = TargetView("orders-0", "orders", "127.0.0.1:9", "zone-a", "i")
+        clock = Clock(lambda: now_ms, lambda: now_ms)
+        runner = make_runner(cast(Any, None), view, clock)
+        runner.attempt = attempt  # type: ignore[method-assign]
+        run = make_run(2_000, dedupes=True)
+        with pytest.raises(ServiceError) as caught:
+            await runner.run_action(run, STAGE)
+        assert caught.value.ran is Ran.UNKNOWN and run.action_sent and not failures
