--- a/savoryfork/pipeline.py
+++ b/savoryfork/pipeline.py
@@ -12,6 +12,10 @@
     `kind` is one of engine, encoder, retriever, reranker and plain. `max_inflight` bounds the
     concurrent calls of one host to one target. `checks_orders` says whether its targets refuse an
     order with an old fencing number, `dedupes` whether they ignore a repeated idempotency key.
+
+    `version`, `adapters` and `roles` are the declared state of engines; orders are sent only for
+    those that are given. `version` is that of `model`, `adapters` all adapters that shall be
+    loaded, `roles` pairs of a role and the share of targets that have it (the rest has `both`).
     """
 
     name: str
@@ -21,6 +25,9 @@
     dedupes: bool = False
     max_inflight: int = 16
     model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] | None = None
+    roles: tuple[tuple[str, float], ...] | None = None
 
 
 class EncodeStage(NamedTuple):
--- a/savoryfork/publication.py
+++ b/savoryfork/publication.py
@@ -90,6 +90,11 @@
 
 
 REFERENCE = {"type": "string", "pattern": NAME}
+WEIGHTS = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}\Z"}
+SHARE = {"type": "number", "minimum": 0, "maximum": 1}
+
+# Shares such as 0.1, 0.2 and 0.7 may add up to slightly more than 1.
+ROUNDING = 1e-9
 
 FILE_SCHEMAS: dict[str, dict[str, Any]] = {
     "service": object_schema(
@@ -101,6 +106,9 @@
         dedupes={"type": "boolean"},
         max_inflight={"type": "integer", "minimum": 1, "maximum": 10_000},
         model={"type": "string", "minLength": 1, "maxLength": 200},
+        version=WEIGHTS,
+        adapters={"type": "array", "maxItems": 64, "uniqueItems": True, "items": WEIGHTS},
+        roles=object_schema([], prefill=SHARE, decode=SHARE, both=SHARE),
     ),
     "pipeline": object_schema(
         ["kind", "deadline_ms", "stages"],
@@ -300,6 +308,14 @@
         yield Problem(path, ".", "field 'idempotent' is missing: a plain service must state it")
     if kind != "plain" and document.get("idempotent") is False:
         yield Problem(path, "idempotent", "only a plain service may be non-idempotent")
+    for field in ("version", "adapters", "roles"):
+        if field in document and kind != "engine":
+            yield Problem(path, field, "only an engine takes orders; remove the field")
+    roles = document.get("roles")
+    if isinstance(roles, dict):
+        shares = [share for share in roles.values() if type(share) in (int, float)]
+        if sum(shares) > 1 + ROUNDING:
+            yield Problem(path, "roles", "the shares of targets must not add up to more than 1")
 
 
 def stage_problems(path: str, index: int, stage: Any) -> Iterator[Problem]:
@@ -345,6 +361,9 @@
         document.get("dedupes", False),
         int(document.get("max_inflight", defaults.MAX_TARGET_INFLIGHT)),
         document.get("model", ""),
+        document.get("version", ""),
+        tuple(sorted(document["adapters"])) if "adapters" in document else None,
+        tuple(sorted(document["roles"].items())) if "roles" in document else None,
     )
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -174,6 +174,7 @@
         self.fencing = -1
         self.orders: list[dict[str, Any]] = []
         self.order_lock = asyncio.Lock()
+        self.pending = 0
         self.tasks: set[asyncio.Task[Any]] = set()
         self.work = asyncio.Event()
         super().__init__(
@@ -195,6 +196,7 @@
             "adapters": sorted(self.adapters),
             "role": self.role,
             "fencing": self.fencing,
+            "pending": self.pending,
             "orders": self.orders,
             "cached_blocks": len(self.cache.entries),
             "steps": self.steps,
@@ -490,11 +492,19 @@
                 {"error": {"message": "old fencing number"}, "fencing": self.fencing}, 409
             )
         self.fencing = max(self.fencing, fencing)
+        self.pending += 1
         self.spawn(self.apply(order))
         return server.reply({"accepted": True}, 202)
 
     async def apply(self, order: Order) -> None:
-        """Carries out one order after those before it."""
+        """Carries out one order after those before it; `pending` counts those not yet done."""
+        try:
+            await self.carry_out(order)
+        finally:
+            self.pending -= 1
+
+    async def carry_out(self, order: Order) -> None:
+        """Waits for the earlier orders and does what this one says."""
         async with self.order_lock:
             match order["kind"]:
                 case "load_model":
--- /dev/null
+++ b/tests/test_leasefold.py
@@ -0,0 +1,131 @@
+"""Tests for `savoryfork.leasefold`."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savoryfork.leasefold import FORGET_MS, SETTLE_MS, LeaseFold
+from savoryfork.util.topic import Record
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["acquire", "renew", "release"]),
+        st.sampled_from(["a", "b", "c"]),
+        st.integers(0, 3),  # which of the last leases the record names; 0 is the newest
+        st.sampled_from([0, 1_000, FORGET_MS // 2, FORGET_MS, FORGET_MS + 1]),
+    ),
+    max_size=30,
+)
+
+
+def record(offset: int, time_ms: int, kind: str, holder: str, lease: int) -> Record:
+    """A record of service `s`; its id is its offset."""
+    value = {"schema": 1, "type": kind, "id": str(offset), "service": "s", "holder": holder}
+    value |= {"lease": lease, "after": lease, "ttl_ms": 10_000, "config": offset}
+    return Record(offset, time_ms, value)
+
+
+def history(steps: list[tuple[str, str, int, int]]) -> list[Record]:
+    """Records that name recent leases; a renewal names only a lease that its holder has won, as
+    the protocol demands of hosts."""
+    records: list[Record] = []
+    now = 0
+    for kind, holder, back, wait in steps:
+        now += wait
+        won = naive_winners(records)
+        if kind == "renew":
+            won = [w for w in won if records[w].value["holder"] == holder]
+        lease = won[-1 - back] if back < len(won) else -1
+        if kind == "acquire" or lease >= 0:
+            records.append(record(len(records), now, kind, holder, lease))
+    return records
+
+
+def naive_winners(records: list[Record]) -> list[int]:
+    """Offsets of the acquire records that won, found by looking back at each."""
+    winners: list[int] = []
+    for r in records:
+        if r.value["type"] != "acquire":
+            continue
+        if winners and r.value["after"] != winners[-1]:
+            held = records[winners[-1]]
+            last_ms = held.time_ms
+            for x in records[held.offset + 1 : r.offset]:
+                if (x.value["lease"], x.value["holder"]) == (held.offset, held.value["holder"]):
+                    if x.value["type"] == "release":
+                        break
+                    if x.value["type"] == "renew":
+                        last_ms = x.time_ms
+            if r.time_ms - last_ms <= FORGET_MS:
+                continue
+        winners.append(r.offset)
+    return winners
+
+
+def fold_of(records: list[Record], start: int = 0) -> LeaseFold:
+    fold = LeaseFold()
+    fold.restart(start)
+    for r in records[start:]:
+        fold.apply(r)
+    return fold
+
+
+class TestLeaseFold:
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(STEPS)
+    def test_same_winners_as_naive(self, steps: list[tuple[str, str, int, int]]) -> None:
+        """Guards against two hosts that both read that they won the same lease."""
+        records = history(steps)
+        fold = LeaseFold()
+        seen = []
+        for r in [*records, *records]:  # a page read twice changes nothing
+            fold.apply(r)
+            if fold.leases and (not seen or seen[-1] != fold.leases["s"].offset):
+                seen.append(fold.leases["s"].offset)
+        assert seen == naive_winners(records)
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(STEPS, st.integers(0, 30))
+    def test_reader_past_retention_agrees_once_settled(
+        self, steps: list[tuple[str, str, int, int]], cut: int
+    ) -> None:
+        """Guards against a host that starts on a trimmed log and believes in another holder."""
+        records = history(steps)
+        whole, partial = fold_of(records), fold_of(records, min(cut, len(records)))
+        if not partial.settled or not records:
+            return
+        last_ms = records[-1].time_ms
+        leases = [fold.leases.get("s") for fold in (whole, partial)]
+        live = [x.offset if x and last_ms - x.record_ms <= FORGET_MS else -1 for x in leases]
+        assert live[0] == live[1]
+
+    def test_second_copy_of_an_acquire_loses(self) -> None:
+        """Guards against a lease that changes hands when a lost append is repeated."""
+        first = record(0, 0, "acquire", "a", -1)
+        fold = fold_of([first, record(1, 0, "acquire", "b", 0), first._replace(offset=2)])
+        assert (fold.leases["s"].holder, fold.leases["s"].offset) == ("b", 1)
+
+    def test_configuration_never_goes_back(self) -> None:
+        """Guards against a new holder that undoes a newer declared state."""
+        records = [record(0, 0, "acquire", "a", -1), record(1, 0, "acquire", "b", 0)]
+        records[0].value["config"] = 7
+        assert fold_of(records).leases["s"].config == 7
+
+    @pytest.mark.parametrize(
+        "change", [{"ttl_ms": 0}, {"ttl_ms": FORGET_MS}, {"holder": 1}, {"config": None}]
+    )
+    def test_malformed_records_change_nothing(self, change: dict[str, Any]) -> None:
+        """Guards against a record that stops every reader, or holds a service for good."""
+        malformed = record(0, 0, "acquire", "a", -1)
+        malformed.value.update(change)
+        assert fold_of([malformed]).leases == {}
+
+    def test_trimmed_log_settles(self) -> None:
+        """Guards against acting on the first records of a trimmed log."""
+        records = [record(n, n * SETTLE_MS, "acquire", "a", n - 1) for n in range(4)]
+        settled = [fold_of(records[:end], 1).settled for end in (2, 3, 4)]
+        assert settled == [False, False, True]
