--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -34,6 +34,7 @@
 from savoryfork.membership import Membership
 from savoryfork.metrics import Metrics
 from savoryfork.operator import OperatorInterface, json_response, operator_app
+from savoryfork.orders import OrderController
 from savoryfork.peers import PeerClient, PeerServer, PeerService
 from savoryfork.publication import ConfigFold
 from savoryfork.runner import Runner
@@ -67,7 +68,7 @@
         self.followers: set[asyncio.Task[Any]] = set()
         self.clock = system_clock()
         self.rng = random.Random(self.incarnation)
-        self.timer = TimerService(self.clock, defaults.TIMER_TICK_MS)
+        self.timer = TimerService(self.clock, defaults.TIMER_TICK_MS, defaults.PAUSE_THRESHOLD_MS)
         self.board = Board(config.host, defaults.SUBSET_TARGETS)
         self.metrics = Metrics()
         self.build()
@@ -158,6 +159,14 @@
             self.burn,
             self.metrics,
         )
+        self.orders = OrderController(
+            self.board,
+            self.log_client,
+            self.timer,
+            self.metrics,
+            config.host,
+            self.incarnation,
+        )
         self.callers = CallerApp(
             self.board, self.clock, self.runner, self.claims, self.metrics, config
         )
@@ -174,6 +183,7 @@
         every("partitions", defaults.CLAIM_IDLE_MS / 10, self.owner.tick)
         every("burn", defaults.BURN_TICK_MS, self.burn_controller.tick)
         every("burn-checkpoint", defaults.BURN_TICK_MS, self.burn_checkpoints.tick)
+        every("orders", defaults.ORDER_TICK_MS, self.orders.tick)
         every("gauges", defaults.GAUGE_PERIOD_MS, self.tick_gauges)
 
     async def listen(self) -> None:
@@ -282,6 +292,7 @@
         await self.caller_runner.cleanup()
         await self.runner.drain(DRAIN_MARGIN_MS)
         await self.burn_controller.close()
+        await self.orders.release_all()
         duration_ms = round(self.clock.monotonic_ms() - started_ms)
         logs.event(log, "stopped", duration_ms=duration_ms, pending=self.claims.pending())
         self.stopped.set()
@@ -298,6 +309,7 @@
         await self.peer_server.stop()
         self.peer_client.close()
         await self.target_client.close()
+        await self.orders.close()
         await self.discovery.close()
         await self.log_session.close()
 
--- /dev/null
+++ b/savoryfork/declared.py
@@ -0,0 +1,190 @@
+"""The declared state of engines, and which orders bring their targets to it; no I/O, no clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+
+from savoryfork import defaults
+from savoryfork.pipeline import Service
+from savoryfork.tenure import Tenure
+
+# The answer to a 429 without a usable Retry-After.
+RETRY_AFTER_MS = 1_000.0
+
+LOADS = frozenset({"load_model", "load_adapter"})
+
+
+class EngineState(msgspec.Struct):
+    """The part of a target's `GET /state` that orders act on; the rest is ignored.
+
+    `pending` counts accepted orders that have not been carried out.
+    """
+
+    incarnation: str
+    models: dict[str, str]
+    adapters: list[str]
+    role: str
+    pending: int = 0
+
+
+class Declared(NamedTuple):
+    """The declared state of one target; what is empty or None is left as it is."""
+
+    model: str
+    version: str
+    adapters: tuple[str, ...] | None
+    role: str
+
+
+class Order(NamedTuple):
+    """An order without its fencing number; `value` is what its kind is about."""
+
+    kind: str
+    value: str
+    version: str = ""
+
+    def body(self, fencing: int) -> dict[str, Any]:
+        """The body of `POST /orders`."""
+        field = {"set_role": "role"}.get(self.kind, self.kind.partition("_")[2])
+        body: dict[str, Any] = {"kind": self.kind, field: self.value, "fencing": fencing}
+        return body | {"version": self.version} if self.version else body
+
+
+def managed(service: Service) -> bool:
+    """True if the service declares anything that orders can change."""
+    return bool(service.version) or service.adapters is not None or service.roles is not None
+
+
+def declared(service: Service, names: Iterable[str]) -> dict[str, Declared]:
+    """The declared state of each target. Roles are given out by share, in order of name.
+
+    >>> service = Service("s", "engine", roles=(("decode", 0.5), ("prefill", 0.25)))
+    >>> [state.role for state in declared(service, "abcd").values()]
+    ['decode', 'decode', 'prefill', 'both']
+    """
+    found = {}
+    ordered = sorted(names)
+    for index, name in enumerate(ordered):
+        role = ""
+        if service.roles is not None:
+            role, end = "both", 0.0
+            for candidate, share in service.roles:
+                end += share
+                if (index + 0.5) / len(ordered) <= end:
+                    role = candidate
+                    break
+        found[name] = Declared(service.model, service.version, service.adapters, role)
+    return found
+
+
+def next_order(wanted: Declared, state: EngineState) -> Order | None:
+    """The next order that brings a target towards its declared state, None if it is there.
+
+    Other models are left loaded: requests that were admitted under an earlier configuration may
+    still need them.
+    """
+    if wanted.version and state.models.get(wanted.model) != wanted.version:
+        return Order("load_model", wanted.model, wanted.version)
+    if wanted.adapters is not None:
+        for adapter in wanted.adapters:
+            if adapter not in state.adapters:
+                return Order("load_adapter", adapter)
+        for adapter in sorted(state.adapters):
+            if adapter not in wanted.adapters:
+                return Order("unload_adapter", adapter)
+    if wanted.role and state.role != wanted.role:
+        return Order("set_role", wanted.role)
+    return None
+
+
+def loads_allowed(targets: int, loading: int, unreachable: int) -> int:
+    """How many more targets of a service may begin to load.
+
+    Targets that do not answer count as lost already, but never prevent the last load at a time:
+    one dead target must not hold up a roll-out for good.
+    """
+    at_once = max(1, int(targets * defaults.ORDER_LOAD_SHARE) - unreachable)
+    return max(0, at_once - loading)
+
+
+def retry_after_ms(value: str | None) -> float:
+    """The wait that a Retry-After header asks for, in milliseconds.
+
+    >>> retry_after_ms("3"), retry_after_ms("soon")
+    (3000.0, 1000.0)
+    """
+    try:
+        return max(RETRY_AFTER_MS, float(value or "") * 1000)
+    except ValueError:
+        return RETRY_AFTER_MS
+
+
+class Sent(NamedTuple):
+    """The last order to a target, when it was first and last sent, and to which incarnation."""
+
+    order: Order
+    incarnation: str
+    first_ms: float
+    last_ms: float
+    reported: bool = False
+
+
+class ServiceOrders:
+    """What this host knows of one service: the lease, the targets' states and sent orders."""
+
+    def __init__(self, incarnation: str) -> None:
+        self.tenure = Tenure(incarnation)
+        self.states: dict[str, EngineState] = {}
+        self.polled: dict[str, float] = {}
+        self.unreachable: set[str] = set()
+        self.fresh: set[str] = set()
+        self.sent: dict[str, Sent] = {}
+        self.differs_since_ms: float | None = None
+        self.loads_from_ms = 0.0
+        self.holding = False
+
+    def forget(self, names: Sequence[str]) -> None:
+        """Forgets targets that are not among `names`."""
+        kept = set(names)
+        for known in (self.states, self.polled, self.sent):
+            for name in set(known) - kept:
+                del known[name]
+        self.unreachable &= kept
+
+    def wanting(self, wanted: Mapping[str, Declared]) -> dict[str, Order]:
+        """The next order of each target whose last known state differs from the declared one."""
+        found = {}
+        for name, state in self.states.items():
+            order = next_order(wanted[name], state) if name in wanted else None
+            if order is not None:
+                found[name] = order
+        return found
+
+    def waits(self, name: str, order: Order, now_ms: float) -> bool:
+        """True if a target is still busy with an earlier order, or with this one."""
+        state, sent = self.states[name], self.sent.get(name)
+        if state.pending > 0:
+            return True
+        if sent is None or sent.order != order or sent.incarnation != state.incarnation:
+            return False
+        return now_ms - sent.last_ms < defaults.ORDER_REPEAT_MS
+
+    def due(self, wanting: Mapping[str, Order], targets: int, now_ms: float) -> dict[str, Order]:
+        """The orders to send now: one for a target, to those whose state was just read."""
+        busy = {name for name, state in self.states.items() if state.pending > 0}
+        busy |= {name for name, order in wanting.items() if self.waits(name, order, now_ms)}
+        loads = loads_allowed(targets, len(busy - self.unreachable), len(self.unreachable))
+        chosen = {}
+        for name in sorted(self.fresh - busy):
+            order = wanting.get(name)
+            if order is None:
+                continue
+            if order.kind in LOADS:
+                if loads == 0 or now_ms < self.loads_from_ms:
+                    continue
+                loads -= 1
+            chosen[name] = order
+        return chosen
--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -118,3 +118,29 @@
 
 # Attempts that never reached a target are repeated this often without spending the retry budget.
 MAX_UNSENT_ATTEMPTS = 5
+
+# Orders to engines. A lease that is not renewed can be taken over after its time and the margin.
+# The margin covers differing clock rates and the time that an order spends in the network.
+LEASE_TOPIC = "leases"
+LEASE_TTL_MS = 10_000
+LEASE_MARGIN_MS = 1_000
+LEASE_RENEW_MS = 5_000
+ORDER_TICK_MS = 1_000
+ORDER_TIMEOUT_MS = 1_000
+
+# An order leaves only within this time after the start of the last complete read of the leases.
+ORDER_FRESH_MS = 1_500
+
+# The hosts ranked first by hash for a service watch its targets; each rank acts this much later.
+ORDER_WATCHERS = 2
+ORDER_STANDBY_MS = 3_000
+
+# A poll of a target's state costs about 0.4 KB; with four a second a host stays below 3 KB/s.
+ORDER_POLLS_PER_TICK = 4
+
+# The largest share of a service's targets that may load at a time; one is always allowed.
+ORDER_LOAD_SHARE = 0.25
+
+# An order that shows no effect is repeated, and reported if it stays without effect.
+ORDER_REPEAT_MS = 30_000
+ORDER_OVERDUE_MS = 120_000
--- a/savoryfork/metrics.py
+++ b/savoryfork/metrics.py
@@ -23,6 +23,13 @@
         self.tokens = self.counter("savoryfork_tokens_total", "Generated tokens by stage")
         self.refusals = self.counter("savoryfork_errors_total", "Refusals and failures by kind")
         self.claims = self.counter("savoryfork_claims_total", "Claims by result")
+        self.orders = self.counter("savoryfork_orders_total", "Orders by service, kind and result")
+        self.order_lease = self.gauge(
+            "savoryfork_order_lease", "1 if the lease is held, by service"
+        )
+        self.order_targets = self.gauge(
+            "savoryfork_order_targets", "Watched targets that are as declared or differ, by service"
+        )
         self.inflight = self.gauge("savoryfork_inflight_runs", "Runs in progress")
         self.config_offset = self.gauge("savoryfork_config_offset", "Configuration in effect")
         self.log_up = self.gauge("savoryfork_log_available", "1 if the log answered last")
--- a/savoryfork/util/timer.py
+++ b/savoryfork/util/timer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -44,12 +45,15 @@
 
     `pause_ms` is the longest delay of the loop beyond one tick since `take_pause` was last called;
     `last_beat_ms` is the monotonic time of the last tick. A large gap means that the process was
-    stopped or starved, so anything decided before it may be out of date.
+    stopped or starved, so anything decided before it may be out of date. `pause_end_ms` is the
+    monotonic time at which the last pause of at least `pause_threshold_ms` was noticed.
     """
 
-    def __init__(self, clock: Clock, tick_ms: float) -> None:
+    def __init__(self, clock: Clock, tick_ms: float, pause_threshold_ms: float = math.inf) -> None:
         self.clock = clock
         self.tick_ms = tick_ms
+        self.pause_threshold_ms = pause_threshold_ms
+        self.pause_end_ms = -math.inf
         self.subscriptions: list[Subscription] = []
         self.last_beat_ms = clock.monotonic_ms()
         self.longest_pause_ms = 0.0
@@ -72,6 +76,10 @@
         """How long the loop has been away since its last tick, beyond the tick itself."""
         return max(0.0, self.clock.monotonic_ms() - self.last_beat_ms - self.tick_ms)
 
+    def paused_since(self, time_ms: float) -> bool:
+        """True if a pause of at least the threshold ended after a monotonic time, or lasts."""
+        return self.pause_end_ms >= time_ms or self.paused_ms() >= self.pause_threshold_ms
+
     def take_pause(self) -> float:
         """Returns the longest pause in milliseconds since the last call and resets it."""
         pause, self.longest_pause_ms = self.longest_pause_ms, 0.0
@@ -100,7 +108,10 @@
     def beat(self) -> None:
         """Runs every subscription that is due."""
         now = self.clock.monotonic_ms()
-        self.longest_pause_ms = max(self.longest_pause_ms, self.paused_ms())
+        pause_ms = self.paused_ms()
+        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        if pause_ms >= self.pause_threshold_ms:
+            self.pause_end_ms = now
         self.last_beat_ms = now
         for subscription in self.subscriptions:
             if now < subscription.due_ms:
