--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -175,6 +175,7 @@
         async def tick(wait_ms: float) -> None:
             clock.now_ms += wait_ms
             timer.beat()
+            clock.now_ms += 1  # the wait itself counts as a pause that ended before
             await controller.tick()
 
         try:
