--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -169,7 +169,10 @@
         if self.fold.stopped_at is not None:
             reason = "this host does not know the newest schema version; publish at another host"
             raise ServiceError(ErrorKind.NOT_READY, reason)
-        if not self.board.log.available:
+        state = self.board.log
+        away_ms = self.clock.monotonic_ms() - state.changed_ms
+        # A single lost answer marks the log as unavailable for a moment, but is no outage.
+        if not state.available and away_ms >= defaults.LOG_OUTAGE_AFTER_MS:
             # An earlier request with the same id may have been appended without an answer, so
             # "not run" holds for this request alone and is not claimed.
             reason = "the log is unavailable: nothing was appended now; repeat with the same id"
