--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -33,7 +33,7 @@
 SHORT_QUANTILE = 0.05
 
 # The share of a target's slots that long work may hold.
-LONG_SHARE = 0.75
+LONG_SHARE = 0.85
 
 # A call gains this many milliseconds of rank for each millisecond that it waits.
 AGEING = 4.0
@@ -42,6 +42,13 @@
 # near the limit the less important one is refused.
 CAUTION_PER_PRIORITY = 0.03
 
+# Demand is what was admitted within this time.
+DEMAND_MS = 1_000.0
+
+# The load of more important work counts up to this: nearer to 1 the formula overstates a peak that
+# lasts as short as DEMAND_MS.
+MOST_ABOVE = 0.75
+
 # From this length on, a queue takes from each workspace only its share of the places.
 CONTENDED_QUEUE = 64
 
@@ -91,7 +98,7 @@
     """
 
     def __init__(self) -> None:
-        self.prefill = Window(RATES)
+        self.prefills: dict[int, Window] = {}
         self.token = Window(RATES)
         self.sizes = Window(4 * HISTORY)
         self.slowdowns = Window(4 * HISTORY)
@@ -103,6 +110,21 @@
         key = (work.pipeline, work.stage, work.prompt_tokens.bit_length() // 2)
         return self.histories.setdefault(key, Window(HISTORY))
 
+    def prefill(self, work: Work) -> Window:
+        """Time to the first token per prompt token, for prompts of similar length."""
+        return self.prefills.setdefault(work.prompt_tokens.bit_length() // 2, Window(RATES))
+
+    def prefill_ms(self, work: Work) -> float:
+        """The prefill rate: lower quartile; for a new size of prompt the least rate of all.
+
+        Short prompts wait behind others, so their typical rate would overstate a long prompt.
+        """
+        window = self.prefill(work)
+        if len(window) >= MIN_EVIDENCE:
+            return window.quantile(0.25)
+        rates = [w.quantile(0.0) for w in self.prefills.values() if len(w)]
+        return min(rates, default=PREFILL_MS_PER_TOKEN)
+
     def predict(self, work: Work) -> Prediction:
         """Predicts a call.
 
@@ -118,12 +140,14 @@
             return Prediction(0.0, history.quantile(0.5, CALL_MS), lower, 0.0)
         prompt = work.prompt_tokens + PROMPT_OVERHEAD_TOKENS
         tokens = min(work.max_tokens, history.quantile(0.5, work.max_tokens / 2))
-        first = self.prefill.quantile(0.25, PREFILL_MS_PER_TOKEN) * prompt
+        first = self.prefill_ms(work) * prompt
         rest = self.token.quantile(0.25, TOKEN_MS) * tokens
         lower = 0.0
         if sure and len(self.token) >= MIN_EVIDENCE:
             least = min(work.max_tokens, history.quantile(0.0))
-            lower = self.prefill.quantile(0.0) * prompt + self.token.quantile(0.0) * (least - 1)
+            lower = self.prefill(work).quantile(0.0) * prompt + self.token.quantile(0.0) * (
+                least - 1
+            )
         return Prediction(first, rest, max(0.0, lower), tokens)
 
     def learn(
@@ -136,7 +160,7 @@
             return
         self.history(work).add(float(max(1, tokens)))
         if first_ms is not None:
-            self.prefill.add(first_ms / (work.prompt_tokens + PROMPT_OVERHEAD_TOKENS))
+            self.prefill(work).add(first_ms / (work.prompt_tokens + PROMPT_OVERHEAD_TOKENS))
             if tokens > 1:
                 self.token.add((total_ms - first_ms) / (tokens - 1))
 
@@ -155,11 +179,48 @@
     """How many of a target's `limit` slots long work may hold; one is kept free if possible.
 
     >>> [long_slots(limit) for limit in (1, 2, 4, 16)]
-    [1, 1, 3, 12]
+    [1, 1, 3, 13]
     """
     return max(1, min(limit - 1, int(limit * LONG_SHARE)))
 
 
+def long_share(targets: int, capacity: float, hosts: int) -> float:
+    """How many long calls one of `hosts` hosts may have on all `targets` together.
+
+    The share of a host in the capacity of one target is often below one call, so a bound for each
+    target cannot hold long work back when hosts do not coordinate; the bound over all targets can.
+
+    >>> long_share(6, 16.0, 8)
+    10.2
+    """
+    return max(1.0, LONG_SHARE * capacity * targets / hosts)
+
+
+def reserved(targets: int) -> int:
+    """How many of a service's targets get no long work at all.
+
+    A slot is not enough for short work where the prompts of long work delay the whole batch.
+
+    >>> [reserved(n) for n in (1, 3, 4, 6, 100)]
+    [0, 0, 1, 1, 15]
+    """
+    return round(targets * (1 - LONG_SHARE))
+
+
+def queue_ms(ahead_ms: float, above_ms: float, slots: int, call_ms: float) -> float:
+    """Expected wait in the queue: (one call + ahead / (1 - load of more important work)) / slots.
+
+    `ahead_ms` is the work that is served first, `above_ms` the more important work admitted
+    within `DEMAND_MS`: as much of it will come while this work waits.
+
+    >>> queue_ms(100.0, 0.0, 4, 20.0), queue_ms(100.0, 2_000.0, 4, 20.0)
+    (30.0, 55.0)
+    """
+    slots = max(1, slots)
+    above = min(MOST_ABOVE, above_ms / (DEMAND_MS * slots))
+    return (call_ms + ahead_ms / (1 - above)) / slots
+
+
 def rank(work: Work, expected_ms: float, arrived_ms: float) -> tuple[int, float]:
     """Place in the queue: priority, then expected work less the ageing of `AGEING` per waited ms.
 
--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -8,6 +8,10 @@
 # Stopping: how long the balancer may go on sending after /readyz turns 503.
 BALANCER_DELAY_MS = 1_000
 
+# How long a stopping host that is idle waits for a request that may be under way on a connection
+# that was not yet told to close: a few round trips to a client.
+LAST_REQUEST_WAIT_MS = 250
+
 # The platform.
 LOG_TIMEOUT_MS = 2_000
 LOG_POLL_WAIT_MS = 1_000
@@ -77,12 +81,15 @@
 CLAIM_FAILURES = 3
 CLAIM_BATCH_RECORDS = 500
 CLAIM_BATCH_BYTES = 1_048_576
-# Burn report. A record of 128 pairs stays near 1 KB, so that an hour of 320 hosts is about 20 MB.
+
+# Burn report. Records of 64 pairs on average take 1.2 to 1.6 KB, an hour of 320 hosts 30 MB. With
+# 128 pairs they took 1.6 to 2.2 KB.
 BURN_TOPIC = "burn"
 BURN_CHECKPOINT_TOPIC = "burn-checkpoints"
 BURN_PART_TOPIC = "burn-parts"
 BURN_TICK_MS = 10_000
-BURN_RECORD_PAIRS = 128
+BURN_RECORD_PAIRS = 64
+BURN_RECORD_HISTOGRAMS = 16
 BURN_MAX_PAIRS = 65_536
 BURN_MAX_BUCKETS = 5
 BURN_MAX_WAITING = 10
@@ -91,14 +98,21 @@
 BURN_CHECKPOINT_MINUTES = 60
 BURN_CHECKPOINT_DELAY_MS = 600_000
 BURN_CHECKPOINT_CLAIM_MS = 300_000
-BURN_PART_CELLS = 100_000
+BURN_PART_CELLS = 40_000
 BURN_FLUSH_MS = 3_000
 BURN_INCARNATION_MINUTES = 1_440
-BURN_MAX_SPENDERS = 4_096
+BURN_MAX_SPENDERS = 256
 BURN_REPORT_PAIRS = 100
 
 # Targets.
 LOAD_PERIOD_MS = 1_000
+
+# A poll costs 0.57 KB both ways, and a quiet host may spend about 3 KB/s on all control work.
+LOAD_POLLS_PER_PERIOD = 4
+
+# Targets of one service that a host uses.
+SUBSET_TARGETS = 20
+
 CONNECT_TIMEOUT_MS = 500
 MAX_TARGET_INFLIGHT = 16
 
@@ -110,3 +124,29 @@
 
 # Attempts that never reached a target are repeated this often without spending the retry budget.
 MAX_UNSENT_ATTEMPTS = 5
+
+# Orders to engines. A lease that is not renewed can be taken over after its time and the margin.
+# The margin covers differing clock rates and the time that an order spends in the network.
+LEASE_TOPIC = "leases"
+LEASE_TTL_MS = 10_000
+LEASE_MARGIN_MS = 1_000
+LEASE_RENEW_MS = 5_000
+ORDER_TICK_MS = 1_000
+ORDER_TIMEOUT_MS = 1_000
+
+# An order leaves only within this time after the start of the last complete read of the leases.
+ORDER_FRESH_MS = 1_500
+
+# The hosts ranked first by hash for a service watch its targets; each rank acts this much later.
+ORDER_WATCHERS = 2
+ORDER_STANDBY_MS = 3_000
+
+# A poll of a target's state costs about 0.4 KB; with four a second a host stays below 3 KB/s.
+ORDER_POLLS_PER_TICK = 4
+
+# The largest share of a service's targets that may load at a time; one is always allowed.
+ORDER_LOAD_SHARE = 0.25
+
+# An order that shows no effect is repeated, and reported if it stays without effect.
+ORDER_REPEAT_MS = 30_000
+ORDER_OVERDUE_MS = 120_000
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -173,7 +173,7 @@
             raise
         except Exception as error:
             kind = ErrorKind.INTERNAL
-            log.exception("event=run_failed request=%s", request.request_id)
+            logs.failure(log, "run_failed", request=request.request_id)
             known = request.key is None or run.held
             ran = Ran.NO if known and not run.sent else Ran.UNKNOWN
             raise ServiceError(kind, "internal error", ran=ran) from error
