--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -176,12 +176,15 @@
 
 
 def long_slots(limit: int) -> int:
-    """How many of a target's `limit` slots long work may hold; one is kept free if possible.
+    """How many of a host's `limit` slots on a target long work may hold.
 
-    >>> [long_slots(limit) for limit in (1, 2, 4, 16)]
-    [1, 1, 3, 13]
+    Rounded to the nearest: of the two or three slots that a host has where many share a target, a
+    whole one kept free would be far more than the share; there the bound over all targets holds.
+
+    >>> [long_slots(limit) for limit in (1, 2, 3, 4, 16)]
+    [1, 2, 3, 3, 14]
     """
-    return max(1, min(limit - 1, int(limit * LONG_SHARE)))
+    return max(1, round(limit * LONG_SHARE))
 
 
 def long_share(targets: int, capacity: float, hosts: int) -> float:
