Say not run to a first request with a key, unknown to a retried one

Cause: two tests asked for opposite answers. A refusal during an outage must say that it did not run, and a refused retry must not say so of a key that an earlier request has run. Ruled out: judging by the age of the key, since a retry can follow at once.

--- a/savoryfork/caller.py
+++ b/savoryfork/caller.py
@@ -99,6 +99,15 @@
     return hashlib.sha256(msgspec.json.encode(content, order="sorted")).hexdigest()
 
 
+def first_attempt(request: web.Request) -> bool:
+    """True if the caller says that it has never sent this idempotency key before.
+
+    Only then can a refusal that comes before the key's state is known say "not run": otherwise an
+    earlier request with the key may have run at another host.
+    """
+    return request.headers.get("X-First-Attempt", "").lower() == "true"
+
+
 class CallerApp:
     """Admits callers' requests and passes them to the runner."""
 
@@ -205,7 +214,7 @@
             stream = EventStream(request) if body.get("stream") else None
             answer = await self.run(run, stream)
         except ServiceError as error:
-            if run is None and "Idempotency-Key" in request.headers:
+            if run is None and "Idempotency-Key" in request.headers and not first_attempt(request):
                 error.allow_earlier_run()
             self.metrics.refusals.inc({"kind": error.kind.value})
             if stream is not None and stream.started:
@@ -263,6 +272,7 @@
             arrived_ms + deadline_ms,
             key,
             request_digest(name, body),
+            first_attempt(request),
         )
         logs.event(
             log,
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -52,6 +52,7 @@
     """One request, bound to the configuration in effect when it was admitted.
 
     `deadline_ms` is monotonic, `key` the idempotency key or None, `digest` the digest of the input.
+    `first_attempt` is the caller's word that it sends the key for the first time.
     """
 
     request_id: str
@@ -65,6 +66,7 @@
     deadline_ms: float
     key: str | None
     digest: str
+    first_attempt: bool = False
 
 
 class StageReport(TypedDict):
@@ -166,7 +168,7 @@
             return await self.outcome(run)
         except ServiceError as error:
             kind = error.kind
-            if request.key is not None and not run.held:
+            if not self.key_settled(run):
                 error.allow_earlier_run()
             raise
         except asyncio.CancelledError:
@@ -174,8 +176,7 @@
         except Exception as error:
             kind = ErrorKind.INTERNAL
             logs.failure(log, "run_failed", request=request.request_id)
-            known = request.key is None or run.held
-            ran = Ran.NO if known and not run.sent else Ran.UNKNOWN
+            ran = Ran.NO if self.key_settled(run) and not run.sent else Ran.UNKNOWN
             raise ServiceError(kind, "internal error", ran=ran) from error
         finally:
             self.inflight -= 1
@@ -183,6 +184,12 @@
                 self.idle.set()
             self.account(run, kind, self.clock.monotonic_ms() - started_ms)
 
+    @staticmethod
+    def key_settled(run: Run) -> bool:
+        """True if no earlier request can have run under this run's key."""
+        request = run.request
+        return request.key is None or run.held or request.first_attempt
+
     def account(self, run: Run, kind: ErrorKind | None, duration_ms: float) -> None:
         """Counts and logs the end of a run."""
         request = run.request
--- a/tests/failure/harness.py
+++ b/tests/failure/harness.py
@@ -185,6 +185,7 @@
         headers = {"Authorization": f"Bearer {self.site.key_of(ask.workspace)}"}
         if ask.key is not None:
             headers["Idempotency-Key"] = ask.key
+            headers["X-First-Attempt"] = "true"
         path = f"/v1/workspaces/{ask.workspace}/pipelines/{ask.pipeline}/runs"
         url = self.site.deployment.url(host) + path
         return self.session.post(url, json=body, headers=headers)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -212,6 +212,19 @@
         digests = [caller.request_digest("p", body) for body in (first, same, other)]
         assert digests[0] == digests[1] != digests[2]
 
+    @pytest.mark.parametrize(("first", "ran"), [("true", "no"), ("", "unknown")])
+    async def test_not_run_needs_the_word_of_a_first_attempt(
+        self, harness: Harness, first: str, ran: str
+    ) -> None:
+        """Guards against "not run" for a key that an earlier request may have run, and against a
+        first request that does not learn that it did not run."""
+        harness.board.config_ready = False
+        headers = {"Idempotency-Key": str(uuid6.uuid7())} | (
+            {"X-First-Attempt": first} if first else {}
+        )
+        status, answer = await harness.post("slot-booking", headers=headers)
+        assert (status, answer["error"]["ran"]) == (503, ran)
+
 
 class TestLimits:
     async def test_callers_may_only_lower(self, harness: Harness) -> None:
