--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -38,8 +38,8 @@
 COMING_GRACE_MS = 100.0
 
 # Long prompts that a host has in process at once, at least: an engine processes one after the
-# other, so more only delay short work. With 1, the p99 of long work was 1.27 of the baseline's, with
-# 2 it was 1.14 (bench, short-behind-long).
+# other, so more only delay short work. With 1, the p99 of long work was 1.27 of the baseline's,
+# with 2 it was 1.14 (bench, short-behind-long).
 LONG_PROMPTS = 2
 
 # A service is surveyed at each tick, but not more often than this for each of its targets: a survey
