--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -391,7 +391,9 @@
         self.metrics.order_lease.set({"service": service}, int(holding))
         if holding:
             logs.event(log, "lease_acquired", service=service, fencing=fencing)
-        elif lease is not None and lease.holder == self.incarnation and lease.released:
+        elif self.board.stopping or (
+            lease is not None and self.incarnation == lease.holder and lease.released
+        ):
             logs.event(log, "lease_released", service=service, fencing=fencing)
         else:
             reason = "lapsed" if known.tenure.held else "replaced"
