Do not underestimate the capacity of targets

Cause: the capacity was the median of the running calls in reports that show a waiting one. A report taken between a call's arrival and the next step of the batch shows that too, so a quiet engine looked like one of capacity 1 or 2, and the bounds on long work left one call or none.

Change: a target can do at least what it was seen to run.

--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -805,7 +805,9 @@
         state.pool = routing.Pool(
             others=statistics.fmean(others),
             call_ms=state.durations.quantile(0.5, admission.CALL_MS),
-            capacity=max(1.0, state.capacities.quantile(0.5, float("inf"))),
+            # A report can show a call that waits only for the next step of a batch that is far from
+            # full, so a target can do at least what it was seen to run.
+            capacity=max(1.0, state.most_running, state.capacities.quantile(0.5, float("inf"))),
             hosts=hosts,
         )
         loads = [self.load_of(state, view, self.target(view), now) for view in views]
