Hedge as soon as the dispatcher sees a straggler

Cause: the runner hedged after a delay only, while the policy's figures for slowed targets assume a hedge once the call itself shows that its target is slow. Change: the wait for an attempt also ends with Slot.straggling; each attempt gives rise to one hedge at most. A stream that has delivered tokens is not hedged. The effect over real processes was not measured.

--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -562,6 +562,7 @@
         self.count = 0
         self.free_retries = defaults.MAX_UNSENT_ATTEMPTS
         self.tasks: dict[asyncio.Task[StageInput], Slot] = {}
+        self.hedged: set[Slot] = set()
 
     async def first_answer(self) -> tuple[StageInput, str]:
         """The first whole answer and the target that gave it; all other attempts are cancelled."""
@@ -571,10 +572,7 @@
                 self.service, self.runner.work(self.run, self.stage)
             )
             while True:
-                timeout = hedge_ms / 1000 if hedge_ms is not None else None
-                done, _ = await asyncio.wait(
-                    self.tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
-                )
+                done = await self.wait(hedge_ms)
                 hedge_ms = None
                 if not done:
                     await self.hedge()
@@ -588,6 +586,32 @@
         finally:
             await self.cancel()
 
+    async def wait(self, hedge_ms: float | None) -> set[asyncio.Task[StageInput]]:
+        """Waits for an attempt to end; nothing if it is time for a hedge instead.
+
+        That is after `hedge_ms`, or as soon as the dispatcher sees that the target of the only
+        attempt is a straggler. Each attempt gives rise to one hedge at most.
+        """
+        slots = [slot for slot in self.tasks.values() if slot not in self.hedged]
+        watch = None
+        if len(self.tasks) == 1 and slots and self.hedgeable():
+            watch = asyncio.create_task(slots[0].straggling.wait())
+        try:
+            ends: list[asyncio.Task[Any]] = [*self.tasks, *([watch] if watch else [])]
+            timeout = hedge_ms / 1000 if hedge_ms is not None else None
+            done, _ = await asyncio.wait(ends, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            if watch is not None:
+                watch.cancel()
+        finished = {task for task in self.tasks if task in done}
+        if not finished:
+            self.hedged.update(slots)
+        return finished
+
+    def hedgeable(self) -> bool:
+        """False once tokens have been delivered: a second attempt could only repeat them."""
+        return self.stream is None or not self.stream.tokens
+
     async def start(self) -> None:
         """Starts one attempt at a target that has not failed this stage."""
         self.begin(await self.runner.acquire(self.run, self.stage, self.exclude))
@@ -600,7 +624,7 @@
 
     async def hedge(self) -> None:
         """Starts a second attempt at another target if the budget allows it."""
-        if self.stream is not None and self.stream.tokens:
+        if not self.hedgeable():
             return
         busy = {slot.target.name for slot in self.tasks.values()}
         names = {t.name for t in self.runner.board.targets_of(self.stage.service)}
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -23,7 +24,7 @@
     Service,
     Workspace,
 )
-from savoryfork.runner import Run, Runner, RunRequest
+from savoryfork.runner import Run, Runner, RunRequest, StageAttempts
 from savoryfork.util.timer import Clock, TimerService
 from tests.test_calls import target
 
@@ -106,3 +107,57 @@
         with pytest.raises(ServiceError) as caught:
             await runner.run_action(run, STAGE)
         assert caught.value.ran is Ran.UNKNOWN and run.action_sent and not failures
+
+
+class HedgingRunner:
+    """Calls at target `a` never end, those at `b` answer at once; one hedge is in the budget."""
+
+    def __init__(self) -> None:
+        self.slots: dict[str, Any] = {}
+        self.ended: list[str] = []
+        self.hedges = 0
+        self.dispatcher = SimpleNamespace(
+            hedge_delay_ms=lambda service, work: None, take_hedge=self.take_hedge
+        )
+        views = [SimpleNamespace(name=name) for name in ("a", "b")]
+        self.board = SimpleNamespace(targets_of=lambda service: views)
+
+    def take_hedge(self, service: Any) -> bool:
+        self.hedges += 1
+        return self.hedges == 1
+
+    def work(self, run: Any, stage: Any) -> None:
+        return None
+
+    async def acquire(self, run: Any, stage: Any, exclude: frozenset[str]) -> Any:
+        name = "b" if "a" in exclude else "a"
+        view = SimpleNamespace(name=name)
+        self.slots[name] = SimpleNamespace(target=view, straggling=asyncio.Event())
+        return self.slots[name]
+
+    async def attempt(self, run: Any, stage: Any, slot: Any, stream: Any) -> Any:
+        try:
+            if slot.target.name == "a":
+                await asyncio.Event().wait()
+            return "answer"
+        finally:
+            self.ended.append(slot.target.name)
+
+
+class TestHedge:
+    async def test_straggler_is_hedged_at_once_and_cancelled(self) -> None:
+        """Guards against a call that waits for a frozen target until the hedge delay, and against
+        a loser that goes on at the target."""
+        runner = HedgingRunner()
+        run = make_run(1e12, dedupes=False)
+        stage = ActionStage("fetch", "orders", "fetch")
+        attempts = StageAttempts(cast(Any, runner), run, stage)
+        answer = asyncio.create_task(attempts.first_answer())
+        async with asyncio.timeout(5):
+            while "a" not in runner.slots:
+                await asyncio.sleep(0)
+            assert runner.hedges == 0
+            runner.slots["a"].straggling.set()
+            assert await answer == ("answer", "b")
+        assert runner.hedges == 1
+        assert sorted(runner.ended) == ["a", "b"]
