--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -109,12 +109,21 @@
         assert caught.value.ran is Ran.UNKNOWN and run.action_sent and not failures
 
 
+class FakeSlot:
+    """A slot that the test marks as straggling."""
+
+    def __init__(self, target: Any) -> None:
+        self.target = target
+        self.straggling = asyncio.Event()
+
+
 class HedgingRunner:
     """Calls at target `a` never end, those at `b` answer at once; one hedge is in the budget."""
 
     def __init__(self) -> None:
         self.slots: dict[str, Any] = {}
         self.ended: list[str] = []
+        self.acquired = asyncio.Event()
         self.hedges = 0
         self.dispatcher = SimpleNamespace(
             hedge_delay_ms=lambda service, work: None, take_hedge=self.take_hedge
@@ -132,7 +141,8 @@
     async def acquire(self, run: Any, stage: Any, exclude: frozenset[str]) -> Any:
         name = "b" if "a" in exclude else "a"
         view = SimpleNamespace(name=name)
-        self.slots[name] = SimpleNamespace(target=view, straggling=asyncio.Event())
+        self.slots[name] = FakeSlot(view)
+        self.acquired.set()
         return self.slots[name]
 
     async def attempt(self, run: Any, stage: Any, slot: Any, stream: Any) -> Any:
@@ -154,8 +164,7 @@
         attempts = StageAttempts(cast(Any, runner), run, stage)
         answer = asyncio.create_task(attempts.first_answer())
         async with asyncio.timeout(5):
-            while "a" not in runner.slots:
-                await asyncio.sleep(0)
+            await runner.acquired.wait()
             assert runner.hedges == 0
             runner.slots["a"].straggling.set()
             assert await answer == ("answer", "b")
