--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,158 @@
+"""Measures cost by stage over real processes: the policy against the baselines.
+
+Run with `python -m bench.cost`. For each policy a deployment of its own (3 daemons, 3 engines, 2 of
+each other service) serves the same arrivals: a fixed rate, texts drawn with a fixed seed from a
+small set of popular ones, so that prompt prefixes repeat. The last line is JSON.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import re
+import statistics
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+import aiohttp
+import uuid6
+
+from savoryfork.files import load_directory
+from standins.deployments import NASR
+from standins.launch import ROOT, Deployment
+
+POLICIES = ("adaptive", "round_robin", "least_outstanding")
+SEEDS = (1, 2)
+RATE_PER_S = 30.0
+DURATION_S = 12.0
+TEXTS = 40
+WORKSPACE = "corniche-cafes"
+PIPELINES = {"owner-chat": 0.5, "price-summary": 0.25, "menu-layout": 0.1, "proof-lookup": 0.15}
+MAX_TOKENS = {"owner-chat": 32, "price-summary": 64, "menu-layout": 128, "proof-lookup": 1}
+WORDS = ["menu", "lunch", "gloss", "matt", "price", "proof", "page", "fold", "trim", "ink", "order"]
+
+# A policy may be this much dearer than the better baseline.
+ALLOWED = 1.05
+ATTEMPTS = re.compile(r'savoryfork_attempts_total.*service="([\w-]+)"\} ([\d.]+)')
+
+
+class Cost(NamedTuple):
+    """Cost of one run, each per answered request but `answered`, a share of what was sent."""
+
+    answered: float
+    p50_ms: float
+    p99_ms: float
+    calls: dict[str, float]
+    generated: float
+    uncached_prompt: float
+
+
+def arrivals(seed: int) -> list[tuple[float, str, str]]:
+    """Times in seconds, pipelines and texts of one run."""
+    rng = random.Random(seed)
+    texts = [" ".join(rng.choices(WORDS, k=rng.randrange(60, 600))) for _ in range(TEXTS)]
+    weights = [1 / (rank + 1) for rank in range(TEXTS)]
+    found, at = [], 0.0
+    while (at := at + rng.expovariate(RATE_PER_S)) < DURATION_S:
+        pipeline = rng.choices(list(PIPELINES), list(PIPELINES.values()))[0]
+        found.append((at, pipeline, rng.choices(texts, weights)[0]))
+    return found
+
+
+async def send(
+    deployment: Deployment, host: str, pipeline: str, text: str, took_ms: list[float]
+) -> bool:
+    """Sends one request and notes its time; False if it was not answered in full."""
+    url = f"{deployment.url(host)}/v1/workspaces/{WORKSPACE}/pipelines/{pipeline}/runs"
+    headers = {"Authorization": f"Bearer nasr-{WORKSPACE}-caller-key"}
+    body = {"input": {"text": text, "fields": {}}, "max_tokens": MAX_TOKENS[pipeline]}
+    started = time.perf_counter()
+    timeout = aiohttp.ClientTimeout(total=30)
+    async with deployment.session.post(
+        url, json=body, headers=headers, timeout=timeout
+    ) as response:
+        await response.read()
+        took_ms.append((time.perf_counter() - started) * 1000)
+        return response.status == 200
+
+
+async def spent(deployment: Deployment) -> tuple[Counter[str], Counter[str]]:
+    """Calls by service as the daemons count them, and tokens as the engines count them."""
+    calls: Counter[str] = Counter()
+    for host in deployment.host_names:
+        async with deployment.session.get(deployment.operator_url(host) + "/metrics") as response:
+            for service, count in ATTEMPTS.findall(await response.text()):
+                calls[service] += int(float(count))
+    tokens: Counter[str] = Counter()
+    for target in deployment.targets("savoryfork-pool"):
+        tokens.update((await deployment.state(target))["totals"])
+    return calls, tokens
+
+
+async def publish(deployment: Deployment) -> None:
+    """Publishes the example configuration."""
+    files = load_directory(ROOT / "examples" / "nasr")
+    body = {"id": str(uuid6.uuid7()), "base": dict.fromkeys(files, -1), "files": files}
+    url = deployment.operator_url("host-0") + "/operator/publications"
+    headers = deployment.operator_headers
+    async with deployment.session.post(url, json=body, headers=headers) as response:
+        response.raise_for_status()
+    await deployment.wait_ready()
+
+
+async def measure(policy: str, seed: int) -> Cost:
+    """One run of one policy."""
+    async with Deployment(NASR.small(), host_settings={"policy": policy}) as deployment:
+        await publish(deployment)
+        took_ms: list[float] = []
+        tasks = []
+        started = time.perf_counter()
+        for number, (at, pipeline, text) in enumerate(arrivals(seed)):
+            await asyncio.sleep(max(0.0, started + at - time.perf_counter()))
+            host = deployment.host_names[number % len(deployment.host_names)]
+            tasks.append(asyncio.create_task(send(deployment, host, pipeline, text, took_ms)))
+        answered = sum(await asyncio.gather(*tasks))
+        calls, tokens = await spent(deployment)
+        quantiles = statistics.quantiles(took_ms, n=100)
+        return Cost(
+            answered / len(tasks),
+            round(quantiles[49], 1),
+            round(quantiles[98], 1),
+            {service: round(count / answered, 3) for service, count in sorted(calls.items())},
+            round(tokens["generated"] / answered, 2),
+            round((tokens["prompt"] - tokens["cached"]) / answered, 2),
+        )
+
+
+async def main() -> None:
+    """Measures all policies and prints a row for each run, then the summary."""
+    costs: dict[str, list[Cost]] = {policy: [] for policy in POLICIES}
+    for seed in SEEDS:
+        for policy in POLICIES:
+            cost = await measure(policy, seed)
+            costs[policy].append(cost)
+            print(json.dumps({"policy": policy, "seed": seed, **cost._asdict()}), flush=True)
+    totals = {p: statistics.median(sum(c.calls.values()) for c in costs[p]) for p in POLICIES}
+    uncached = {p: statistics.median(c.uncached_prompt for c in costs[p]) for p in POLICIES}
+    for name, values in (("calls", totals), ("uncached prompt tokens", uncached)):
+        best = min(values[policy] for policy in POLICIES[1:])
+        verdict = "met   " if values["adaptive"] <= ALLOWED * best else "MISSED"
+        ratio = values["adaptive"] / best
+        print(f"  {verdict} {name} per answered request {ratio:.3f} of the better baseline")
+    row: dict[str, Any] = {
+        "scenario": "cost-by-stage",
+        "measure": "uncached prompt tokens per answered request",
+        "unit": "tokens",
+        "better": "lower",
+        "baselines": {policy: uncached[policy] for policy in POLICIES[1:]},
+        "policy": uncached["adaptive"],
+        "runs": len(SEEDS),
+        "seed": SEEDS[0],
+    }
+    print(json.dumps(row))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -19,7 +19,7 @@
 import uuid6
 from hdrh.histogram import HdrHistogram
 
-from savoryfork.publication import load_directory
+from savoryfork.files import load_directory
 from standins.deployments import NASR
 from standins.launch import ROOT, Deployment
 
--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -16,12 +16,7 @@
 from savoryfork.board import Board
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.gossip import ConfigController, Gossip
-from savoryfork.publication import (
-    Verdict,
-    check_record,
-    content_digest,
-    publication_record,
-)
+from savoryfork.publication import Verdict, check_record, content_digest, publication_record
 from savoryfork.settings import Settings
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
--- a/savoryfork/ui/commands/diff.py
+++ b/savoryfork/ui/commands/diff.py
@@ -10,7 +10,7 @@
 
 from absl import flags
 
-from savoryfork.publication import load_directory
+from savoryfork.files import load_directory
 from savoryfork.ui import DONE, FAILED, client, output
 
 USAGE = "DIR"
--- a/savoryfork/ui/commands/publish.py
+++ b/savoryfork/ui/commands/publish.py
@@ -26,7 +26,8 @@
 from absl import flags
 
 from savoryfork.errors import ErrorKind, Ran, UserError
-from savoryfork.publication import ABSENT, MAX_FILES, check_files, load_directory, load_file
+from savoryfork.files import check_files, load_directory, load_file
+from savoryfork.publication import ABSENT, MAX_FILES
 from savoryfork.ui import DONE, FAILED, client, output
 
 USAGE = "DIR"
--- a/savoryfork/ui/commands/validate.py
+++ b/savoryfork/ui/commands/validate.py
@@ -11,7 +11,7 @@
 
 from absl import flags
 
-from savoryfork.publication import check_files, load_directory
+from savoryfork.files import check_files, load_directory
 from savoryfork.ui import DONE, FAILED, output
 
 USAGE = "DIR"
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,7 +16,7 @@
 import aiohttp
 import uuid6
 
-from savoryfork.publication import load_directory
+from savoryfork.files import load_directory
 from standins.deployments import FORNACI, NASR, DeploymentSpec
 from standins.launch import ROOT, Deployment
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import math
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from typing import Annotated, Any, NamedTuple, TypedDict
 
 import aiohttp
@@ -166,6 +166,7 @@
         self.cache = PrefixCache(settings.cache_blocks)
         self.arrivals = 0
         self.pauses = 0
+        self.totals: Counter[str] = Counter()
         self.steps = 0
         self.cancelled = 0
         self.loaded = {settings.model: "1"}
@@ -199,6 +200,7 @@
             "pending": self.pending,
             "orders": self.orders,
             "cached_blocks": len(self.cache.entries),
+            "totals": dict(self.totals),
             "steps": self.steps,
             "pauses": self.pauses,
             "cancelled": self.cancelled,
@@ -295,6 +297,8 @@
         hit = self.cache.cached(sequence.blocks) * text.BLOCK_TOKENS
         sequence.cached_tokens = hit
         sequence.to_prefill = sequence.prompt_tokens + sequence.next - hit
+        self.totals["prompt"] += sequence.prompt_tokens
+        self.totals["cached"] += min(hit, sequence.prompt_tokens)
         self.running.append(sequence)
 
     async def loop(self) -> None:
@@ -347,6 +351,7 @@
             piece = text.token(sequence.model, sequence.prompt, sequence.next)
             sequence.events.put_nowait((sequence.next, piece))
             sequence.next += 1
+            self.totals["generated"] += 1
             if sequence.next >= sequence.max_tokens:
                 self.end(sequence, "stop")
         self.note_load()
--- a/tests/failure/harness.py
+++ b/tests/failure/harness.py
@@ -16,7 +16,7 @@
 import aiohttp
 import uuid6
 
-from savoryfork.publication import load_directory
+from savoryfork.files import load_directory
 from standins import text
 from standins.deployments import NASR, DeploymentSpec
 from standins.launch import ROOT, Deployment
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -18,8 +18,9 @@
 from savoryfork.caller import CallerApp
 from savoryfork.claims import Claims
 from savoryfork.errors import ErrorKind, ServiceError
+from savoryfork.files import load_directory
 from savoryfork.metrics import Metrics
-from savoryfork.publication import ConfigFold, load_directory, publication_record
+from savoryfork.publication import ConfigFold, publication_record
 from savoryfork.runner import RunAnswer, Runner, RunRequest, TokenCallback
 from savoryfork.settings import Settings
 from savoryfork.util.timer import system_clock
