--- a/savoryfork/caller.py
+++ b/savoryfork/caller.py
@@ -20,7 +20,8 @@
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import Configuration, Pipeline, Workspace, non_idempotent
-from savoryfork.runner import RunAnswer, Runner, RunRequest
+from savoryfork.run import RunAnswer, RunRequest
+from savoryfork.runner import Runner
 from savoryfork.settings import Settings
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
--- /dev/null
+++ b/savoryfork/run.py
@@ -0,0 +1,98 @@
+"""The state of one run, and what is asked of it and answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypedDict
+
+from savoryfork.calls import (
+    Scalar,
+    StageInput,
+)
+from savoryfork.pipeline import (
+    Configuration,
+    Pipeline,
+    Workspace,
+)
+
+TokenCallback = Callable[[int, str], None]
+
+
+class RunRequest(NamedTuple):
+    """One request, bound to the configuration in effect when it was admitted.
+
+    `deadline_ms` is monotonic, `key` the idempotency key or None, `digest` the digest of the input.
+    `first_attempt` is the caller's word that it sends the key for the first time.
+    """
+
+    request_id: str
+    workspace: Workspace
+    pipeline: Pipeline
+    configuration: Configuration
+    text: str
+    fields: Mapping[str, Scalar]
+    max_tokens: int | None
+    priority: int
+    deadline_ms: float
+    key: str | None
+    digest: str
+    first_attempt: bool = False
+
+
+class StageReport(TypedDict):
+    """What a stage did, as reported to the caller."""
+
+    stage: str
+    target: str
+    attempts: int
+    duration_ms: float
+
+
+class RunAnswer(TypedDict):
+    """The whole answer of a run."""
+
+    request_id: str
+    answer: dict[str, Any]
+    stages: list[StageReport]
+    config_offset: int
+
+
+class Run:
+    """The state of one run.
+
+    `sent` is True once any attempt may have reached a target. `held` is True once the run holds
+    its key, so that no earlier run of the key can have taken effect. `whole` is the answer of a
+    run under a claim whose outcome may not be recorded yet.
+    """
+
+    def __init__(self, request: RunRequest, on_token: TokenCallback) -> None:
+        self.request = request
+        self.on_token = on_token
+        self.given = StageInput(
+            request.text,
+            request.fields,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+        )
+        self.reports: list[StageReport] = []
+        self.sent = False
+        self.action_sent = False
+        self.held = False
+        self.whole: RunAnswer | None = None
+        self.stage: str | None = None
+
+    def answer(self) -> RunAnswer:
+        """The whole answer, once every stage has ended."""
+        answer: dict[str, Any] = {}
+        if self.given.generated:
+            answer["text"] = self.given.generated
+        if self.given.documents:
+            answer["documents"] = [document._asdict() for document in self.given.documents]
+        if self.given.action is not None:
+            answer["action"] = self.given.action
+        return {
+            "request_id": self.request.request_id,
+            "answer": answer,
+            "stages": self.reports,
+            "config_offset": self.request.configuration.offset,
+        }
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -1,4 +1,4 @@
-"""Runs a pipeline for one request: stages, retries, hedges, the deadline and the claim."""
+"""Runs a pipeline for one request: its stages, the deadline and the claim."""
 
 from __future__ import annotations
 
@@ -7,19 +7,17 @@
 import hashlib
 import logging
 import uuid
-from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple, TypedDict
+from typing import Any
 
 from savoryfork import defaults
+from savoryfork.attempts import StageAttempts
 from savoryfork.board import Board
 from savoryfork.burn import BurnRecorder
 from savoryfork.calls import (
     ActionRejected,
     Attempt,
     CallError,
-    Scalar,
     StageInput,
-    Superseded,
     TargetClient,
     TokenStream,
     generation_prompt,
@@ -30,14 +28,12 @@
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import (
     ActionStage,
-    Configuration,
     GenerateStage,
-    Pipeline,
     Stage,
-    Workspace,
     claim_needed,
     non_idempotent,
 )
+from savoryfork.run import Run, RunAnswer, RunRequest, TokenCallback
 from savoryfork.util import logs
 from savoryfork.util.timer import TimerService
 
@@ -48,89 +44,6 @@
 PREFIX_CHARS = 512
 
 
-class RunRequest(NamedTuple):
-    """One request, bound to the configuration in effect when it was admitted.
-
-    `deadline_ms` is monotonic, `key` the idempotency key or None, `digest` the digest of the input.
-    `first_attempt` is the caller's word that it sends the key for the first time.
-    """
-
-    request_id: str
-    workspace: Workspace
-    pipeline: Pipeline
-    configuration: Configuration
-    text: str
-    fields: Mapping[str, Scalar]
-    max_tokens: int | None
-    priority: int
-    deadline_ms: float
-    key: str | None
-    digest: str
-    first_attempt: bool = False
-
-
-class StageReport(TypedDict):
-    """What a stage did, as reported to the caller."""
-
-    stage: str
-    target: str
-    attempts: int
-    duration_ms: float
-
-
-class RunAnswer(TypedDict):
-    """The whole answer of a run."""
-
-    request_id: str
-    answer: dict[str, Any]
-    stages: list[StageReport]
-    config_offset: int
-
-
-TokenCallback = Callable[[int, str], None]
-
-
-class Run:
-    """The state of one run.
-
-    `sent` is True once any attempt may have reached a target. `held` is True once the run holds
-    its key, so that no earlier run of the key can have taken effect. `whole` is the answer of a
-    run under a claim whose outcome may not be recorded yet.
-    """
-
-    def __init__(self, request: RunRequest, on_token: TokenCallback) -> None:
-        self.request = request
-        self.on_token = on_token
-        self.given = StageInput(
-            request.text,
-            request.fields,
-            max_tokens=request.max_tokens,
-            priority=request.priority,
-        )
-        self.reports: list[StageReport] = []
-        self.sent = False
-        self.action_sent = False
-        self.held = False
-        self.whole: RunAnswer | None = None
-        self.stage: str | None = None
-
-    def answer(self) -> RunAnswer:
-        """The whole answer, once every stage has ended."""
-        answer: dict[str, Any] = {}
-        if self.given.generated:
-            answer["text"] = self.given.generated
-        if self.given.documents:
-            answer["documents"] = [document._asdict() for document in self.given.documents]
-        if self.given.action is not None:
-            answer["action"] = self.given.action
-        return {
-            "request_id": self.request.request_id,
-            "answer": answer,
-            "stages": self.reports,
-            "config_offset": self.request.configuration.offset,
-        }
-
-
 class Runner:
     """Runs requests on this host and is responsible for their outcome."""
 
@@ -547,145 +460,3 @@
     return ServiceError(
         ErrorKind.ACTION_REJECTED, "the service refused the action", stage=stage, details=details
     )
-
-
-class StageAttempts:
-    """The attempts of one stage that may be repeated: retries one after another, and hedges."""
-
-    def __init__(self, runner: Runner, run: Run, stage: Stage) -> None:
-        self.runner = runner
-        self.run = run
-        self.stage = stage
-        self.service = run.request.configuration.services[stage.service]
-        self.stream = TokenStream(run.on_token) if isinstance(stage, GenerateStage) else None
-        self.exclude: frozenset[str] = frozenset()
-        self.count = 0
-        self.free_retries = defaults.MAX_UNSENT_ATTEMPTS
-        self.tasks: dict[asyncio.Task[StageInput], Slot] = {}
-        self.hedged: set[Slot] = set()
-
-    async def first_answer(self) -> tuple[StageInput, str]:
-        """The first whole answer and the target that gave it; all other attempts are cancelled."""
-        try:
-            await self.start()
-            hedge_ms = self.runner.dispatcher.hedge_delay_ms(
-                self.service, self.runner.work(self.run, self.stage)
-            )
-            while True:
-                done = await self.wait(hedge_ms)
-                hedge_ms = None
-                if not done:
-                    await self.hedge()
-                    continue
-                for task in done:
-                    slot = self.tasks.pop(task)
-                    error = task.exception()
-                    if error is None:
-                        return task.result(), slot.target.name
-                    await self.failed(error, slot)
-        finally:
-            await self.cancel()
-
-    async def wait(self, hedge_ms: float | None) -> set[asyncio.Task[StageInput]]:
-        """Waits for an attempt to end; nothing if it is time for a hedge instead.
-
-        That is after `hedge_ms`, or as soon as the dispatcher sees that the target of the only
-        attempt is a straggler. Each attempt gives rise to one hedge at most.
-        """
-        slots = [slot for slot in self.tasks.values() if slot not in self.hedged]
-        watch = None
-        if len(self.tasks) == 1 and slots and self.hedgeable():
-            watch = asyncio.create_task(slots[0].straggling.wait())
-        try:
-            ends: list[asyncio.Task[Any]] = [*self.tasks, *([watch] if watch else [])]
-            timeout = hedge_ms / 1000 if hedge_ms is not None else None
-            done, _ = await asyncio.wait(ends, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            if watch is not None:
-                watch.cancel()
-        finished = {task for task in self.tasks if task in done}
-        if not finished:
-            self.hedged.update(slots)
-        return finished
-
-    def hedgeable(self) -> bool:
-        """False once tokens have been delivered: a second attempt could only repeat them."""
-        return self.stream is None or not self.stream.tokens
-
-    async def start(self) -> None:
-        """Starts one attempt at a target that has not failed this stage."""
-        self.begin(await self.runner.acquire(self.run, self.stage, self.exclude))
-
-    def begin(self, slot: Slot) -> None:
-        """Starts an attempt with a slot."""
-        self.count += 1
-        task = asyncio.create_task(self.runner.attempt(self.run, self.stage, slot, self.stream))
-        self.tasks[task] = slot
-
-    async def hedge(self) -> None:
-        """Starts a second attempt at another target if the budget allows it."""
-        if not self.hedgeable():
-            return
-        busy = {slot.target.name for slot in self.tasks.values()}
-        names = {t.name for t in self.runner.board.targets_of(self.stage.service)}
-        if not names - busy - self.exclude:
-            return
-        if not self.runner.dispatcher.take_hedge(self.service):
-            return
-        acquire = asyncio.create_task(
-            self.runner.acquire(self.run, self.stage, self.exclude | busy)
-        )
-        begun = False
-        try:
-            await asyncio.wait([acquire, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
-            if acquire.done() and acquire.exception() is None:
-                begun = True
-                self.begin(acquire.result())
-        finally:
-            if not begun:
-                acquire.cancel()
-                acquire.add_done_callback(self.give_back)
-
-    def give_back(self, acquire: asyncio.Task[Slot]) -> None:
-        """Releases a slot that arrived when it was no longer wanted."""
-        if not acquire.cancelled() and acquire.exception() is None:
-            self.runner.dispatcher.release(acquire.result(), CallResult.CANCELLED, 0)
-
-    async def failed(self, error: BaseException, slot: Slot) -> None:
-        """Retries after a failed attempt, within the budgets, unless another one still runs."""
-        if isinstance(error, Superseded) and self.tasks:
-            return
-        if not isinstance(error, CallError | Superseded):
-            raise error
-        self.exclude = self.runner.next_exclude(
-            self.run, self.stage, self.exclude, slot.target.name
-        )
-        if isinstance(error, CallError) and error.draining:
-            self.runner.client.membership.note_leaving(
-                slot.target.name, slot.target.incarnation, "answer"
-            )
-        if self.tasks:
-            return
-        unsent = isinstance(error, CallError) and not error.sent
-        if unsent and self.free_retries > 0:
-            self.free_retries -= 1
-        elif not self.runner.dispatcher.take_retry(self.service):
-            kind = ErrorKind.ANSWER_INCOMPLETE if self.partial() else ErrorKind.STAGE_FAILED
-            raise ServiceError(
-                kind,
-                f"stage {self.stage.name} failed: {error}",
-                ran=self.runner.ran(self.run),
-                stage=self.stage.name,
-            ) from error
-        await self.start()
-
-    def partial(self) -> bool:
-        """True if tokens were delivered that are not yet a whole answer."""
-        return self.stream is not None and bool(self.stream.tokens)
-
-    async def cancel(self) -> None:
-        """Ends the attempts that are still running; their answers go nowhere."""
-        tasks, self.tasks = list(self.tasks), {}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -21,7 +21,8 @@
 from savoryfork.files import load_directory
 from savoryfork.metrics import Metrics
 from savoryfork.publication import ConfigFold, publication_record
-from savoryfork.runner import RunAnswer, Runner, RunRequest, TokenCallback
+from savoryfork.run import RunAnswer, RunRequest, TokenCallback
+from savoryfork.runner import Runner
 from savoryfork.settings import Settings
 from savoryfork.util.timer import system_clock
 from savoryfork.util.topic import Record
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from savoryfork import defaults
+from savoryfork.attempts import StageAttempts
 from savoryfork.board import Board, TargetView
 from savoryfork.burn import BurnRecorder
 from savoryfork.calls import CallError, TargetClient
@@ -24,7 +25,8 @@
     Service,
     Workspace,
 )
-from savoryfork.runner import Run, Runner, RunRequest, StageAttempts
+from savoryfork.run import Run, RunRequest
+from savoryfork.runner import Runner
 from savoryfork.util.timer import Clock, TimerService
 from tests.test_calls import target
 
