--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,8 @@
 	$(VENV)/bin/black --quiet savoryfork standins bench tests
 
 bench: $(VENV)/.installed
+	mkdir -p run
+	$(PY) -m bench.cost > run/cost.out
+	cat run/cost.out
 	$(PY) -m bench
+	tail -n 1 run/cost.out
