--- a/bench/cost.py
+++ b/bench/cost.py
@@ -17,9 +17,7 @@
 from typing import Any, NamedTuple
 
 import aiohttp
-import uuid6
 
-from savoryfork.files import load_directory
 from standins.deployments import NASR
 from standins.launch import ROOT, Deployment
 
@@ -91,21 +89,10 @@
     return calls, tokens
 
 
-async def publish(deployment: Deployment) -> None:
-    """Publishes the example configuration."""
-    files = load_directory(ROOT / "examples" / "nasr")
-    body = {"id": str(uuid6.uuid7()), "base": dict.fromkeys(files, -1), "files": files}
-    url = deployment.operator_url("host-0") + "/operator/publications"
-    headers = deployment.operator_headers
-    async with deployment.session.post(url, json=body, headers=headers) as response:
-        response.raise_for_status()
-    await deployment.wait_ready()
-
-
 async def measure(policy: str, seed: int) -> Cost:
     """One run of one policy."""
     async with Deployment(NASR.small(), host_settings={"policy": policy}) as deployment:
-        await publish(deployment)
+        await deployment.publish(ROOT / "examples" / "nasr")
         took_ms: list[float] = []
         tasks = []
         started = time.perf_counter()
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -16,10 +16,8 @@
 
 import aiohttp
 import psutil
-import uuid6
 from hdrh.histogram import HdrHistogram
 
-from savoryfork.files import load_directory
 from standins.deployments import NASR
 from standins.launch import ROOT, Deployment
 
@@ -162,13 +160,7 @@
     """Prints one JSON row for each concurrency."""
     spec = NASR.small()
     async with Deployment(spec, hosts=1) as deployment:
-        files = load_directory(ROOT / "examples" / "nasr")
-        publication = {"id": str(uuid6.uuid7()), "base": dict.fromkeys(files, -1), "files": files}
-        url = deployment.operator_url("host-0") + "/operator/publications"
-        headers = deployment.operator_headers
-        async with deployment.session.post(url, json=publication, headers=headers) as response:
-            response.raise_for_status()
-        await deployment.wait_ready()
+        await deployment.publish(ROOT / "examples" / "nasr")
         idle = psutil.Process(deployment.pid("host-0"))
         before = idle.cpu_times()
         await asyncio.sleep(5)
--- a/savoryfork/caller.py
+++ b/savoryfork/caller.py
@@ -24,6 +24,7 @@
 from savoryfork.runner import Runner
 from savoryfork.settings import Settings
 from savoryfork.util import logs
+from savoryfork.util.responses import json_response
 from savoryfork.util.timer import Clock
 
 log = logging.getLogger(__name__)
@@ -325,13 +326,6 @@
         return response
 
 
-def json_response(body: Any, status: int = 200) -> web.Response:
-    """A JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body), status=status, content_type="application/json"
-    )
-
-
 class EventStream:
     """Server-sent events of one run. Nothing is written before the first token, so that a run
     that fails earlier is answered with its own HTTP status.
--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -34,13 +34,14 @@
 from savoryfork.gossip import ConfigController, Gossip
 from savoryfork.membership import Membership
 from savoryfork.metrics import Metrics
-from savoryfork.operator import OperatorInterface, json_response, operator_app
+from savoryfork.operator import OperatorInterface, operator_app
 from savoryfork.orders import OrderController
 from savoryfork.peers import PeerClient, PeerServer, PeerService
 from savoryfork.publication import ConfigFold
 from savoryfork.runner import Runner
 from savoryfork.settings import Settings, split_address
 from savoryfork.util import logs
+from savoryfork.util.responses import json_response
 from savoryfork.util.timer import TimerService, system_clock
 from savoryfork.util.topic import LogClient
 
--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -19,6 +19,7 @@
 from savoryfork.publication import Verdict, check_record, content_digest, publication_record
 from savoryfork.settings import Settings
 from savoryfork.util import logs
+from savoryfork.util.responses import json_response
 from savoryfork.util.timer import Clock
 from savoryfork.util.topic import LogClient, LogUnavailable
 
@@ -33,13 +34,6 @@
 APPEND_RETRY_MS = 500
 
 
-def json_response(body: Any, status: int = 200) -> web.Response:
-    """A JSON response."""
-    return web.Response(
-        body=msgspec.json.encode(body), status=status, content_type="application/json"
-    )
-
-
 def operator_of(authorization: str, keys: dict[str, str]) -> str | None:
     """The operator whose key was given.
 
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -28,7 +28,9 @@
 from typing import Any, NamedTuple
 
 import aiohttp
+import uuid6
 
+from savoryfork.files import load_directory
 from standins.deployments import DeploymentSpec, ServiceSpec
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -377,6 +379,16 @@
         lines = file.read_text().splitlines() if file.exists() else []
         return [json.loads(line) for line in lines]
 
+    async def publish(self, directory: Path) -> None:
+        """Publishes the files of a directory through the first daemon and waits until all are
+        ready; raises aiohttp.ClientError if they are refused."""
+        files = load_directory(directory)
+        body = {"id": str(uuid6.uuid7()), "base": dict.fromkeys(files, -1), "files": files}
+        url = self.operator_url(self.host_names[0]) + "/operator/publications"
+        async with self.session.post(url, json=body, headers=self.operator_headers) as response:
+            response.raise_for_status()
+        await self.wait_ready()
+
     async def put_hosts(self) -> None:
         """Registers what has been started. Each child stays listed until `remove`."""
         hosts = [
