Say not run for a run that won its key after its deadline

It released the claim, and the key had been its own, so nothing can have run. Ruled out: an action that was sent; the ledger was empty. Change: that error keeps its not run.

--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -134,7 +134,9 @@
             if state.state == RUNNING and state.claim == claim:
                 if self.clock.monotonic_ms() >= request.deadline_ms:
                     self.start_release(request, claim)
-                    raise too_late()
+                    error = too_late()
+                    error.key_known = True
+                    raise error
                 return Won(claim)
             # The claim lost against one that has been released since: the key is free again.
             if state.state != RELEASED or self.clock.monotonic_ms() >= until_ms:
--- a/savoryfork/errors.py
+++ b/savoryfork/errors.py
@@ -106,6 +106,7 @@
         self.stage = stage
         self.details = details
         self.ran = ran if ran is not None else ANSWERS[kind].ran
+        self.key_known = False
 
     @property
     def answer(self) -> Answer:
@@ -116,9 +117,10 @@
         """Withdraws "not run" from a refusal that came before the state of the key was known.
 
         The refused request did not run, but an earlier one with the same idempotency key may have,
-        and the caller asks about the key. Errors that no retry can help keep their answer.
+        and the caller asks about the key. Errors that no retry can help keep their answer, and so
+        do those of a run that had won the key (`key_known`).
         """
-        if self.ran is Ran.NO and self.answer.retry:
+        if self.ran is Ran.NO and self.answer.retry and not self.key_known:
             self.ran = Ran.UNKNOWN
 
     def body(self, request_id: str) -> dict[str, Any]:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -220,6 +220,9 @@
         with pytest.raises(ServiceError) as caught:
             await claims.claim(request)
         assert (caught.value.kind, caught.value.ran) == (ErrorKind.DEADLINE_EXCEEDED, Ran.NO)
+        # The key was this run's, so nothing else can have run under it.
+        caught.value.allow_earlier_run()
+        assert caught.value.ran is Ran.NO
         await until(lambda: claims.pending() == 0, cluster)
         state = await claims.lookup("w", request.key, 0)
         assert state is not None and state.state == "released"
