Give back the slot of an attempt that never began; count abandoned runs apart

Found by reading. A task that is cancelled before its first step never enters the attempt, so the slot was not released when a deadline passed or another attempt won at that moment; the target's place stayed taken until the next incarnation. A run whose caller disconnected was counted as answered in time, in the metrics and in the burn report. Change: the end of the attempt's task releases the slot as well (a second release does nothing); abandoned runs have a result of their own and do not enter the burn report.

--- a/savoryfork/attempts.py
+++ b/savoryfork/attempts.py
@@ -96,8 +96,15 @@
         """Starts an attempt with a slot."""
         self.count += 1
         task = asyncio.create_task(self.runner.attempt(self.run, self.stage, slot, self.stream))
+        # A task that is cancelled before its first step never enters the attempt, which would have
+        # given the slot back; a second release does nothing.
+        task.add_done_callback(lambda ended: self.release(slot))
         self.tasks[task] = slot
 
+    def release(self, slot: Slot) -> None:
+        """Gives back a slot whose attempt has ended."""
+        self.runner.dispatcher.release(slot, CallResult.CANCELLED, 0)
+
     async def hedge(self) -> None:
         """Starts a second attempt at another target if the budget allows it."""
         if not self.hedgeable():
@@ -125,7 +132,7 @@
     def give_back(self, acquire: asyncio.Task[Slot]) -> None:
         """Releases a slot that arrived when it was no longer wanted."""
         if not acquire.cancelled() and acquire.exception() is None:
-            self.runner.dispatcher.release(acquire.result(), CallResult.CANCELLED, 0)
+            self.release(acquire.result())
 
     async def failed(self, error: BaseException, slot: Slot) -> None:
         """Retries after a failed attempt, within the budgets, unless another one still runs."""
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -77,6 +77,7 @@
         self.inflight += 1
         self.idle.clear()
         kind: ErrorKind | None = None
+        abandoned = False
         try:
             return await self.outcome(run)
         except ServiceError as error:
@@ -85,6 +86,7 @@
                 error.allow_earlier_run()
             raise
         except asyncio.CancelledError:
+            abandoned = True
             raise
         except Exception as error:
             kind = ErrorKind.INTERNAL
@@ -95,7 +97,24 @@
             self.inflight -= 1
             if not self.inflight:
                 self.idle.set()
-            self.account(run, kind, self.clock.monotonic_ms() - started_ms)
+            if abandoned:
+                self.note_abandoned(run)
+            else:
+                self.account(run, kind, self.clock.monotonic_ms() - started_ms)
+
+    def note_abandoned(self, run: Run) -> None:
+        """Counts a run whose caller went away; it was neither answered nor failed by the system."""
+        request = run.request
+        workspace, pipeline = request.workspace.name, request.pipeline.name
+        self.metrics.runs.inc({"workspace": workspace, "pipeline": pipeline, "result": "abandoned"})
+        logs.event(
+            log,
+            "run_abandoned",
+            request=request.request_id,
+            workspace=workspace,
+            pipeline=pipeline,
+            stage=run.stage,
+        )
 
     @staticmethod
     def key_settled(run: Run) -> bool:
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -128,8 +128,11 @@
         self.acquired = asyncio.Event()
         self.hedges = 0
         self.dispatcher = SimpleNamespace(
-            hedge_delay_ms=lambda service, work: None, take_hedge=self.take_hedge
+            hedge_delay_ms=lambda service, work: None,
+            take_hedge=self.take_hedge,
+            release=lambda slot, result, tokens: self.released.append(slot.target.name),
         )
+        self.released: list[str] = []
         views = [SimpleNamespace(name=name) for name in ("a", "b")]
         self.board = SimpleNamespace(targets_of=lambda service: views)
 
@@ -172,3 +175,36 @@
             assert await answer == ("answer", "b")
         assert runner.hedges == 1
         assert sorted(runner.ended) == ["a", "b"]
+
+    async def test_attempt_cancelled_before_its_first_step_gives_its_slot_back(self) -> None:
+        """Guards against slots that leak when a deadline passes just as an attempt begins."""
+        runner = HedgingRunner()
+        run = make_run(1e12, dedupes=False)
+        attempts = StageAttempts(cast(Any, runner), run, ActionStage("fetch", "orders", "fetch"))
+        await attempts.start()
+        await attempts.cancel()
+        await asyncio.sleep(0)
+        assert runner.ended == []
+        assert runner.released == ["a"]
+
+
+class TestAccounting:
+    async def test_run_whose_caller_left_is_not_counted_as_answered(self) -> None:
+        """Guards against an attainment that counts abandoned runs as answered in time."""
+        clock = Clock(lambda: 0.0, lambda: 0.0)
+        runner = make_runner(
+            cast(Any, None), SimpleNamespace(name="t", service="s", leaving=False), clock
+        )
+        run = make_run(1e12, dedupes=False)
+
+        async def outcome(run: Run) -> Any:
+            await asyncio.Event().wait()
+
+        runner.outcome = outcome  # type: ignore[method-assign]
+        task = asyncio.create_task(runner.run(run.request, run.on_token))
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait({task})
+        counted = runner.metrics.runs.get_all()
+        assert [labels["result"] for labels, _ in counted] == ["abandoned"]
+        assert not runner.burn.buckets
