--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,7 +11,7 @@
 from savoryfork.board import LogState
 from savoryfork.publication import publication_record
 from tests.fakes import FakeClock, FakeLog, FakeNetwork
-from tests.test_publication import ENC, files
+from tests.test_files import ENC, files
 
 NAMES = [f"h{i}" for i in range(1, 9)]
 
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -11,8 +11,8 @@
 
 from savoryfork.ui import command_names, main
 from savoryfork.ui.commands import publish as publish_command
+from tests.test_files import ASK, ENC, W, files
 from tests.test_operator import Deployment, deployment
-from tests.test_publication import ASK, ENC, W, files
 
 
 def write(directory: Path, content: dict[str, Any]) -> str:
