--- a/savoryfork/admission.py
+++ b/savoryfork/admission.py
@@ -38,7 +38,7 @@
 # A call gains this many milliseconds of rank for each millisecond that it waits.
 AGEING = 4.0
 
-# The prediction at the door is stretched by this much per priority step, so that of two requests
+# The prediction at admission is stretched by this much per priority step, so that of two requests
 # near the limit the less important one is refused.
 CAUTION_PER_PRIORITY = 0.03
 
@@ -264,7 +264,7 @@
     return queued.get(workspace, 0) < max(1.0, part * capacity)
 
 
-def door_ms(stages: list[tuple[float, float]], priority: int) -> float:
+def request_ms(stages: list[tuple[float, float]], priority: int) -> float:
     """Predicted time of a request: (wait, work) of each stage, stretched by priority."""
     return sum(wait + work for wait, work in stages) * (1 + CAUTION_PER_PRIORITY * priority)
 
--- a/savoryfork/dispatch.py
+++ b/savoryfork/dispatch.py
@@ -34,8 +34,8 @@
 
 # An admitted run whose next call has not come after this multiple of the predicted time is taken
 # to have ended.
-COMING_PATIENCE = 2.0
-COMING_GRACE_MS = 100.0
+EXPECTED_CALL_FACTOR = 2.0
+EXPECTED_CALL_MARGIN_MS = 100.0
 
 # Long prompts that a host has in process at once, at least: an engine processes one after the
 # other, so more only delay short work. With 1, the p99 of long work was 1.27 of the baseline's,
@@ -53,8 +53,8 @@
 # A pace above this is a matter of moments, not of the whole time of a request.
 MOST_PACE = 1.5
 
-# The quantile of the slowdowns of whole calls that bounds the pace at the door.
-DOOR_QUANTILE = 0.9
+# The quantile of the slowdowns of whole calls that bounds the pace at admission.
+ADMISSION_QUANTILE = 0.9
 
 # A probe goes only with a call that has this many times its expected time left.
 PROBE_SLACK = 4.0
@@ -157,7 +157,7 @@
         self.queued: Counter[str] = Counter()
         self.held: Counter[str] = Counter()
         self.shares: dict[str, float] = {}
-        self.coming: dict[tuple[str, str], deque[tuple[float, float, int]]] = {}
+        self.expected_calls: dict[tuple[str, str], deque[tuple[float, float, int]]] = {}
         self.offered: deque[tuple[float, float, int]] = deque()
         self.long = 0
         self.long_prefills = 0
@@ -227,7 +227,7 @@
     def admit(
         self, pipeline: Pipeline, services: Mapping[str, Service], work: Sequence[Work]
     ) -> None:
-        """Decides at the door whether a request starts; `work` has one item for each stage.
+        """Decides whether a request is admitted; `work` has one item for each stage.
 
         Raises ServiceError: NO_TARGETS if a stage has no target, OVERLOADED if a queue is full or
         the workspace has its share of the places, DEADLINE_UNREACHABLE if the predicted end is
@@ -256,24 +256,24 @@
         for stage, item in stages:
             state = self.state(services[stage.service])
             prediction = state.model.predict(item)
-            busy = min(MOST_PACE, self.door_pace(state)) * (1 + routing.CROWDING * state.load)
+            busy = min(MOST_PACE, self.admission_pace(state)) * (1 + routing.CROWDING * state.load)
             wait = self.queue_ms(state, item, prediction, now) + state.wait_ms
             times.append((wait, prediction.first_ms + prediction.rest_ms * busy))
         if stages:
-            self.check_door(now, times, stages[0][1])
+            self.check_deadline(now, times, stages[0][1])
         reach = 0.0
         for index, (stage, item) in enumerate(stages):
             state = self.state(services[stage.service])
-            until = now + COMING_PATIENCE * reach + COMING_GRACE_MS
+            until = now + EXPECTED_CALL_FACTOR * reach + EXPECTED_CALL_MARGIN_MS
             entry = (until, sum(times[index][1:]), item.priority)
-            state.coming.setdefault((pipeline.name, stage.name), deque()).append(entry)
+            state.expected_calls.setdefault((pipeline.name, stage.name), deque()).append(entry)
             state.offered.append((now, entry[1], item.priority))
             rest = [(s.service, w) for s, w in stages[index + 1 :]]
             self.later[pipeline.name, stage.name] = rest
             reach += sum(times[index])
 
-    def door_pace(self, state: ServiceState) -> float:
-        """The pace of a service by which predictions at the door are stretched.
+    def admission_pace(self, state: ServiceState) -> float:
+        """The pace of a service by which predictions at admission are stretched.
 
         The pace of targets also follows waits for a first token that are short beside the whole
         call: unchecked, it put 12 s on calls of 2.5 s and refused them. So it counts only as far
@@ -281,11 +281,11 @@
         """
         if len(state.model.slowdowns) < admission.MIN_EVIDENCE:
             return 1.0
-        return min(state.median_pace, max(1.0, state.model.slowdowns.quantile(DOOR_QUANTILE)))
+        return min(state.median_pace, max(1.0, state.model.slowdowns.quantile(ADMISSION_QUANTILE)))
 
-    def check_door(self, now: float, times: list[tuple[float, float]], work: Work) -> None:
+    def check_deadline(self, now: float, times: list[tuple[float, float]], work: Work) -> None:
         """Refuses a request whose predicted time is longer than what its deadline leaves."""
-        predicted = admission.door_ms(times, work.priority)
+        predicted = admission.request_ms(times, work.priority)
         if now + predicted > work.deadline_ms:
             raise ServiceError(
                 ErrorKind.DEADLINE_UNREACHABLE,
@@ -314,7 +314,7 @@
                 break
             if long or not waiter.long:
                 ahead += waiter.prediction.expected_ms
-        for entries in state.coming.values():
+        for entries in state.expected_calls.values():
             ahead += sum(ms for until, ms, p in entries if until > now and p <= work.priority)
         held = sum(state.held.values())
         slots = max(state.slots, held)
@@ -340,9 +340,9 @@
         now = self.clock.monotonic_ms()
         state = self.state(service)
         state.budgets.call()
-        coming = state.coming.get((work.pipeline, work.stage))
-        if coming:
-            coming.popleft()
+        expected = state.expected_calls.get((work.pipeline, work.stage))
+        if expected:
+            expected.popleft()
         waiter = self.waiter(state, work, exclude, now)
         if len(state.queue) >= MAX_QUEUE:
             last = state.queue[-1]
@@ -793,11 +793,11 @@
         for key in [k for k, t in self.targets.items() if k not in current and not t.slots]:
             del self.targets[key]
         for state in self.services.values():
-            for key, entries in list(state.coming.items()):
+            for key, entries in list(state.expected_calls.items()):
                 while entries and entries[0][0] <= now:
                     entries.popleft()
                 if not entries:
-                    del state.coming[key]
+                    del state.expected_calls[key]
             if state.idle():
                 continue
             if self.adaptive and now >= state.survey_ms:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of work prediction, queue order, shares and the door."""
+"""Tests of work prediction, queue order, shares and admission."""
 
 from __future__ import annotations
 
@@ -98,11 +98,11 @@
         assert not admission.place_allowed({"a": 500, "b": 500}, shares, "b", 1_000)
 
 
-class TestDoor:
+class TestAdmission:
     def test_lower_priority_is_refused_first(self):
         """Near the limit the less important of two equal requests must be the one refused."""
         stages = [(1_000.0, 500.0), (0.0, 300.0)]
-        times = [admission.door_ms(stages, priority) for priority in range(10)]
+        times = [admission.request_ms(stages, priority) for priority in range(10)]
         assert times == sorted(times) and times[0] < times[9]
 
     @settings(derandomize=True)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -197,7 +197,7 @@
         assert state.outgrown == 1 and state.long == before + 1
 
 
-class TestDoor:
+class TestAdmission:
     def test_no_targets(self):
         """A request must not wait for a service that has no target."""
         bench = Bench(targets=0)
