Ask for the host list before a publication counts its hosts

Cause: publish reported success on one host right after the others had started, because the host list is polled once a second (seen by hand with standins.serve: in effect on 1 hosts, of 3). Change: the list is fetched again after the acceptance. A list that lags can still miss a host, which follows by the exchange.

--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -132,6 +132,7 @@
             self.settings,
             self.clock,
             self.incarnation,
+            self.discovery.poll_hosts,
         )
 
     def build_runs(self) -> None:
--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -79,7 +79,9 @@
         settings: Settings,
         clock: Clock,
         incarnation: str,
+        refresh_hosts: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        self.refresh_hosts = refresh_hosts
         self.board = board
         self.controller = controller
         self.fold = controller.fold
@@ -138,6 +140,9 @@
             self.check_able()
             verdict = await self.append(record, deadline_ms)
         self.check_verdict(record, verdict)
+        if self.refresh_hosts is not None:
+            # A host that was listed since the last poll must be waited for too.
+            await self.refresh_hosts()
         hosts, missing = await self.gossip.spread(verdict.offset, deadline_ms)
         logs.event(
             log,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -12,7 +12,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from savoryfork import defaults
-from savoryfork.board import LogState
+from savoryfork.board import HostView, LogState
 from savoryfork.operator import OperatorInterface, operator_app
 from savoryfork.util.timer import system_clock
 from tests.fakes import FakeHost, FakeLog, FakeNetwork
@@ -41,9 +41,15 @@
             self.host.settings,
             clock,
             "incarnation-1",
+            self.refresh_hosts,
         )
+        self.found: dict[str, HostView] = {}
         self.server = TestServer(operator_app(interface, metrics=other, burn=other))
 
+    async def refresh_hosts(self) -> None:
+        """Makes the hosts in `found` known, as a fresh host list does."""
+        self.host.board.hosts.update(self.found)
+
 
 @contextlib.asynccontextmanager
 async def deployment(names: tuple[str, ...] = ("h1", "h2", "h3")) -> AsyncIterator[Deployment]:
@@ -89,6 +95,14 @@
             for host in made.network.hosts.values():
                 assert host.board.configuration.offset == body["offset"]
 
+    async def test_a_host_that_was_listed_just_now_is_waited_for(self) -> None:
+        """Guards against success on one host while the others are not known to it yet."""
+        async with deployment() as made:
+            made.found = dict(made.host.board.hosts)
+            made.host.board.hosts.clear()
+            status, body = await publish(made, 1, {}, files())
+            assert (status, sorted(body["hosts"])) == (200, ["h1", "h2", "h3"])
+
     async def test_a_lost_answer_is_resolved_by_reading(self) -> None:
         """Guards against reporting a failure, or a second effect, after a lost answer."""
         async with deployment() as made:
