--- a/savoryfork/daemon.py
+++ b/savoryfork/daemon.py
@@ -42,6 +42,7 @@
 from savoryfork.settings import Settings, split_address
 from savoryfork.util import logs
 from savoryfork.util.responses import json_response
+from savoryfork.util.signals import STOP_SIGNALS
 from savoryfork.util.timer import TimerService, system_clock
 from savoryfork.util.topic import LogClient
 
@@ -53,8 +54,6 @@
 # A run may go on past its deadline while an action is being answered or its outcome recorded.
 DRAIN_MARGIN_MS = 5_000
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
 
 class HostService(aiomisc.Service):
     """One entry host. `stopped` is set once it has stopped by request."""
--- a/savoryfork/errors.py
+++ b/savoryfork/errors.py
@@ -32,6 +32,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NOT_READY = "not_ready"
+    STALE_CONFIGURATION = "stale_configuration"
     LOG_UNAVAILABLE = "log_unavailable"
     NO_TARGETS = "no_targets"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -68,6 +69,7 @@
     ErrorKind.OVERLOADED: Answer(429, Ran.NO, True),
     ErrorKind.DEADLINE_UNREACHABLE: Answer(503, Ran.NO, True),
     ErrorKind.NOT_READY: Answer(503, Ran.NO, True),
+    ErrorKind.STALE_CONFIGURATION: Answer(503, Ran.NO, True),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.NO, True),
     ErrorKind.NO_TARGETS: Answer(503, Ran.NO, True),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.NO, True),
--- /dev/null
+++ b/savoryfork/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' own requests to targets: routing, stages, retries and streams."""
--- /dev/null
+++ b/savoryfork/forward/budget.py
@@ -0,0 +1,47 @@
+"""Bounds repeated requests to a service over all hosts without asking any of them."""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Part of what the platform allows that is used: hosts may differ for a moment in how many they
+# take themselves to be.
+USED_SHARE = 0.7
+
+
+class RepeatBudget:
+    """This host's share of a service's repeats in a sliding window.
+
+    Every host takes `ratio` of its own requests and an equal part of the common reserve, so the
+    sum stays within the bound whatever the hosts know of each other.
+
+    >>> budget = RepeatBudget(ratio=0.2, reserve=4.0, window_ms=1000.0)
+    >>> [budget.take(0.0, hosts=2) for _ in range(3)], budget.take(1001.0, hosts=2)
+    ([True, False, False], True)
+    """
+
+    def __init__(self, ratio: float, reserve: float, window_ms: float) -> None:
+        self.ratio = ratio
+        self.reserve = reserve
+        self.window_ms = window_ms
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Counts a first request."""
+        self.requests.append(now)
+
+    def allowed(self, now: float, hosts: int) -> float:
+        """Repeats that this host may still send in the current window."""
+        for times in (self.requests, self.repeats):
+            while times and times[0] <= now - self.window_ms:
+                times.popleft()
+        share = self.reserve / max(1, hosts) + self.ratio * len(self.requests)
+        return USED_SHARE * share - len(self.repeats)
+
+    def take(self, now: float, hosts: int) -> bool:
+        """Spends one repeat if the budget allows it."""
+        if self.allowed(now, hosts) < 1.0:
+            return False
+        self.repeats.append(now)
+        return True
--- /dev/null
+++ b/savoryfork/forward/entry.py
@@ -0,0 +1,202 @@
+"""The port that callers reach: takes requests, passes answers on, and stops without cutting one."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import msgspec
+from aiohttp import web
+
+from savoryfork.errors import ErrorKind, Ran, ServiceError
+from savoryfork.forward.forwarder import Forwarder, Run
+from savoryfork.forward.metrics import ForwardMetrics
+from savoryfork.forward.model import Headers
+from savoryfork.forward.wire import Wire
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
+
+# Beyond what operators allow on the users' sheets (16 KB).
+MAX_LINE_BYTES = 32_768
+
+# Longer than operators let callers' connections be idle (15 s on the sheets); it must not be
+# shorter, or a request would cross the closing of its connection.
+KEEP_ALIVE_S = 75.0
+
+# Status codes that promise that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+MAY_HAVE_RUN_STATUS = 502
+
+# The least time after which a refused caller is asked back.
+LEAST_RETRY_S = 0.05
+
+
+class Reply:
+    """The answer to one request, on its way back. `cut_short` is True for a broken stream."""
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self.request = request
+        self.closing = closing
+        self.response: web.StreamResponse | None = None
+        self.cut_short = False
+
+    def head(self, response: web.StreamResponse, headers: Headers) -> None:
+        """Adds a target's headers as they came."""
+        for name, value in headers:
+            response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        if self.closing:
+            response.force_close()
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole answer."""
+        response = web.Response(status=status, body=body)
+        del response.headers["Content-Type"]
+        self.head(response, headers)
+        self.response = response
+        await response.prepare(self.request)
+        await response.write_eof()
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Begins a stream."""
+        response = web.StreamResponse(status=status)
+        self.head(response, headers)
+        response.enable_chunked_encoding()
+        self.response = response
+        await response.prepare(self.request)
+
+    async def part(self, data: bytes) -> None:
+        """Sends a part of a stream."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        """Ends a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def cut(self) -> None:
+        """Closes the connection without the end of the answer."""
+        self.cut_short = True
+        if self.request.transport is not None:
+            self.request.transport.close()
+
+
+class Entry:
+    """Handles the requests of callers on this host."""
+
+    def __init__(self, forwarder: Forwarder, wire: Wire, metrics: ForwardMetrics) -> None:
+        self.forwarder = forwarder
+        self.wire = wire
+        self.metrics = metrics
+        self.inflight = 0
+        self.stopping = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def server(self) -> web.Server:
+        """The server for the callers' port."""
+        return web.Server(
+            self.handle,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            access_log=None,
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request from its first byte to the end of its answer."""
+        self.inflight += 1
+        self.idle.clear()
+        try:
+            return await self.serve(request)
+        finally:
+            self.inflight -= 1
+            if not self.inflight:
+                self.idle.set()
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Reads the request, has it forwarded, and answers for the outcome."""
+        received_at = self.forwarder.now()
+        body: bytes | None = await request.content.read()
+        if not body and not request.body_exists:
+            body = None
+        headers = [(bytes(name), bytes(value)) for name, value in request.raw_headers]
+        decoded = self.wire.decode_request(request.method, request.raw_path, headers)
+        reply = Reply(request, self.stopping)
+        run = Run(decoded, body, reply, received_at)
+        error: ServiceError | None = None
+        abandoned = False
+        try:
+            await self.forwarder.forward(run)
+        except ServiceError as failure:
+            error = failure
+        except asyncio.CancelledError:
+            abandoned = True
+            raise
+        except ConnectionError:
+            abandoned = True
+        except Exception:
+            logs.failure(log, "request_failed", request=run.id)
+            ran = Ran.UNKNOWN if run.offers else Ran.NO
+            error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
+        finally:
+            self.account(run, error, abandoned)
+        if error is not None:
+            if run.begun:
+                reply.cut()
+            else:
+                return self.refuse(run, error)
+        assert reply.response is not None or abandoned
+        return reply.response or web.Response(status=499)
+
+    def refuse(self, run: Run, error: ServiceError) -> web.Response:
+        """The answer of the system's own to a request without one of a target."""
+        status = error.answer.status
+        if run.may_have_run or (error.ran is Ran.UNKNOWN and status in NOT_RUN_STATUSES):
+            status = MAY_HAVE_RUN_STATUS if status in NOT_RUN_STATUSES else status
+        response = web.Response(
+            status=status,
+            body=msgspec.json.encode(error.body(run.id)),
+            content_type="application/json",
+        )
+        if run.id:
+            response.headers[self.wire.request_id_header] = run.id
+        if status in NOT_RUN_STATUSES:
+            response.headers["Retry-After"] = f"{max(LEAST_RETRY_S, run.retry_ms / 1000):.2f}"
+        if self.stopping:
+            response.force_close()
+        return response
+
+    def account(self, run: Run, error: ServiceError | None, abandoned: bool) -> None:
+        """Writes the request's log line and its metrics."""
+        now = self.forwarder.now()
+        took = now - run.received_at
+        outcome = "abandoned" if abandoned else error.kind.value if error else "answered"
+        route = run.route
+        self.metrics.request(outcome, route.repeat.value if route else "none", took)
+        if run.first_event_at is not None:
+            self.metrics.first_event(run.first_event_at - run.received_at)
+        logs.event(
+            log,
+            "request_done",
+            request=run.id,
+            outcome=outcome,
+            reason=str(error) if error else None,
+            route=route.name if route else None,
+            service=run.service or None,
+            workspace=run.workspace.name if run.workspace else None,
+            priority=run.priority,
+            config_version=run.version,
+            config_age_ms=round(run.config_age_ms),
+            offers=",".join(f"{o.target}:{o.outcome}" for o in run.offers) or None,
+            took_ms=round(took),
+            staged_ms=round(run.staged_at - run.received_at) if run.staged_at else None,
+            first_event_ms=(
+                round(run.first_event_at - run.received_at) if run.first_event_at else None
+            ),
+            aim_ms=round(run.aim_at - run.received_at),
+            left_ms=round(run.deadline_at - now),
+            events=run.events or None,
+        )
--- /dev/null
+++ b/savoryfork/forward/host.py
@@ -0,0 +1,325 @@
+"""Builds a forwarding host, runs it, and stops it without cutting a request."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import signal
+from collections.abc import Callable
+from types import FrameType
+
+import aiomisc
+import uvloop
+from aiohttp import web
+
+from savoryfork import defaults
+from savoryfork.errors import UserError
+from savoryfork.forward.budget import RepeatBudget
+from savoryfork.forward.connection import Connections
+from savoryfork.forward.entry import Entry
+from savoryfork.forward.follower import Follower, Store, Topic
+from savoryfork.forward.forwarder import Forwarder
+from savoryfork.forward.health import HealthBook
+from savoryfork.forward.members import Member, Members
+from savoryfork.forward.messages import (
+    Done,
+    ForwardService,
+    ForwardStub,
+    FreeRequest,
+    MessageCodec,
+)
+from savoryfork.forward.metrics import ForwardMetrics
+from savoryfork.forward.model import BatchLimits
+from savoryfork.forward.pools import Pools
+from savoryfork.forward.settings import ForwardSettings
+from savoryfork.forward.stages import Stages
+from savoryfork.forward.wire import Wire
+from savoryfork.peers import PeerClient, PeerServer
+from savoryfork.settings import split_address
+from savoryfork.util import logs
+from savoryfork.util.signals import STOP_SIGNALS
+from savoryfork.util.timer import TimerService, suspend_aware_clock
+
+log = logging.getLogger(__name__)
+
+# How long the balancer may go on sending after two probes, a second apart, have failed.
+LINGER_MS = 2_600.0
+
+# Time kept of the grace period for the end of the process.
+EXIT_MARGIN_MS = 700.0
+
+MEET_PERIOD_MS = 1_000.0
+HOUSEKEEPING_MS = 500.0
+BACKLOG = 1_024
+
+
+class ForwardHost(aiomisc.Service):
+    """One forwarding host. `stopped` is set once it has stopped by request."""
+
+    settings: ForwardSettings
+    wire: Wire
+    open_store: Callable[[str], Store]
+    reload: Callable[[], ForwardSettings]
+
+    async def start(self) -> None:
+        """Builds the parts and starts to listen; not ready before the first configuration."""
+        self.clock = suspend_aware_clock()
+        self.timer = TimerService(self.clock, defaults.TIMER_TICK_MS, defaults.PAUSE_THRESHOLD_MS)
+        self.stopped = asyncio.Event()
+        self.stop_task: asyncio.Task[None] | None = None
+        self.stopping = False
+        self.was_ready = False
+        self.runners: list[web.ServerRunner] = []
+        self.build()
+        await self.listen()
+        every = self.timer.subscribe
+        every("meet", MEET_PERIOD_MS, self.follower.meet)
+        every("housekeeping", HOUSEKEEPING_MS, self.housekeep)
+        self.timer.start()
+        loop = asyncio.get_running_loop()
+        self.followers = [
+            loop.create_task(self.follower.run(Topic.CONFIGURATION)),
+            loop.create_task(self.follower.run(Topic.TARGETS)),
+            loop.create_task(self.follower.run_sync()),
+            loop.create_task(self.follower.meet()),
+        ]
+        for task in self.followers:
+            task.add_done_callback(self.follower_ended)
+        for number in STOP_SIGNALS:
+            signal.signal(number, self.handle_signal)
+        signal.signal(signal.SIGHUP, self.handle_signal)
+        config = self.settings
+        logs.event(
+            log,
+            "started",
+            availability_zone=config.availability_zone,
+            caller_address=config.caller_address,
+            peer_address=config.peer_address,
+        )
+
+    def build(self) -> None:
+        """Creates the parts; nothing runs yet."""
+        config = self.settings
+        incarnation = int(self.clock.wall_ms())
+        own = Member(config.peer_address, config.availability_zone, incarnation, 0, False, True)
+        self.members = Members(own, config.seed_peers)
+        self.metrics = ForwardMetrics()
+        self.peers = PeerClient(None, ForwardStub, MessageCodec())
+        self.store = self.open_store(config.store_address)
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.follower = Follower(
+            self.store,
+            self.wire,
+            self.members,
+            self.peers,
+            self.clock,
+            random.Random(config.peer_address),
+            lambda: self.forwarder.own_loads(),
+        )
+        self.health = HealthBook()
+        self.connections = Connections()
+        self.pools = Pools(
+            self.follower.registry,
+            self.health,
+            self.connections,
+            self.wire,
+            self.clock,
+            self.limits,
+            self.budget,
+        )
+        self.stages = Stages(self.follower, self.pools, self.peers)
+        self.forwarder = Forwarder(
+            self.follower,
+            self.health,
+            self.connections,
+            self.stages,
+            self.wire,
+            config.availability_zone,
+            config.key_revocation_ms,
+            self.budget,
+        )
+        self.entry = Entry(self.forwarder, self.wire, self.metrics)
+
+    def limits(self, service: str) -> BatchLimits | None:
+        """How the targets of a stage service work; None if it is not one."""
+        catalog = self.follower.catalog
+        info = catalog.services.get(service) if catalog is not None else None
+        return info.batch if info is not None else None
+
+    def budget(self, service: str) -> RepeatBudget:
+        """The budget for repeats of a service's requests."""
+        config = self.settings
+        found = self.budgets.get(service)
+        if found is None:
+            window_ms = config.retry_window_s * 1000
+            found = RepeatBudget(config.retry_ratio, config.retry_reserve, window_ms)
+            self.budgets[service] = found
+        return found
+
+    async def listen(self) -> None:
+        """Opens the ports for callers, the balancer, metrics and other hosts."""
+        config = self.settings
+        handlers = {
+            "Sync": self.follower.handle_sync,
+            "RunStage": self.pools.run,
+            "Free": self.handle_free,
+        }
+        self.peer_server = PeerServer(
+            config.peer_address, (), ForwardService(handlers), MessageCodec()
+        )
+        await self.peer_server.start()
+        await self.serve(web.Server(self.handle_ready, access_log=None), config.ready_address)
+        ip, _ = split_address(config.caller_address)
+        metrics_address = f"{ip}:{config.internal_ports[0]}"
+        await self.serve(web.Server(self.handle_metrics, access_log=None), metrics_address)
+        self.caller_site = await self.serve(self.entry.server(), config.caller_address)
+
+    async def serve(self, server: web.Server, address: str) -> web.TCPSite:
+        """Starts an HTTP server."""
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        self.runners.append(runner)
+        ip, port = split_address(address)
+        site = web.TCPSite(runner, ip, port, backlog=BACKLOG, reuse_address=True)
+        await site.start()
+        return site
+
+    # Handlers.
+
+    def unready(self) -> str | None:
+        """Why this host should get no new connections; None if it should."""
+        if self.stopping:
+            return "stopping"
+        if self.follower.catalog is None:
+            return "no configuration"
+        if self.follower.config_age_ms() > self.forwarder.trusted_ms:
+            return "configuration out of date"
+        return None
+
+    async def handle_ready(self, request: web.BaseRequest) -> web.Response:
+        """Answers the balancer's probe."""
+        reason = self.unready()
+        if (reason is None) != self.was_ready:
+            self.was_ready = reason is None
+            logs.event(log, "ready" if self.was_ready else "unready", reason=reason)
+        if request.path != self.wire.ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if reason is None else 503, text=reason or "ready")
+
+    async def handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        """The exposition for a scraper."""
+        metrics = self.metrics
+        metrics.connections.set({"use": "opened"}, self.connections.opened)
+        metrics.connections.set({"use": "reused"}, self.connections.reused)
+        metrics.inflight.set({}, self.entry.inflight)
+        age_ms = self.follower.config_age_ms()
+        metrics.config_age.set({}, age_ms if self.follower.catalog is not None else -1)
+        metrics.members.set({}, len(self.members.alive(self.follower.now())))
+        metrics.pause.set({}, self.timer.take_pause())
+        metrics.log_dropped.set({}, logs.dropped())
+        body, headers = metrics.render(request.headers.getall("Accept", []))
+        return web.Response(body=body, headers=headers)
+
+    async def handle_free(self, request: FreeRequest) -> Done:
+        """Gives results up for another host."""
+        self.pools.free(request.service, request.results)
+        return Done()
+
+    async def housekeep(self) -> None:
+        """Closes what is idle and forgets what is gone."""
+        self.connections.close_idle(self.follower.now())
+        await self.follower.expire()
+        self.health.forget(list(self.follower.registry.targets.values()))
+
+    def follower_ended(self, task: asyncio.Task[None]) -> None:
+        """A follower that ends by an exception is a bug that would leave the host blind."""
+        if not task.cancelled() and task.exception() is not None:
+            log.error({"event": "follower_failed"}, exc_info=task.exception())
+            self.loop.call_soon(self.stopped.set)
+
+    # Signals.
+
+    def handle_signal(self, number: int, frame: FrameType | None) -> None:
+        """Passes a signal on to the loop."""
+        if number == signal.SIGHUP:
+            self.loop.call_soon_threadsafe(self.reload_settings)
+        else:
+            self.loop.call_soon_threadsafe(self.request_stop)
+
+    def reload_settings(self) -> None:
+        """Takes over the settings that may change while the process runs."""
+        try:
+            config = self.reload()
+        except UserError as error:
+            logs.event(log, "reload_refused", logging.ERROR, reason=str(error))
+            return
+        self.members.seeds = [s for s in config.seed_peers if s != config.peer_address]
+        self.settings = self.settings._replace(
+            seed_peers=config.seed_peers,
+            stop_grace_s=config.stop_grace_s,
+            retry_ratio=config.retry_ratio,
+            retry_reserve=config.retry_reserve,
+            retry_window_s=config.retry_window_s,
+            key_revocation_ms=config.key_revocation_ms,
+        )
+        logs.event(log, "reloaded", seeds=len(config.seed_peers))
+
+    def request_stop(self) -> None:
+        """Begins a graceful stop; a second signal changes nothing."""
+        if self.stop_task is None:
+            self.stop_task = self.loop.create_task(self.finish())
+
+    async def finish(self) -> None:
+        """Leaves the balancer's rotation, ends every request, then sets `stopped`.
+
+        Pools pass to other hosts at once, as they see that this one is leaving; the work that is
+        here is finished.
+        """
+        started = self.follower.now()
+        self.stopping = self.entry.stopping = True
+        self.members.tell(leaving=True)
+        self.follower.notify()
+        await self.follower.meet()
+        logs.event(log, "stopping", inflight=self.entry.inflight)
+        limit_ms = self.settings.stop_grace_s * 1000 - EXIT_MARGIN_MS
+        await asyncio.sleep(LINGER_MS / 1000)
+        await self.caller_site.stop()
+        try:
+            async with asyncio.timeout((limit_ms - (self.follower.now() - started)) / 1000):
+                await self.entry.idle.wait()
+                await self.pools.drained()
+        except TimeoutError:
+            logs.event(log, "stop_cut", logging.WARNING, inflight=self.entry.inflight)
+        logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
+        self.stopped.set()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Closes what is still open."""
+        await self.timer.stop()
+        for task in self.followers:
+            task.cancel()
+        self.connections.close()
+        self.peers.close()
+
+
+def run_host(
+    config: ForwardSettings,
+    wire: Wire,
+    open_store: Callable[[str], Store],
+    reload: Callable[[], ForwardSettings],
+) -> None:
+    """Runs a host until it is asked to stop."""
+    logs.setup_bounded(config.host, config.log_level)
+    service = ForwardHost(settings=config, wire=wire, open_store=open_store, reload=reload)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        pool_size=1,
+        loop_factory=uvloop.new_event_loop,
+        catch_signals=(),
+    ) as loop:
+        loop.run_until_complete(service.stopped.wait())
+        for number in STOP_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+    logs.flush()
--- /dev/null
+++ b/savoryfork/forward/members.py
@@ -0,0 +1,112 @@
+"""Which hosts are alive, and which of them has which duty."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from savoryfork.util import rendezvous
+
+# A host that nobody has heard of for this long is taken to be gone.
+SILENT_MS = 2_500.0
+
+# A host that did not answer is left out for this long, unless it is heard of again.
+SUSPECT_MS = 2_000.0
+
+# Hosts that take the news of the store from one other host. At 82 hosts the news passes through
+# three levels.
+FOLLOWERS = 9
+
+READER_DUTY = "store-reader"
+
+
+class Member(NamedTuple):
+    """One host as told by itself; `counter` rises with each telling of one incarnation."""
+
+    address: str
+    zone: str
+    incarnation: int
+    counter: int
+    leaving: bool
+    store_ok: bool
+
+
+class Members:
+    """The hosts that this host has heard of, itself included; addresses are those for peers."""
+
+    def __init__(self, own: Member, seeds: Iterable[str]) -> None:
+        self.own = own
+        self.seeds = [seed for seed in seeds if seed != own.address]
+        self.known: dict[str, Member] = {}
+        self.heard_at: dict[str, float] = {}
+        self.suspect_until: dict[str, float] = {}
+
+    def hear(self, members: Iterable[Member], now: float) -> None:
+        """Takes over what others tell; only a higher counter is a sign of life."""
+        for member in members:
+            if member.address == self.own.address:
+                continue
+            known = self.known.get(member.address)
+            rank = (member.incarnation, member.counter)
+            if known is None or rank > (known.incarnation, known.counter):
+                self.known[member.address] = member
+                self.heard_at[member.address] = now
+
+    def answered(self, address: str) -> None:
+        """Notes that a host answered."""
+        self.suspect_until.pop(address, None)
+
+    def failed(self, address: str, now: float) -> None:
+        """Notes that a host did not answer."""
+        self.suspect_until[address] = now + SUSPECT_MS
+
+    def tell(self, **changes: bool) -> Member:
+        """This host's own entry with a higher counter."""
+        self.own = self.own._replace(counter=self.own.counter + 1, **changes)
+        return self.own
+
+    def alive(self, now: float) -> list[Member]:
+        """The hosts that are not known to be gone, silent or suspect, this one included."""
+        return [self.own] + [
+            member
+            for address, member in self.known.items()
+            if now - self.heard_at[address] < SILENT_MS
+            and self.suspect_until.get(address, 0.0) <= now
+        ]
+
+    def recent(self, now: float) -> list[Member]:
+        """All hosts to tell others of."""
+        return [self.own] + [m for a, m in self.known.items() if now - self.heard_at[a] < SILENT_MS]
+
+    def owners(self, duty: str, now: float) -> list[str]:
+        """The addresses of the hosts for a duty, in order of preference; every host agrees.
+
+        Hosts that are stopping come last.
+        """
+        alive = {member.address: member for member in self.alive(now)}
+        return sorted(rendezvous.ranked(duty, alive), key=lambda address: alive[address].leaving)
+
+    def readers(self, now: float) -> list[str]:
+        """The hosts in order of who reads the store, those that the store refuses last."""
+        alive = {member.address: member for member in self.alive(now)}
+        return sorted(
+            self.owners(READER_DUTY, now), key=lambda address: not alive[address].store_ok
+        )
+
+    def source(self, now: float) -> str | None:
+        """The host to take the store's news from; None if this host reads it itself.
+
+        >>> members = Members(Member("h0", "z", 1, 0, False, True), [])
+        >>> members.hear([Member(f"h{n}", "z", 1, 1, False, True) for n in (1, 2)], 0.0)
+        >>> reader = members.readers(0.0)[0]
+        >>> members.source(0.0) == (None if reader == "h0" else reader)
+        True
+        """
+        order = self.readers(now)
+        rank = order.index(self.own.address)
+        return order[(rank - 1) // FOLLOWERS] if rank else None
+
+    def unknown_seeds(self, now: float) -> list[str]:
+        """Seeds that this host has not heard of lately and that are not suspect."""
+        alive = {member.address for member in self.alive(now)}
+        return [s for s in self.seeds if s not in alive and self.suspect_until.get(s, 0.0) <= now]
--- /dev/null
+++ b/savoryfork/forward/metrics.py
@@ -0,0 +1,39 @@
+"""The metrics of a forwarding host; no label takes values from requests."""
+
+from __future__ import annotations
+
+from savoryfork.metrics import Metrics
+
+
+class ForwardMetrics(Metrics):
+    """The daemon's registry with the series of forwarding."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.requests = self.counter(
+            "savoryfork_requests_total", "Callers' requests by outcome and kind"
+        )
+        self.request_seconds = self.histogram(
+            "savoryfork_request_seconds", "From the request to the end of its answer, by kind"
+        )
+        self.first_event_seconds = self.histogram(
+            "savoryfork_first_event_seconds", "From the request to the first event of its stream"
+        )
+        self.connections = self.gauge(
+            "savoryfork_target_connections", "Connections to targets since the start, by use"
+        )
+        self.store_calls = self.gauge(
+            "savoryfork_store_calls", "Calls to the store since the start"
+        )
+        self.config_age = self.gauge("savoryfork_config_age_ms", "Age of the configuration")
+        self.members = self.gauge("savoryfork_members", "Hosts that are taken to be alive")
+        self.log_dropped = self.gauge("savoryfork_log_lines_dropped", "Log lines left out")
+
+    def request(self, outcome: str, kind: str, took_ms: float) -> None:
+        """Counts a request that has ended."""
+        self.requests.inc({"outcome": outcome, "kind": kind})
+        self.request_seconds.observe({"kind": kind}, took_ms / 1000)
+
+    def first_event(self, took_ms: float) -> None:
+        """Notes the time to the first event of a stream."""
+        self.first_event_seconds.observe({}, took_ms / 1000)
--- /dev/null
+++ b/savoryfork/forward/placement.py
@@ -0,0 +1,94 @@
+"""Chooses targets for whole requests: engines by prompt cache, load and distance, others by load.
+
+Load patterns answered:
+
+* many requests about few subjects: the shared parts of a prompt are read once, on the engine that
+  rendezvous hashing prefers for them, unless it is much busier than others;
+* inputs of some MB: an engine in the zone of the inputs is preferred;
+* targets that fail or hang for some seconds: they are ejected and probed (see `ejection`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from savoryfork.forward.model import Prompt, Target
+from savoryfork.util import rendezvous
+
+# Prompt tokens that an engine reads in a millisecond (deployment sheets: 51.1).
+PREFILL_TOKENS_PER_MS = 51.1
+
+# What one more running request adds to the time of a request of ordinary length.
+CROWDING_MS = 4.0
+
+# Time that a megabyte of inputs from another zone is taken to be worth: its price of 0.048 is
+# about 1.5 % of the worth of a large generation.
+CROSSING_MS_PER_MB = 12.0
+
+# What a request in another zone costs, so that equal targets are chosen nearby.
+ZONE_MS = 2.0
+
+
+class EngineLoad(NamedTuple):
+    """Outstanding work on an engine: prompt tokens not yet read, and requests."""
+
+    prompt_tokens: float
+    requests: float
+
+
+NO_LOAD = EngineLoad(0.0, 0.0)
+
+
+def subject(prompt: Prompt) -> str | None:
+    """The last part of a prompt that other requests share: the one before their own."""
+    if len(prompt.parts) >= 2:
+        return prompt.parts[-2].id
+    return prompt.parts[0].id if prompt.parts else None
+
+
+def unread_tokens(prompt: Prompt, at_home: bool) -> float:
+    """Prompt tokens that an engine has to read: elsewhere only the first part is cached."""
+    cached = prompt.parts[:-1] if at_home else prompt.parts[:1] if len(prompt.parts) > 2 else ()
+    return max(0.0, prompt.input_tokens - sum(part.tokens for part in cached))
+
+
+def engine_costs(
+    targets: Sequence[Target],
+    prompt: Prompt | None,
+    loads: Mapping[str, EngineLoad],
+    input_bytes: Mapping[str, float],
+    zone: str,
+) -> dict[str, float]:
+    """Expected cost in ms of a generation on each engine; `input_bytes` by zone of their maker."""
+    names = [target.name for target in targets]
+    about = subject(prompt) if prompt is not None else None
+    home = rendezvous.ranked(about, names)[0] if about is not None and names else None
+    total = sum(input_bytes.values())
+    costs = {}
+    for target in targets:
+        load = loads.get(target.name, NO_LOAD)
+        unread = unread_tokens(prompt, target.name == home) if prompt is not None else 0.0
+        crossing = (total - input_bytes.get(target.zone, 0.0)) / 1e6
+        costs[target.name] = (
+            (load.prompt_tokens + unread) / PREFILL_TOKENS_PER_MS
+            + CROWDING_MS * load.requests
+            + CROSSING_MS_PER_MB * crossing
+            + (ZONE_MS if target.zone != zone else 0.0)
+        )
+    return costs
+
+
+def plain_costs(
+    targets: Sequence[Target], running: Mapping[str, int], zone: str, salt: str
+) -> dict[str, float]:
+    """Relative cost of a plain request on each target: own requests per slot, then distance.
+
+    `salt` breaks ties differently for each request, so that hosts do not all pick the same one.
+    """
+    return {
+        target.name: running.get(target.name, 0) / target.slots
+        + (0.05 if target.zone != zone else 0.0)
+        + 0.01 * rendezvous.score(salt, target.name) / 2**64
+        for target in targets
+    }
--- /dev/null
+++ b/savoryfork/forward/settings.py
@@ -0,0 +1,88 @@
+"""The settings of a host that forwards requests: a JSON file, checked before anything starts."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from savoryfork import settings
+from savoryfork.settings import ADDRESS
+
+SECONDS = {"type": "number", "exclusiveMinimum": 0}
+PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
+
+SCHEMA: dict[str, Any] = {
+    "type": "object",
+    "required": [
+        "host",
+        "availability_zone",
+        "caller_address",
+        "ready_address",
+        "peer_address",
+        "internal_ports",
+        "store_address",
+        "stop_grace_s",
+        "key_revocation_ms",
+        "retry_ratio",
+        "retry_window_s",
+        "retry_reserve",
+    ],
+    "properties": {
+        "host": {"type": "string", "minLength": 1},
+        "availability_zone": {"type": "string"},
+        "caller_address": ADDRESS,
+        "ready_address": ADDRESS,
+        "peer_address": ADDRESS,
+        "internal_ports": {"type": "array", "items": PORT, "minItems": 1},
+        "store_address": ADDRESS,
+        "seed_peers": {"type": ["array", "null"], "items": ADDRESS},
+        "stop_grace_s": SECONDS,
+        "key_revocation_ms": SECONDS,
+        "retry_ratio": {"type": "number", "minimum": 0},
+        "retry_window_s": SECONDS,
+        "retry_reserve": {"type": "number", "minimum": 0},
+        "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
+    },
+}
+
+
+class ForwardSettings(NamedTuple):
+    """What one forwarding host is told at its start. Addresses are IP numbers with a port.
+
+    `internal_ports` is the first and the last port that is free for the system's own use; metrics
+    are served on the first. `seed_peers` may be out of date. `stop_grace_s` is the time from
+    SIGTERM to SIGKILL, `key_revocation_ms` the time in which a revoked key must stop working.
+    Repeated requests of a service may be at most `retry_ratio` of the others and `retry_reserve`
+    more in each `retry_window_s`, over all hosts together.
+    """
+
+    host: str
+    availability_zone: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    internal_ports: tuple[int, ...]
+    store_address: str
+    stop_grace_s: float
+    key_revocation_ms: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_reserve: float
+    seed_peers: tuple[str, ...] = ()
+    log_level: str = "INFO"
+
+
+def parse(document: Any, file: str = "settings") -> ForwardSettings:
+    """Checks a decoded document; raises UserError with file, path and reason.
+
+    Fields that are not known are ignored: the platform may add some.
+    """
+    settings.check(document, SCHEMA, file)
+    fields = {k: v for k, v in document.items() if k in ForwardSettings._fields}
+    for name in ("internal_ports", "seed_peers"):
+        fields[name] = tuple(fields.get(name) or ())
+    return ForwardSettings(**fields)
+
+
+def load(path: str) -> ForwardSettings:
+    """Reads a settings file; raises UserError if it can't be read or does not check."""
+    return parse(settings.read_json(path), path)
--- a/savoryfork/peers.py
+++ b/savoryfork/peers.py
@@ -6,10 +6,11 @@
 import hmac
 import logging
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from grpclib.client import Channel
 from grpclib.const import Status
+from grpclib.encoding.base import CodecBase
 from grpclib.events import RecvRequest, listen
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
@@ -17,6 +18,9 @@
 from savoryfork.proto import peer_grpc, peer_pb2
 from savoryfork.settings import split_address
 
+if TYPE_CHECKING:
+    from grpclib._typing import IServable
+
 log = logging.getLogger(__name__)
 
 ExchangeHandler = Callable[[peer_pb2.ExchangeRequest], Awaitable[peer_pb2.ExchangeReply]]
@@ -64,13 +68,23 @@
 
 
 class PeerServer:
-    """Listens for other hosts and refuses calls without one of the keys."""
+    """Listens for other hosts and refuses calls without one of the keys.
+
+    Without keys every call is accepted: for networks that only the system's hosts reach.
+    """
 
-    def __init__(self, address: str, keys: Sequence[str], service: PeerService) -> None:
+    def __init__(
+        self,
+        address: str,
+        keys: Sequence[str],
+        service: IServable,
+        codec: CodecBase | None = None,
+    ) -> None:
         self.address = address
         self.accepted = [f"Bearer {key}".encode() for key in keys]
-        self.server = Server([service])
-        listen(self.server, RecvRequest, self.check_key)
+        self.server = Server([service], codec=codec)
+        if keys:
+            listen(self.server, RecvRequest, self.check_key)
 
     async def start(self) -> None:
         """Starts to listen."""
@@ -95,9 +109,9 @@
     `retired` channels take no new calls and are closed when the last call has ended.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, codec: CodecBase | None) -> None:
         ip, port = split_address(address)
-        self.channel = Channel(ip, port)
+        self.channel = Channel(ip, port, codec=codec)
         self.calls = 0
         self.retired = False
 
@@ -115,15 +129,22 @@
     dead. Other calls on the old one go on: one slow answer says nothing about theirs.
     """
 
-    def __init__(self, key: str) -> None:
-        self.metadata = {"authorization": f"Bearer {key}"}
+    def __init__(
+        self,
+        key: str | None,
+        stub: Callable[[Channel], Any] = peer_grpc.PeerStub,
+        codec: CodecBase | None = None,
+    ) -> None:
+        self.metadata = {"authorization": f"Bearer {key}"} if key is not None else {}
+        self.stub = stub
+        self.codec = codec
         self.channels: dict[str, SharedChannel] = {}
 
     def shared(self, address: str) -> SharedChannel:
         """The channel for new calls to the host at `address` (ip:port)."""
         shared = self.channels.get(address)
         if shared is None:
-            shared = self.channels[address] = SharedChannel(address)
+            shared = self.channels[address] = SharedChannel(address, self.codec)
         return shared
 
     async def call(self, address: str, method: str, request: Any, timeout_ms: float) -> Any:
@@ -132,7 +153,7 @@
         shared.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                unary = getattr(peer_grpc.PeerStub(shared.channel), method)
+                unary = getattr(self.stub(shared.channel), method)
                 return await unary(request, metadata=self.metadata)
         except GRPCError as error:
             # The host answered, so the connection is good.
--- /dev/null
+++ b/savoryfork/platform/headers.py
@@ -0,0 +1,238 @@
+"""Decodes callers' requests and targets' answers, and writes the requests to targets."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from savoryfork.forward.model import (
+    AnswerHead,
+    CallerRequest,
+    Headers,
+    Piece,
+    PieceFailure,
+    PieceResult,
+    Prompt,
+    PromptPart,
+    Routing,
+)
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
+
+# Headers that concern one connection only; those that `Connection` names are added to them.
+HOP_BY_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"expect",
+}
+
+# Headers that only the system sets at a target, and the caller's key, which no target may see.
+SYSTEM_SET = {
+    b"key",
+    b"tenant",
+    b"deadline-ms",
+    b"expect-instance",
+    b"expect-version",
+    b"request-priority",
+    b"pin-ms",
+    b"hold",
+    b"kv-backup",
+    b"kv-from",
+    b"kv-fetch",
+    b"inputs",
+}
+
+# The most urgent and the least urgent value of the header for priority.
+MOST_URGENT = 0
+LEAST_URGENT = 9
+
+FAILURES = {
+    "late": PieceFailure.LATE,
+    "gone": PieceFailure.INPUT_GONE,
+    "room": PieceFailure.NO_ROOM,
+    "error": PieceFailure.ERROR,
+}
+
+STAGE_PATH = b"/api/stage-run"
+FREE_PATH = b"/api/stage-free"
+
+
+def connection_names(headers: Headers) -> set[bytes]:
+    """Lowercase names of the headers that concern one connection only."""
+    named = [value for name, value in headers if name.lower() == b"connection"]
+    tokens = {token.strip().lower() for value in named for token in value.split(b",")}
+    return HOP_BY_HOP | tokens
+
+
+def first(headers: Headers, name: bytes) -> str | None:
+    """The first value of a header, stripped; None if it is absent."""
+    for given, value in headers:
+        if given.lower() == name:
+            return value.decode("latin-1").strip()
+    return None
+
+
+def positive(value: str | None) -> float | None:
+    """A number from a header; None if it is absent, not a number or negative."""
+    try:
+        number = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e12 else None
+
+
+def decode_prompt(tokens: str | None, parts: str | None) -> Prompt | None:
+    """The size of a generation; None for a request that declares none or can't be read.
+
+    >>> decode_prompt("1460,80", "5c1e07a2:800,91bd3f06:410").parts[1].tokens
+    410
+    """
+    if tokens is None:
+        return None
+    try:
+        given, _, made = tokens.partition(",")
+        shared = []
+        for entry in (parts or "").split(","):
+            if entry:
+                name, _, size = entry.strip().partition(":")
+                shared.append(PromptPart(name, int(size)))
+        return Prompt(int(given), int(made or 0), tuple(shared))
+    except ValueError:
+        return None
+
+
+def decode_pieces(value: str | None) -> tuple[int, ...]:
+    """The number of pieces of each stage; empty if absent or malformed.
+
+    >>> decode_pieces("3,0,16"), decode_pieces("x"), decode_pieces("-1")
+    ((3, 0, 16), (), ())
+    """
+    try:
+        pieces = tuple(int(part) for part in (value or "").split(",") if part.strip())
+    except ValueError:
+        return ()
+    return pieces if all(0 <= count <= 10_000 for count in pieces) else ()
+
+
+def decode_request(method: str, path: str, headers: Headers) -> CallerRequest:
+    """Reads a caller's request; fields that are malformed count as absent."""
+    dropped = connection_names(headers) | SYSTEM_SET
+    return CallerRequest(
+        id=(first(headers, b"request-id") or "").encode("latin-1"),
+        method=method.encode("ascii", "replace"),
+        path=path.encode("utf-8", "surrogateescape"),
+        host=first(headers, b"host") or "",
+        headers=[(name, value) for name, value in headers if name.lower() not in dropped],
+        key=first(headers, b"key"),
+        allowed_ms=positive(first(headers, b"deadline-ms")),
+        prompt=decode_prompt(first(headers, b"token-usage"), first(headers, b"prefix-hash")),
+        pieces=decode_pieces(first(headers, b"pieces")),
+        piece_key=first(headers, b"piece-key") or "",
+    )
+
+
+def target_headers(request: CallerRequest, routing: Routing, length: int | None) -> Headers:
+    """The headers of the request to a target; `length` of the body, None for no body at all."""
+    headers = request.headers
+    if routing.last_event_id is not None:
+        headers = [pair for pair in headers if pair[0].lower() != b"last-event-id"]
+        headers.append((b"Last-Event-Id", routing.last_event_id))
+    added: Headers = [
+        (b"Deadline-Ms", str(max(1, int(routing.remaining_ms))).encode()),
+        (b"Expect-Instance", routing.target.name.encode()),
+    ]
+    if routing.workspace is not None:
+        added.append((b"Tenant", routing.workspace.encode()))
+    if routing.urgency is not None:
+        urgency = min(LEAST_URGENT, max(MOST_URGENT, routing.urgency))
+        added.append((b"Request-Priority", str(urgency).encode()))
+    if routing.inputs:
+        added.append((b"Inputs", ",".join(routing.inputs).encode()))
+    if length is not None:
+        added.append((b"Content-Length", str(length).encode()))
+    return [*headers, *added]
+
+
+def decode_answer(status: int, headers: Headers) -> AnswerHead:
+    """Reads the head of a target's answer."""
+    dropped = connection_names(headers)
+    given_id = first(headers, b"request-id")
+    keep_alive = first(headers, b"keep-alive") or ""
+    timeout = next((p for p in keep_alive.split(",") if p.strip().startswith("timeout=")), "")
+    load = first(headers, b"server-load")
+    figures = [positive(part) for part in load.split(",")] if load else []
+    return AnswerHead(
+        status=status,
+        headers=[(name, value) for name, value in headers if name.lower() not in dropped],
+        request_id=given_id.encode("latin-1") if given_id is not None else None,
+        not_run=first(headers, b"not-executed") is not None or status == 421,
+        wrong_target=status == 421,
+        retry_after_s=positive(first(headers, b"retry-after")),
+        event_stream=(first(headers, b"content-type") or "").startswith("text/event-stream"),
+        idle_s=positive(timeout.strip().removeprefix("timeout=")),
+        load=tuple(f for f in figures if f is not None) or None,
+    )
+
+
+def json_headers(address: str, length: int, expected: str | None) -> Headers:
+    """The headers of a call of the system's own to a target."""
+    headers: Headers = [
+        (b"Host", address.encode()),
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", str(length).encode()),
+    ]
+    if expected is not None:
+        headers.append((b"Expect-Instance", expected.encode()))
+    return headers
+
+
+def encode_pieces(pieces: list[Piece]) -> bytes:
+    """The body of a call that asks for pieces."""
+    entries = []
+    for piece in pieces:
+        entry: dict[str, object] = {
+            "id": piece.request_id,
+            "stage": piece.stage,
+            "piece": piece.number,
+            "remaining_ms": max(1, int(piece.remaining_ms)),
+        }
+        if piece.inputs:
+            entry["inputs"] = list(piece.inputs)
+        else:
+            entry["key"] = piece.key or ""
+        entries.append(entry)
+    return msgspec.json.encode({"entries": entries})
+
+
+def decode_piece_results(body: bytes, count: int) -> list[PieceResult] | None:
+    """The results of a call for `count` pieces; None if the answer can't be read or is not whole."""
+    try:
+        entries = msgspec.json.decode(body)["entries"]
+        if len(entries) != count:
+            raise ValueError("the number of entries differs")
+        return [
+            (
+                entry["handle"]
+                if "handle" in entry
+                else FAILURES.get(entry["reason"], FAILURES["error"])
+            )
+            for entry in entries
+        ]
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+        logs.event(log, "piece_results_unreadable", logging.WARNING, error=type(error).__name__)
+        return None
+
+
+def encode_free(handles: list[str]) -> bytes:
+    """The body of a call that gives results up."""
+    return msgspec.json.encode({"handles": handles})
--- /dev/null
+++ b/savoryfork/platform/records.py
@@ -0,0 +1,155 @@
+"""Decodes what operators and targets write to the platform's store."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+
+from savoryfork.forward.model import (
+    BatchLimits,
+    Catalog,
+    EngineLimits,
+    Repeat,
+    Route,
+    ServiceInfo,
+    StagePlan,
+    Target,
+    Workspace,
+)
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
+
+REPEATS = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.NON_IDEMPOTENT,
+    "streaming": Repeat.STREAM,
+}
+
+# Used where an operator's entry leaves the field out.
+DEFAULT_TIMEOUT_MS = 10_000.0
+DEFAULT_AIM_MS = 1_000.0
+DEFAULT_PRIORITY = 2
+LOWEST_PRIORITY = 9
+
+MB = 1_000_000
+
+
+def decode_catalog(value: bytes) -> Catalog | None:
+    """Reads a configuration; None, with a log line, if it can't be read."""
+    try:
+        document = msgspec.json.decode(value)
+        return catalog_of(document)
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError, AttributeError) as error:
+        logs.event(log, "configuration_unreadable", logging.ERROR, error=repr(error)[:200])
+        return None
+
+
+def rows(value: Any) -> list[dict[str, Any]]:
+    """The entries of a list or of a table by name."""
+    if isinstance(value, dict):
+        return [{"name": name, **entry} for name, entry in value.items()]
+    return list(value or [])
+
+
+def catalog_of(document: dict[str, Any]) -> Catalog:
+    """The catalog of a decoded configuration; one unreadable route leaves the others in force."""
+    routes: dict[str, list[Route]] = {}
+    for row in rows(document.get("routes")):
+        try:
+            route = route_of(row)
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
+            name = str(row.get("name")) if isinstance(row, dict) else None
+            logs.event(
+                log, "route_unreadable", logging.WARNING, route=name, error=repr(error)[:200]
+            )
+            continue
+        routes.setdefault(route.host.lower(), []).append(route)
+    tenants = document.get("tenants")
+    keys = {}
+    for tenant in rows(tenants):
+        workspace = Workspace(str(tenant["name"]), tenant.get("priority"))
+        for key in tenant.get("api_keys") or []:
+            keys[str(key)] = workspace
+    return Catalog(
+        version=int(document["version"]),
+        routes={host: tuple(entries) for host, entries in routes.items()},
+        services={s.name: s for s in map(service_of, rows(document.get("services")))},
+        keys=keys,
+        keyed=tenants is not None,
+    )
+
+
+def route_of(row: dict[str, Any]) -> Route:
+    """One route of a configuration."""
+    split = row.get("traffic_split")
+    if split:
+        services = tuple((str(s["service"]), float(s["weight"])) for s in split)
+    else:
+        services = ((str(row["service"]), 1.0),)
+    stages = tuple(
+        StagePlan(str(s["service"]), tuple(s.get("after") or ()), int(s.get("payload_bytes") or 0))
+        for s in row.get("stages") or ()
+    )
+    return Route(
+        name=str(row["name"]),
+        host=str(row["host"]),
+        prefix=str(row["path_prefix"]),
+        repeat=REPEATS.get(row.get("route_kind") or "", Repeat.NON_IDEMPOTENT),
+        timeout_ms=float(row.get("timeout_ms") or DEFAULT_TIMEOUT_MS),
+        aim_ms=float(row.get("target_latency_ms") or DEFAULT_AIM_MS),
+        priority=int(row["priority"]) if row.get("priority") is not None else DEFAULT_PRIORITY,
+        services=services,
+        max_targets=max(1, int(row.get("max_attempts") or 1)),
+        stages=stages,
+        anonymous=bool(row.get("allow_anonymous")),
+        resumable=bool(row.get("stream_resume")),
+        gap_ms=float(row.get("target_gap_ms") or 0.0),
+    )
+
+
+def service_of(row: dict[str, Any]) -> ServiceInfo:
+    """One service of a configuration."""
+    batch = engine = None
+    pieces = row.get("pieces")
+    if pieces:
+        batch = BatchLimits(
+            slots=int(pieces.get("slots") or 1),
+            queue=int(pieces.get("queue") or 0),
+            batch=max(1, int(pieces["batch"])),
+            call_ms=float(pieces.get("call_ms") or 0.0),
+            piece_ms=float(pieces.get("item_ms") or 0.0),
+            room_bytes=float(pieces.get("headroom_mb") or 0.0) * MB,
+            keep_ms=float(pieces.get("handle_s") or 0.0) * 1000,
+        )
+    sizes = row.get("engine")
+    if sizes:
+        engine = EngineLimits(int(sizes.get("slots") or 1), int(sizes.get("kv_capacity") or 0))
+    return ServiceInfo(str(row["name"]), int(row.get("max_connections") or 0), batch, engine)
+
+
+def decode_target(name: str, value: bytes) -> Target | None:
+    """Reads a target's entry; None, with a log line, for one that names no usable target."""
+    try:
+        row = msgspec.json.decode(value)
+        service, address, zone = row["service"], row["address"], row.get("zone") or ""
+        state = row["state"]
+        ip, _, port = address.rpartition(":")
+        born = row.get("born") or 0
+        if state not in ("ready", "draining") or not isinstance(service, str):
+            raise ValueError("state or service")
+        if not ip or not 0 < int(port) < 65536 or not isinstance(zone, str):
+            raise ValueError("address or zone")
+        if isinstance(born, bool) or not isinstance(born, int):
+            raise ValueError("born")
+        slots = row.get("slots", 1)
+        if isinstance(slots, bool) or not isinstance(slots, int):
+            raise ValueError("slots")
+        return Target(name, service, address, zone, born, max(1, slots), state == "draining")
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError, AttributeError) as error:
+        logs.event(
+            log, "target_entry_ignored", logging.WARNING, target=name, error=repr(error)[:120]
+        )
+        return None
--- /dev/null
+++ b/savoryfork/platform/store.py
@@ -0,0 +1,151 @@
+"""The client of the platform's store: reads of the two registers that the system follows."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+
+import aiohttp
+import msgspec
+
+from savoryfork.forward.follower import Topic
+from savoryfork.forward.knowledge import Entry
+from savoryfork.util.topic import LogUnavailable, OffsetExpired
+
+NAMES = {Topic.CONFIGURATION: "keyed.op", Topic.TARGETS: "keyed.servers"}
+
+# An answer without a wait takes 4 ms on the user's sheets, and up to 60 times that when slow.
+READ_TIMEOUT_MS = 600.0
+MAX_READ_KB = 1024
+
+# Fields of a target's entry that change with every heartbeat and that nothing here depends on.
+VOLATILE = ("sequence", "warmup_left_ms")
+
+HEAD = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+
+
+def decode_records(body: bytes, start: int) -> tuple[list[Entry], int, int]:
+    """Splits the answer of a read from `start`: changes, the next offset, and the end.
+
+    Raises LogUnavailable if the answer is cut off or malformed.
+    """
+    try:
+        end, oldest = HEAD.unpack_from(body, 0)
+        position, offset = HEAD.size, max(start, oldest)
+        changes = []
+        while position < len(body):
+            (size,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            record = body[position : position + size]
+            if len(record) != size or not record:
+                raise LogUnavailable("a record is cut off")
+            position += size
+            key = record[1 : 1 + record[0]]
+            changes.append(Entry(offset, key.decode("utf-8", "replace"), record[1 + record[0] :]))
+            offset += 1
+    except struct.error as error:
+        raise LogUnavailable("the answer of a read can't be decoded") from error
+    return changes, offset, end
+
+
+def stable(topic: Topic, entries: list[Entry]) -> list[Entry]:
+    """The entries without what changes at every heartbeat; unreadable ones stay as they are."""
+    return (
+        [e._replace(value=stable_value(e.value)) for e in entries]
+        if (topic is Topic.TARGETS)
+        else entries
+    )
+
+
+def stable_value(value: bytes) -> bytes:
+    """One target's entry without its volatile fields.
+
+    >>> stable_value(b'{"slots":2,"sequence":7}'), stable_value(b"[1]"), stable_value(b"")
+    (b'{"slots":2}', b'[1]', b'')
+    """
+    try:
+        row = msgspec.json.decode(value) if value else None
+    except msgspec.DecodeError:
+        return value
+    if not isinstance(row, dict):
+        return value
+    return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE})
+
+
+class PlatformStore:
+    """Reads keyed topics over HTTP; `calls` counts the calls made."""
+
+    def __init__(self, address: str) -> None:
+        self.url = f"http://{address}/api"
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+        )
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self.session.close()
+
+    async def newest(self, topic: Topic) -> tuple[list[Entry], int]:
+        """The newest value of each key, and the offset at which to go on reading.
+
+        The pages are no snapshot: the first page's end is returned, so that whatever changes
+        between pages is read again. Raises LogUnavailable.
+        """
+        changes: list[Entry] = []
+        begin: int | None = None
+        params = {"topic": NAMES[topic], "part": "0"}
+        while True:
+            body = await self.call("log-newest", params, 0.0)
+            try:
+                page = msgspec.json.decode(body)
+                for row in page["entries"]:
+                    value = base64.b64decode(row.get("value") or "")
+                    changes.append(Entry(int(row["offset"]), str(row["key"]), value))
+                begin = int(page["end"]) if begin is None else begin
+                if not page.get("has_more") or not page["entries"]:
+                    return stable(topic, changes), begin
+                params = {**params, "after": str(page["entries"][-1]["key"])}
+            except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+                raise LogUnavailable(f"{NAMES[topic]}: the answer can't be decoded") from error
+
+    async def read(self, topic: Topic, offset: int, wait_ms: float) -> tuple[list[Entry], int, int]:
+        """Entrys from `offset` on, waiting up to `wait_ms` for a first one.
+
+        Returns them with the next offset to read and the end of the topic. Raises OffsetExpired, or
+        LogUnavailable.
+        """
+        params = {
+            "topic": NAMES[topic],
+            "part": "0",
+            "from": str(offset),
+            "max_kb": str(MAX_READ_KB),
+        }
+        if wait_ms:
+            params["wait_ms"] = str(int(wait_ms))
+        body = await self.call("log-read", params, wait_ms)
+        changes, next_offset, end = decode_records(body, offset)
+        return stable(topic, changes), next_offset, end
+
+    async def call(self, name: str, params: dict[str, str], wait_ms: float) -> bytes:
+        """One call; every failure but an expired offset is a LogUnavailable.
+
+        A connection that timed out is closed by the client and never used again.
+        """
+        self.calls += 1
+        try:
+            async with asyncio.timeout((READ_TIMEOUT_MS + wait_ms) / 1000):
+                async with self.session.get(f"{self.url}/{name}", params=params) as response:
+                    body = await response.read()
+                    status = response.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise LogUnavailable(f"{name}: {type(error).__name__}") from error
+        if status == 410:
+            raise OffsetExpired(0, 0)
+        if status != 200:
+            raise LogUnavailable(f"{name}: status {status}")
+        return body
--- /dev/null
+++ b/savoryfork/platform/wire.py
@@ -0,0 +1,39 @@
+"""The platform's protocol as forwarding uses it."""
+
+from __future__ import annotations
+
+from savoryfork.forward.model import CallerRequest, Piece, Routing, Target
+from savoryfork.forward.wire import Call
+from savoryfork.platform import headers, records
+
+
+class PlatformWire:
+    """Implements `forward.wire.Wire`."""
+
+    ready_path = "/api/ready"
+    request_id_header = "Request-Id"
+
+    decode_request = staticmethod(headers.decode_request)
+    decode_answer = staticmethod(headers.decode_answer)
+    decode_results = staticmethod(headers.decode_piece_results)
+    decode_catalog = staticmethod(records.decode_catalog)
+    decode_target = staticmethod(records.decode_target)
+
+    def request_call(self, request: CallerRequest, routing: Routing, body: bytes | None) -> Call:
+        """A caller's request for one target; method, path and body are the caller's."""
+        length = len(body) if body is not None else None
+        lines = headers.target_headers(request, routing, length)
+        return Call(request.method, request.path, lines, body or b"")
+
+    def pieces_call(self, target: Target, pieces: list[Piece]) -> Call:
+        """Asks a target for pieces."""
+        body = headers.encode_pieces(pieces)
+        lines = headers.json_headers(target.address, len(body), target.name)
+        return Call(b"POST", headers.STAGE_PATH, lines, body)
+
+    def free_call(self, address: str, handles: list[str]) -> Call:
+        """Gives results up."""
+        body = headers.encode_free(handles)
+        return Call(
+            b"POST", headers.FREE_PATH, headers.json_headers(address, len(body), None), body
+        )
--- a/savoryfork/settings.py
+++ b/savoryfork/settings.py
@@ -70,29 +70,38 @@
     seed_peers: tuple[str, ...] = ()
 
 
-def parse(document: Any, file: str = "settings") -> Settings:
-    """Checks a decoded document; raises UserError with file, path and reason."""
+def check(document: Any, schema: dict[str, Any], file: str) -> None:
+    """Checks a decoded document; raises UserError with file, path and reason of each fault."""
     errors = sorted(
-        jsonschema.Draft202012Validator(SCHEMA).iter_errors(document), key=lambda e: list(e.path)
+        jsonschema.Draft202012Validator(schema).iter_errors(document), key=lambda e: list(e.path)
     )
     if errors:
         lines = [f"{file}: {'/'.join(map(str, e.path)) or '.'}: {e.message}" for e in errors]
         raise UserError("\n".join(lines))
+
+
+def parse(document: Any, file: str = "settings") -> Settings:
+    """Checks a decoded document; raises UserError with file, path and reason."""
+    check(document, SCHEMA, file)
     fields = dict(document)
     for name in ("peer_keys", "seed_peers"):
         fields[name] = tuple(fields.get(name, ()))
     return Settings(**fields)
 
 
-def load(path: str | Path) -> Settings:
-    """Reads a settings file; raises UserError if it can't be read or does not check."""
+def read_json(path: str | Path) -> Any:
+    """Reads a JSON file; raises UserError if that is not possible."""
     try:
-        document = json.loads(Path(path).read_text())
+        return json.loads(Path(path).read_text())
     except OSError as error:
         raise UserError(f"{path}: {error.strerror}") from error
     except json.JSONDecodeError as error:
         raise UserError(f"{path}:{error.lineno}: not JSON: {error.msg}") from error
-    return parse(document, str(path))
+
+
+def load(path: str | Path) -> Settings:
+    """Reads a settings file; raises UserError if it can't be read or does not check."""
+    return parse(read_json(path), str(path))
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/savoryfork/util/timer.py
+++ b/savoryfork/util/timer.py
@@ -31,6 +31,15 @@
     return Clock(lambda: time.monotonic() * 1000, lambda: time.time() * 1000)
 
 
+def suspend_aware_clock() -> Clock:
+    """The clock of this machine, whose monotonic time also counts while the machine is suspended.
+
+    What a host knows must be judged by this time: after a freeze, the plain monotonic clock shows
+    old news as fresh.
+    """
+    return Clock(lambda: time.clock_gettime(time.CLOCK_BOOTTIME) * 1000, lambda: time.time() * 1000)
+
+
 class Subscription:
     """One part's periodic tick; a tick is skipped while the previous one still runs."""
 
