Write plain answers without removing a header they do not have

Cause: the answer's default content type was deleted although only a stream has one; every plain answer ended as an internal error.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -51,7 +51,6 @@
     async def whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole answer."""
         response = web.Response(status=status, body=body)
-        del response.headers["Content-Type"]
         self.head(response, headers)
         self.response = response
         await response.prepare(self.request)
