Admit and assign stage work in one place for the whole path

Cause: at crests the narrowest stage (carri and conti, invoicing) gets twice what it can do. Ruled out: engines (9 of 949 arrivals refused) and order alone. Change: one coordinator runs all stages of a request; it predicts the end of the last stage behind accepted work of the same urgency and begins, delays or refuses the request at once (planning). Tasks stay whole and go to the target where they cost least, busy ones included (batching.assign). Engines weigh crossing and reading again by price.

--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -1,48 +1,67 @@
 """Decides which pieces of stage work go to which target next.
 
-One host, the pool's owner, gathers the pieces of a service from all hosts. It answers a load in
-which a call costs 150 ms whatever it holds: calls of single requests fill neither the batch nor
-the target, and hosts that send alone collide in its queue. With everything in one place, each
-call is as full as the load allows and the order holds over all callers.
+One host gathers the stage work of all hosts. It answers a load in which a call costs 150 ms
+whatever it holds: calls of single requests fill neither the batch nor the target, and hosts that
+send alone collide in its queue. With everything in one place, each call is as full as the load
+allows and the order holds over all callers.
 
 Load patterns answered:
 
-* a burst of one kind beside the others: the most urgent kind goes first, and within a kind the
-  oldest that can still be on time; what is late already waits behind all that is not;
-* large results (3 MB) of a service in several zones: pieces of one request stay together in the
-  zone where the engine is expected, unless another target would stand idle;
+* a burst of one kind beside the others: urgent work goes first; what can no longer be on time and
+  has not begun waits behind all that can;
+* stages whose inputs are large (16 pieces that each read 480 KB): a request stays in the zone of
+  its inputs as long as waiting for a target there does not make it late;
 * little room for results: a piece is sent only where its result fits.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from savoryfork.forward.model import BatchLimits
 
-# Results smaller than this go anywhere: carrying them over costs less than waiting.
-LARGE_RESULT_BYTES = 500_000
+# What the choice of a target weighs, in parts of the worth of an ordinary request: a megabyte that
+# crosses zones (its price on the users' sites), an answer that becomes late, a millisecond.
+CROSSING_PER_MB = 0.048
+LATE_COST = 1.5
+COST_PER_MS = 0.0004
 
-# How much longer a large result may wait for a target of its zone, per rank of urgency.
-ZONE_PATIENCE_MS = 60.0
+# How long a target without room for a result is taken to stay so.
+ROOM_WAIT_MS = 100.0
 
 
 class Task(NamedTuple):
     """The open pieces of one stage of one request, as the order sees them.
 
-    `aim_at` is the time until which the whole request is on time, `rest_ms` the expected time from
-    the end of this stage to its first event.
+    `due_at` is when the stage must end for the whole request to be on time. `late` says that the
+    request was not expected to be on time when it came, `begun` that work was done for it already.
+    Each piece reads the bytes of `input_bytes`, by zone of their maker. Results of `result_bytes`
+    are wanted in `zone`, None if that makes no difference.
     """
 
     id: int
     priority: int
-    arrived_at: float
-    aim_at: float
-    rest_ms: float
+    due_at: float
+    late: bool
+    begun: bool
     pieces: int
     result_bytes: int
     zone: str | None
+    input_bytes: Mapping[str, float]
+
+
+class Place(NamedTuple):
+    """One target: when its present call is expected to end, and its room for results.
+
+    `pace` is the observed duration of its calls over the declared one.
+    """
+
+    name: str
+    zone: str
+    free_at: float
+    room_bytes: float
+    pace: float
 
 
 class Pick(NamedTuple):
@@ -55,9 +74,10 @@
 class OrderKey(NamedTuple):
     """The place of a task in the queue; lower goes first."""
 
-    late: bool
+    hopeless: bool
     priority: int
-    arrived_at: float
+    due_at: float
+    id: int
 
 
 def call_ms(limits: BatchLimits, pieces: int) -> float:
@@ -66,54 +86,95 @@
 
 
 def order_key(task: Task, limits: BatchLimits, now: float) -> OrderKey:
-    """On-time work by urgency and age, then what can no longer be on time."""
-    least_ms = call_ms(limits, min(task.pieces, limits.batch)) + task.rest_ms
-    return OrderKey(now + least_ms > task.aim_at, task.priority, task.arrived_at)
-
-
-def is_foreign(task: Task, zone: str) -> bool:
-    """Whether a target in `zone` would make a large result that has to cross zones."""
-    return task.zone is not None and task.zone != zone and task.result_bytes >= LARGE_RESULT_BYTES
-
-
-def choose(
-    tasks: Iterable[Task], zone: str, limits: BatchLimits, room_bytes: float, now: float
-) -> list[Pick]:
-    """The pieces of the next call to an idle target in `zone` with `room_bytes` free.
-
-    Tasks whose large results belong to another zone come after all others of their lateness.
+    """Work that can be on time or has begun goes first, by urgency and by when it is due."""
+    late = task.late or now + call_ms(limits, min(task.pieces, limits.batch)) > task.due_at
+    return OrderKey(late and not task.begun, task.priority, task.due_at, task.id)
+
+
+def crossing_bytes(task: Task, zone: str) -> float:
+    """Bytes that would cross zones if a target in `zone` made all pieces of a task."""
+    read = sum(size for where, size in task.input_bytes.items() if where != zone)
+    written = task.result_bytes if task.zone is not None and task.zone != zone else 0
+    return task.pieces * (read + written)
+
+
+class Bench:
+    """A target while work is being assigned: what its next call holds, and what waits for it."""
+
+    def __init__(self, place: Place, limits: BatchLimits, now: float) -> None:
+        self.place = place
+        self.limits = limits
+        self.idle = place.free_at <= now
+        self.picks: list[Pick] = []
+        self.filled = 0
+        self.room = place.room_bytes
+        self.queued = 0.0
+
+    def fits(self, task: Task, pieces: int) -> int:
+        """How many of the pieces the next call has place and room for."""
+        space = min(pieces, self.limits.batch - self.filled)
+        if task.result_bytes:
+            space = min(space, int(max(0.0, self.room) // task.result_bytes))
+        return space
+
+    def takes_now(self, task: Task, pieces: int) -> int:
+        """How many pieces go into a call that starts now.
+
+        A task stays whole, unless it is larger than any call or than the room of the target.
+        """
+        if not self.idle or self.queued:
+            return 0
+        space = self.fits(task, pieces)
+        if space >= pieces:
+            return pieces
+        splits = pieces > self.limits.batch or pieces * task.result_bytes > self.limits.room_bytes
+        return space if splits else 0
+
+    def finish_at(self, task: Task, pieces: int, now: float) -> float:
+        """When the pieces are expected to be done here."""
+        own = min(pieces, self.limits.batch)
+        if self.takes_now(task, pieces):
+            return now + call_ms(self.limits, self.filled + own) * self.place.pace
+        start = max(now, self.place.free_at)
+        if self.idle:
+            start = now + (call_ms(self.limits, self.filled) if self.filled else ROOM_WAIT_MS)
+        full = call_ms(self.limits, self.limits.batch)
+        wait = self.queued / self.limits.batch * full
+        return start + (wait + call_ms(self.limits, own)) * self.place.pace
+
+    def cost(self, task: Task, pieces: int, now: float) -> float:
+        """What it costs to have the pieces made here."""
+        finish = self.finish_at(task, pieces, now)
+        late = LATE_COST if finish > task.due_at and not task.late else 0.0
+        crossing = crossing_bytes(task, self.place.zone) / 1e6 * CROSSING_PER_MB
+        return crossing + late + COST_PER_MS * (finish - now)
+
+    def add(self, task: Task, pieces: int) -> None:
+        """Puts pieces into the next call."""
+        self.picks.append(Pick(task.id, pieces))
+        self.filled += pieces
+        self.room -= pieces * task.result_bytes
+
+
+def assign(
+    tasks: Iterable[Task], places: Sequence[Place], limits: BatchLimits, now: float
+) -> dict[str, list[Pick]]:
+    """The calls to start now, by target.
+
+    Each task, in order, is given to the target where it costs least, busy ones included; it is sent
+    if that target is idle, and waits otherwise.
     """
-    ordered = sorted(
-        tasks,
-        key=lambda task: (
-            order_key(task, limits, now).late,
-            is_foreign(task, zone) and now - task.arrived_at < ZONE_PATIENCE_MS,
-            order_key(task, limits, now),
-        ),
-    )
-    picks: list[Pick] = []
-    left = limits.batch
-    for task in ordered:
-        if left == 0:
+    benches = [Bench(place, limits, now) for place in places]
+    for task in sorted(tasks, key=lambda task: order_key(task, limits, now)):
+        if not any(bench.idle and bench.filled < limits.batch for bench in benches):
             break
-        fits = int(room_bytes // task.result_bytes) if task.result_bytes else left
-        count = min(left, task.pieces, fits)
-        if count > 0:
-            picks.append(Pick(task.id, count))
+        left = task.pieces
+        while left:
+            best = min(benches, key=lambda bench: (bench.cost(task, left, now), bench.place.name))
+            count = best.takes_now(task, left)
+            if not count:
+                best.queued += left
+                break
+            best.add(task, count)
             left -= count
-            room_bytes -= count * task.result_bytes
-    return picks
-
-
-def wait_ms(
-    tasks: Sequence[Task], priority: int, limits: BatchLimits, targets: int, busy_ms: float
-) -> float:
-    """Expected wait of a new task: what is ahead of it over the rate of all targets.
-
-    `busy_ms` is the sum of the times until the calls in progress end.
-    """
-    if targets == 0:
-        return float("inf")
-    ahead = sum(task.pieces for task in tasks if task.priority <= priority)
-    full_ms = call_ms(limits, limits.batch)
-    return (busy_ms + ahead / limits.batch * full_ms) / targets
+    return {bench.place.name: bench.picks for bench in benches if bench.picks}
--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -119,7 +119,7 @@
         self.busy = True
         self.transport.write(b"".join(part for part in (head, data, end) if part))
 
-    async def event(self) -> h11.Event | type[h11.PAUSED]:
+    async def event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """The next event of the answer; raises TargetError if the answer is not whole."""
         while True:
             try:
--- /dev/null
+++ b/savoryfork/forward/coordinator.py
@@ -0,0 +1,162 @@
+"""Gathers the stage work of all hosts on one of them: admits it and runs its stages in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from savoryfork.forward import planning
+from savoryfork.forward.batching import call_ms
+from savoryfork.forward.messages import WorkReply, WorkRequest
+from savoryfork.forward.planning import ServiceQueue, Verdict
+from savoryfork.forward.pools import Pools
+from savoryfork.forward.work import StageError, StageFailure, Work
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
+
+
+class Coordinator:
+    """Runs the stages of requests on the pools of this host.
+
+    Whether this host should do so is decided by those who ask it: all agree on one host, and for a
+    moment after a change two may do it, which costs only order and fullness of calls.
+    """
+
+    def __init__(self, pools: Pools, give_up: Callable[[str, list[Any]], None]) -> None:
+        self.pools = pools
+        self.give_up = give_up
+        self.active: dict[int, Work] = {}
+
+    async def handle(self, request: WorkRequest) -> WorkReply:
+        """Does the stages for another host or for this one."""
+        now = self.pools.now()
+        work = Work(
+            request.request_id,
+            request.plans,
+            request.pieces,
+            request.key,
+            request.priority,
+            now + request.remaining_ms,
+            now + request.aim_ms,
+            request.zone,
+        )
+        try:
+            self.admit(work, now)
+            await self.run(work)
+        except StageError as error:
+            return WorkReply({}, error.failure.value, error.stage, error.retry_ms)
+        return WorkReply({stage: work.results[stage] for stage in work.last()})
+
+    # Admission.
+
+    def admit(self, work: Work, now: float) -> None:
+        """Decides whether the work is begun; raises StageError if it is refused."""
+        for stage in work.present():
+            service = work.plans[stage].service
+            if self.pools.pool(service) is None or not self.pools.registry.usable(service):
+                raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
+        ahead = self.queues(work, now, urgent_only=True)
+        behind = self.queues(work, now, urgent_only=False)
+        on_time_at = planning.finish_at(work.plans, work.pieces, ahead, now)
+        late_at = planning.finish_at(work.plans, work.pieces, behind, now)
+        verdict = planning.decide(on_time_at, late_at, work.aim_at, work.deadline_at, now)
+        logs.event(
+            log,
+            "work_" + verdict.value,
+            request=work.request_id,
+            priority=work.priority,
+            pieces=",".join(map(str, work.pieces)),
+            expected_ms=round(on_time_at - now),
+            expected_late_ms=round(late_at - now),
+            due_ms=round(work.aim_at - now),
+            left_ms=round(work.deadline_at - now),
+            active=len(self.active),
+        )
+        if verdict is Verdict.REFUSED:
+            retry_ms = planning.retry_ms(late_at, now)
+            raise StageError(StageFailure.OVERLOADED, work.present()[0], retry_ms)
+        work.late = verdict is Verdict.LATE
+
+    def queues(self, work: Work, now: float, urgent_only: bool) -> dict[str, ServiceQueue]:
+        """The queues that the work would join, with what goes before it."""
+        ahead: dict[str, float] = {}
+        for other in self.active.values():
+            if urgent_only and (
+                other.priority > work.priority or (other.late and not other.results)
+            ):
+                continue
+            for stage in other.present():
+                if stage not in other.results:
+                    service = other.plans[stage].service
+                    ahead[service] = ahead.get(service, 0.0) + other.pieces[stage]
+        found = {}
+        for stage in work.present():
+            service = work.plans[stage].service
+            if service not in found:
+                found[service] = self.queue(service, ahead.get(service, 0.0), now)
+        return found
+
+    def queue(self, service: str, ahead: float, now: float) -> ServiceQueue:
+        """The queue of one service, given the unfinished pieces that go first."""
+        pool = self.pools.pool(service)
+        assert pool is not None
+        places = [self.pools.place(pool, t, now) for t in self.pools.usable(pool, now)]
+        started = sum(
+            task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
+        )
+        paces = sorted(place.pace for place in places) or [1.0]
+        return ServiceQueue(
+            pool.limits,
+            len(places),
+            min((place.free_at for place in places), default=now),
+            max(0.0, ahead - started),
+            paces[len(paces) // 2],
+        )
+
+    # The stages.
+
+    async def run(self, work: Work) -> None:
+        """Runs all stages; the results of the last ones stay in `work`. Raises StageError.
+
+        Results are given up as soon as the stages that use them have ended, and all of them if the
+        work fails or its caller leaves.
+        """
+        self.active[id(work)] = work
+        tasks: dict[int, asyncio.Task[None]] = {}
+        for stage in sorted(work.present()):
+            before = [tasks[s] for s in work.before(stage) if s in tasks]
+            tasks[stage] = asyncio.create_task(self.run_stage(work, stage, before))
+        done = False
+        try:
+            await asyncio.gather(*tasks.values())
+            done = True
+        finally:
+            del self.active[id(work)]
+            for task in tasks.values():
+                task.cancel()
+            keep = set(work.last()) if done else set()
+            for stage, results in work.results.items():
+                if stage not in keep:
+                    self.give_up(work.plans[stage].service, results)
+
+    async def run_stage(self, work: Work, stage: int, before: list[asyncio.Task[None]]) -> None:
+        """Runs one stage once the stages before it have ended."""
+        for task in before:
+            # Shielded: a stage that is cancelled must not cancel the others that it waits for.
+            await asyncio.shield(task)
+        failure = await self.pools.run(work, stage, work.aim_at - self.rest_ms(work, stage))
+        if failure is not None:
+            raise StageError(failure, stage, 0.0)
+
+    def rest_ms(self, work: Work, stage: int) -> float:
+        """Expected time from the end of a stage to that of the last one, without any waiting."""
+        longest = 0.0
+        for later in work.present():
+            limits = self.pools.limits(work.plans[later].service)
+            if stage in work.before(later) and limits is not None:
+                own = call_ms(limits, min(work.pieces[later], limits.batch))
+                longest = max(longest, own + self.rest_ms(work, later))
+        return longest
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -33,7 +33,7 @@
 
 # Long poll of the configuration. Each answer confirms it as of the poll's start, and keyed
 # requests need a confirmation within `key_revocation_ms` (5 s on the sheets).
-CONFIG_WAIT_MS = 1_200.0
+CONFIG_WAIT_MS = 1_000.0
 
 # Pause between reads of the targets' register. Targets that leave must get no work 2 s after.
 TARGETS_PERIOD_MS = 450.0
@@ -43,7 +43,7 @@
 SYNC_MARGIN_MS = 350.0
 
 # Ages from which a host that follows another one reads the store itself.
-CONFIG_STALE_MS = 2_000.0
+CONFIG_STALE_MS = 3_000.0
 TARGETS_STALE_MS = 1_300.0
 
 # After a failed read, and between looks at what is due.
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -27,9 +27,9 @@
     Workspace,
 )
 from savoryfork.forward.placement import EngineLoad
-from savoryfork.forward.pools import StageFailure
-from savoryfork.forward.stages import StageError, Stages, StageWork
+from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
+from savoryfork.forward.work import StageError, StageFailure, Work
 
 log = logging.getLogger(__name__)
 
@@ -124,7 +124,7 @@
         self.begun = False
         self.last_event: bytes | None = None
         self.events = 0
-        self.work: StageWork | None = None
+        self.work: Work | None = None
         self.staged_at: float | None = None
         self.first_event_at: float | None = None
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
@@ -265,14 +265,14 @@
     async def run_stages(self, run: Run) -> None:
         """Does the stages before the request; raises ServiceError, the request being unsent."""
         assert run.route is not None
-        work = StageWork(
+        work = Work(
             run.id,
             run.route.stages,
             run.request.pieces,
             run.request.piece_key,
             run.priority,
             run.deadline_at,
-            run.aim_at,
+            run.aim_at - placement.engine_ms(run.request.prompt),
             self.wanted_zone(run),
         )
         try:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -28,6 +28,7 @@
     ForwardStub,
     FreeRequest,
     MessageCodec,
+    MessageHandler,
 )
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits
@@ -160,9 +161,9 @@
     async def listen(self) -> None:
         """Opens the ports for callers, the balancer, metrics and other hosts."""
         config = self.settings
-        handlers = {
+        handlers: dict[str, MessageHandler] = {
             "Sync": self.follower.handle_sync,
-            "RunStage": self.pools.run,
+            "RunStages": self.stages.coordinator.handle,
             "Free": self.handle_free,
         }
         self.peer_server = PeerServer(
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -60,9 +60,13 @@
         """Notes that a host did not answer."""
         self.suspect_until[address] = now + SUSPECT_MS
 
-    def tell(self, **changes: bool) -> Member:
-        """This host's own entry with a higher counter."""
-        self.own = self.own._replace(counter=self.own.counter + 1, **changes)
+    def tell(self, leaving: bool | None = None, store_ok: bool | None = None) -> Member:
+        """This host's own entry with a higher counter, and with what is given."""
+        self.own = self.own._replace(
+            counter=self.own.counter + 1,
+            leaving=self.own.leaving if leaving is None else leaving,
+            store_ok=self.own.store_ok if store_ok is None else store_ok,
+        )
         return self.own
 
     def alive(self, now: float) -> list[Member]:
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -12,8 +12,11 @@
 
 from savoryfork.forward.knowledge import News
 from savoryfork.forward.members import Member
+from savoryfork.forward.model import StagePlan
 from savoryfork.peers import answer
 
+MessageHandler = Callable[[Any], Awaitable[Any]]
+
 PREFIX = "/savoryfork.Forward/"
 
 
@@ -41,23 +44,20 @@
     loads: dict[str, tuple[float, float]]
 
 
-class StageRequest(NamedTuple):
-    """Pieces of one stage of one request for the owner of the service's pool.
+class WorkRequest(NamedTuple):
+    """The stages of one request, for the host that gathers stage work.
 
-    Times are those left at the sending. `zone` is where the results are wanted.
+    Times are those left at the sending; `aim_ms` is when the stages must have ended for the
+    request to be on time. `zone` is where the results are wanted.
     """
 
-    service: str
     request_id: str
-    stage: int
-    pieces: int
-    key: str | None
-    inputs: tuple[str, ...]
+    plans: tuple[StagePlan, ...]
+    pieces: tuple[int, ...]
+    key: str
     priority: int
     remaining_ms: float
     aim_ms: float
-    rest_ms: float
-    result_bytes: int
     zone: str | None
 
 
@@ -69,14 +69,15 @@
     zone: str
 
 
-class StageReply(NamedTuple):
-    """All results of a stage in order of piece, or why there are none.
+class WorkReply(NamedTuple):
+    """The results of the last stages in order of piece, or why there are none.
 
     `failure` is the value of a `StageFailure`; `retry_ms` is when a refused request may come back.
     """
 
-    results: list[StageResult]
+    results: dict[int, list[StageResult]]
     failure: str | None = None
+    stage: int = -1
     retry_ms: float = 0.0
 
 
@@ -107,7 +108,7 @@
 
 METHODS: dict[str, tuple[Any, Any]] = {
     "Sync": (SyncRequest, SyncReply),
-    "RunStage": (StageRequest, StageReply),
+    "RunStages": (WorkRequest, WorkReply),
     "Free": (FreeRequest, Done),
 }
 
@@ -123,7 +124,7 @@
 class ForwardService:
     """Passes each call to the part that answers it."""
 
-    def __init__(self, handlers: dict[str, Callable[[Any], Awaitable[Any]]]) -> None:
+    def __init__(self, handlers: dict[str, MessageHandler]) -> None:
         self.handlers = handlers
 
     def __mapping__(self) -> dict[str, Handler]:
--- a/savoryfork/forward/placement.py
+++ b/savoryfork/forward/placement.py
@@ -22,13 +22,20 @@
 # What one more running request adds to the time of a request of ordinary length.
 CROWDING_MS = 4.0
 
-# Time that a megabyte of inputs from another zone is taken to be worth: its price of 0.048 is
-# about 1.5 % of the worth of a large generation.
-CROSSING_MS_PER_MB = 12.0
+# What the choice weighs, in parts of the worth of an ordinary request: a millisecond, a megabyte of
+# inputs from another zone, and a thousand shared tokens that another engine has read shortly
+# before. The last two are their prices on the users' sites; three requests in ten find their
+# subject still in the window in which reading it again is priced.
+COST_PER_MS = 0.001
+CROSSING_PER_MB = 0.048
+READ_AGAIN_PER_1000 = 0.26 * 0.3
 
 # What a request in another zone costs, so that equal targets are chosen nearby.
 ZONE_MS = 2.0
 
+# From the sending of an ordinary request to its first event, without its prompt.
+FIRST_EVENT_MS = 70.0
+
 
 class EngineLoad(NamedTuple):
     """Outstanding work on an engine: prompt tokens not yet read, and requests."""
@@ -53,6 +60,13 @@
     return max(0.0, prompt.input_tokens - sum(part.tokens for part in cached))
 
 
+def engine_ms(prompt: Prompt | None) -> float:
+    """Expected time from the sending of a generation to its first event."""
+    if prompt is None:
+        return 0.0
+    return FIRST_EVENT_MS + unread_tokens(prompt, at_home=True) / PREFILL_TOKENS_PER_MS
+
+
 def engine_costs(
     targets: Sequence[Target],
     prompt: Prompt | None,
@@ -60,7 +74,7 @@
     input_bytes: Mapping[str, float],
     zone: str,
 ) -> dict[str, float]:
-    """Expected cost in ms of a generation on each engine; `input_bytes` by zone of their maker."""
+    """Expected cost of a generation on each engine; `input_bytes` by zone of their maker."""
     names = [target.name for target in targets]
     about = subject(prompt) if prompt is not None else None
     home = rendezvous.ranked(about, names)[0] if about is not None and names else None
@@ -68,14 +82,19 @@
     costs = {}
     for target in targets:
         load = loads.get(target.name, NO_LOAD)
-        unread = unread_tokens(prompt, target.name == home) if prompt is not None else 0.0
+        unread = again = 0.0
+        if prompt is not None:
+            unread = unread_tokens(prompt, target.name == home)
+            again = unread - unread_tokens(prompt, True)
         crossing = (total - input_bytes.get(target.zone, 0.0)) / 1e6
-        costs[target.name] = (
+        time_ms = (
             (load.prompt_tokens + unread) / PREFILL_TOKENS_PER_MS
             + CROWDING_MS * load.requests
-            + CROSSING_MS_PER_MB * crossing
             + (ZONE_MS if target.zone != zone else 0.0)
         )
+        costs[target.name] = (
+            COST_PER_MS * time_ms + CROSSING_PER_MB * crossing + READ_AGAIN_PER_1000 * again / 1000
+        )
     return costs
 
 
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -1,23 +1,24 @@
-"""Carries out stage work for all hosts on the services whose pools this host owns."""
+"""Carries out stage work: forms calls, sends them to targets, and keeps count of results."""
 
 from __future__ import annotations
 
 import asyncio
-import enum
 import itertools
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from savoryfork.forward import batching
 from savoryfork.forward.batching import Pick, Task
 from savoryfork.forward.budget import RepeatBudget
 from savoryfork.forward.connection import Connections, TargetError
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthBook
-from savoryfork.forward.messages import StageReply, StageRequest, StageResult
+from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.registry import Registry
 from savoryfork.forward.wire import Wire
+from savoryfork.forward.work import StageFailure, Work
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
 
@@ -33,6 +34,7 @@
 
 # A target that refused because it was full, or had no room, is left alone for this long.
 FULL_MS = 120.0
+LOOK_AGAIN_MS = 100.0
 ROOM_MS = 150.0
 
 # Tries for one piece.
@@ -48,52 +50,52 @@
 FREE_DELAY_MS = 15.0
 
 
-class StageFailure(enum.Enum):
-    """Why the work of a stage ended without all of its results."""
+class StageTask:
+    """One stage of a request: the pieces that wait, and the results so far.
 
-    LATE = "late"
-    OVERLOADED = "overloaded"
-    INPUT_GONE = "input_gone"
-    NO_TARGETS = "no_targets"
-    FAILED = "failed"
+    `due_at` is when it must end for the request to be on time.
+    """
 
-
-class OpenTask:
-    """A stage of a request in a pool: the pieces that wait, and the results so far."""
-
-    def __init__(self, number: int, request: StageRequest, now: float) -> None:
+    def __init__(self, number: int, work: Work, stage: int, due_at: float) -> None:
         self.number = number
-        self.request = request
-        self.arrived_at = now
-        self.deadline_at = now + request.remaining_ms
-        self.aim_at = now + request.aim_ms
-        self.zone = request.zone
-        self.waiting: deque[int] = deque(range(request.pieces))
-        self.tries = [0] * request.pieces
+        self.work = work
+        self.stage = stage
+        self.due_at = due_at
+        self.plan = work.plans[stage]
+        self.pieces = work.pieces[stage]
+        inputs = [r for s in work.before(stage) for r in work.results[s]]
+        self.inputs = tuple(result.handle for result in inputs)
+        self.input_bytes: dict[str, float] = {}
+        for before in work.before(stage):
+            for result in work.results[before]:
+                size = work.plans[before].result_bytes
+                self.input_bytes[result.zone] = self.input_bytes.get(result.zone, 0.0) + size
+        self.zone = work.zone if stage in work.last() else None
+        self.waiting: deque[int] = deque(range(self.pieces))
+        self.tries = [0] * self.pieces
         self.results: dict[int, StageResult] = {}
-        self.future: asyncio.Future[StageReply] = asyncio.get_running_loop().create_future()
+        self.future: asyncio.Future[StageFailure | None] = (
+            asyncio.get_running_loop().create_future()
+        )
 
     def view(self) -> Task:
         """The task as the order sees it."""
         return Task(
             self.number,
-            self.request.priority,
-            self.arrived_at,
-            self.aim_at,
-            self.request.rest_ms,
+            self.work.priority,
+            self.due_at,
+            self.work.late,
+            bool(self.work.results),
             len(self.waiting),
-            self.request.result_bytes,
+            self.plan.result_bytes,
             self.zone,
+            self.input_bytes,
         )
 
-    def finish(self, reply: StageReply) -> None:
-        """Gives the answer, unless there is one."""
+    def end(self, failure: StageFailure | None) -> None:
+        """Notes how the stage ended, unless that is known."""
         if not self.future.done():
-            self.future.set_result(reply)
-
-    def end_of(self, failure: StageFailure, retry_ms: float = 0.0) -> None:
-        """Ends the task without all results."""
-        self.finish(StageReply([], failure.value, retry_ms))
+            self.future.set_result(failure)
 
 
 class PoolTarget:
@@ -122,7 +124,7 @@
         self.service = service
         self.limits = limits
         self.budget = budget
-        self.tasks: dict[int, OpenTask] = {}
+        self.tasks: dict[int, StageTask] = {}
         self.targets: dict[tuple[str, int], PoolTarget] = {}
         self.wake_handle: asyncio.TimerHandle | None = None
 
@@ -170,79 +172,76 @@
         pool.limits = limits
         return pool
 
-    async def run(self, request: StageRequest) -> StageReply:
-        """Does the work of one stage of one request."""
+    async def run(self, work: Work, stage: int, due_at: float) -> StageFailure | None:
+        """Does the work of one stage; its results are put into `work`, or the failure returned."""
         now = self.now()
-        pool = self.pool(request.service)
-        if pool is None or not self.registry.usable(request.service):
-            return StageReply([], StageFailure.NO_TARGETS.value)
-        task = OpenTask(next(self.numbers), request, now)
+        service = work.plans[stage].service
+        pool = self.pool(service)
+        if pool is None or not self.registry.usable(service):
+            return StageFailure.NO_TARGETS
+        task = StageTask(next(self.numbers), work, stage, due_at)
         pool.tasks[task.number] = task
-        for _ in range(request.pieces):
+        for _ in range(task.pieces):
             pool.budget.note_request(now)
         self.pump(pool)
-        reply = None
+        failure: StageFailure | None = StageFailure.LATE
+        done = False
         try:
-            async with asyncio.timeout(request.remaining_ms / 1000):
-                reply = await task.future
+            async with asyncio.timeout(max(0.0, work.deadline_at - now) / 1000):
+                failure = await task.future
+            done = failure is None
         except TimeoutError:
-            reply = StageReply([], StageFailure.LATE.value)
+            pass  # the failure is LATE
         finally:
             pool.tasks.pop(task.number, None)
-            if reply is None or reply.failure is not None:
-                self.free(request.service, list(task.results.values()))
+            if not done:
+                self.free(service, list(task.results.values()))
+        if done:
+            work.results[stage] = [task.results[n] for n in range(task.pieces)]
         logs.event(
             log,
             "stage_done",
-            request=request.request_id,
-            stage=request.stage,
-            service=request.service,
-            pieces=request.pieces,
+            request=work.request_id,
+            stage=stage,
+            service=service,
+            pieces=task.pieces,
+            late=work.late,
+            due_ms=round(due_at - now),
             took_ms=round(self.now() - now),
-            failure=reply.failure,
+            failure=failure.value if failure else None,
         )
-        return reply
+        return failure
 
     # Sending.
 
     def pump(self, pool: Pool) -> None:
-        """Starts calls for as long as a target is idle and something fits."""
+        """Starts the calls that are worth starting now."""
         now = self.now()
-        while True:
-            tasks = [task.view() for task in pool.tasks.values() if task.waiting]
-            if not tasks:
-                return
-            idle = self.idle_targets(pool, now)
-            if not idle:
-                self.wake_later(pool, FULL_MS)
-                return
-            head = min(tasks, key=lambda task: batching.order_key(task, pool.limits, now))
-            idle.sort(
-                key=lambda t: (
-                    batching.is_foreign(head, t.zone),
-                    pool.state(t).pace,
-                    t.name,
-                )
-            )
-            for target in idle:
-                room = pool.state(target).room(pool.limits, now)
-                picks = batching.choose(tasks, target.zone, pool.limits, room, now)
-                if picks:
-                    self.start(pool, target, picks, now)
-                    break
-            else:
-                self.wake_later(pool, ROOM_MS)
-                return
-
-    def idle_targets(self, pool: Pool, now: float) -> list[Target]:
-        """Targets without a call that may get one."""
-        usable = self.health.usable(self.registry.usable(pool.service), now)
-        found = []
-        for target in usable:
-            state = pool.state(target)
-            if not state.calls and state.blocked_until <= now:
-                found.append(target)
-        return found
+        tasks = [task.view() for task in pool.tasks.values() if task.waiting]
+        if not tasks:
+            return
+        targets = {t.name: t for t in self.usable(pool, now)}
+        places = [self.place(pool, target, now) for target in targets.values()]
+        for name, picks in batching.assign(tasks, places, pool.limits, now).items():
+            self.start(pool, targets[name], picks, now)
+        if any(task.waiting for task in pool.tasks.values()):
+            # A call that ends looks again by itself; this is for room, and for targets that return.
+            self.wake_later(pool, LOOK_AGAIN_MS)
+
+    def usable(self, pool: Pool, now: float) -> list[Target]:
+        """The targets that may get work of a pool."""
+        return self.health.usable(self.registry.usable(pool.service), now)
+
+    def place(self, pool: Pool, target: Target, now: float) -> batching.Place:
+        """What is known of a target, for the decisions."""
+        state = pool.state(target)
+        free_at = max(now, state.ends_at, state.blocked_until) if state.calls else 0.0
+        if state.calls:
+            free_at = max(free_at, now + 1.0)
+        elif state.blocked_until > now:
+            free_at = state.blocked_until
+        room = state.room(pool.limits, now)
+        return batching.Place(target.name, target.zone, free_at, room, max(0.5, state.pace))
 
     def wake_later(self, pool: Pool, delay_ms: float) -> None:
         """Looks again later, for room or a target that comes back."""
@@ -257,7 +256,7 @@
 
     def start(self, pool: Pool, target: Target, picks: list[Pick], now: float) -> None:
         """Starts a call for the picked pieces."""
-        batch: list[tuple[OpenTask, int]] = []
+        batch: list[tuple[StageTask, int]] = []
         state = pool.state(target)
         reserved = 0.0
         for pick in picks:
@@ -266,9 +265,7 @@
                 number = task.waiting.popleft()
                 task.tries[number] += 1
                 batch.append((task, number))
-            reserved += pick.pieces * task.request.result_bytes
-            if task.waiting and task.request.result_bytes >= batching.LARGE_RESULT_BYTES:
-                task.zone = target.zone
+            reserved += pick.pieces * task.plan.result_bytes
         state.calls += 1
         state.reserved += reserved
         expected = batching.call_ms(pool.limits, len(batch)) * max(1.0, state.pace)
@@ -281,7 +278,7 @@
         pool: Pool,
         target: Target,
         state: PoolTarget,
-        batch: list[tuple[OpenTask, int]],
+        batch: list[tuple[StageTask, int]],
         reserved: float,
         expected: float,
     ) -> None:
@@ -332,7 +329,7 @@
         pool: Pool,
         target: Target,
         state: PoolTarget,
-        batch: list[tuple[OpenTask, int]],
+        batch: list[tuple[StageTask, int]],
     ) -> list[PieceResult]:
         """Sends the call and reads its results; raises TargetError."""
         connection = await self.connections.open(target.address, self.now())
@@ -360,19 +357,19 @@
             raise TargetError(f"status {answer.status}", sent=True)
         return results
 
-    def piece(self, task: OpenTask, number: int, now: float) -> Piece:
+    def piece(self, task: StageTask, number: int, now: float) -> Piece:
         """One piece as it is sent."""
-        request = task.request
+        work = task.work
         return Piece(
-            request.request_id,
-            request.stage,
+            work.request_id,
+            task.stage,
             number,
-            task.deadline_at - now,
-            request.key,
-            request.inputs,
+            work.deadline_at - now,
+            None if task.inputs else work.key,
+            task.inputs,
         )
 
-    def note_stuck(self, pool: Pool, target: Target, batch: list[tuple[OpenTask, int]]) -> None:
+    def note_stuck(self, pool: Pool, target: Target, batch: list[tuple[StageTask, int]]) -> None:
         """Repeats elsewhere the pieces of a call that takes much longer than expected."""
         now = self.now()
         self.health.bad(target, self.registry.usable(pool.service), CERTAIN, "stuck", now)
@@ -382,18 +379,18 @@
                 self.repeat(pool, task, number, now)
         self.pump(pool)
 
-    def open(self, pool: Pool, task: OpenTask) -> bool:
+    def open(self, pool: Pool, task: StageTask) -> bool:
         """Whether a task still waits for results."""
         return task.number in pool.tasks and not task.future.done()
 
     def repeat(
-        self, pool: Pool, task: OpenTask, number: int, now: float, free: bool = False
+        self, pool: Pool, task: StageTask, number: int, now: float, free: bool = False
     ) -> None:
         """Lets a piece wait once more, within the budget; `free` if no target has begun it."""
         if number in task.waiting or number in task.results:
             return
         if task.tries[number] >= MAX_TRIES or (not free and not pool.budget.take(now, hosts=2)):
-            task.end_of(StageFailure.FAILED)
+            task.end(StageFailure.FAILED)
             return
         task.waiting.appendleft(number)
 
@@ -401,7 +398,7 @@
         self,
         pool: Pool,
         target: Target,
-        batch: list[tuple[OpenTask, int]],
+        batch: list[tuple[StageTask, int]],
         error: TargetError,
         now: float,
     ) -> None:
@@ -420,7 +417,7 @@
         pool: Pool,
         target: Target,
         state: PoolTarget,
-        task: OpenTask,
+        task: StageTask,
         number: int,
         result: PieceResult,
     ) -> None:
@@ -430,24 +427,23 @@
             if not self.open(pool, task):
                 return
             if result is PieceFailure.LATE:
-                task.end_of(StageFailure.LATE)
+                task.end(StageFailure.LATE)
             elif result is PieceFailure.INPUT_GONE:
-                task.end_of(StageFailure.INPUT_GONE)
+                task.end(StageFailure.INPUT_GONE)
             else:
                 if result is PieceFailure.NO_ROOM:
                     state.blocked_until = now + ROOM_MS
                 self.repeat(pool, task, number, now)
             return
-        size = task.request.result_bytes
+        size = task.plan.result_bytes
         state.held[result] = (size, now + pool.limits.keep_ms)
         made = StageResult(result, target.address, target.zone)
         if not self.open(pool, task) or number in task.results:
             self.free(pool.service, [made])
             return
         task.results[number] = made
-        if len(task.results) == task.request.pieces:
-            ordered = [task.results[n] for n in range(task.request.pieces)]
-            task.finish(StageReply(ordered))
+        if len(task.results) == task.pieces:
+            task.end(None)
 
     # Giving results up.
 
@@ -502,9 +498,9 @@
             await asyncio.wait(waiting, timeout=DRAIN_LOOK_MS / 1000)
             await asyncio.sleep(0)
 
-    def spawn(self, coroutine: object) -> None:
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine of this part in the background and logs it if it fails."""
-        task = asyncio.get_running_loop().create_task(coroutine)  # type: ignore[arg-type]
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.background.add(task)
         task.add_done_callback(self.ended)
 
--- /dev/null
+++ b/savoryfork/forward/work.py
@@ -0,0 +1,77 @@
+"""The stages of one request and their results."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+
+from savoryfork.forward import planning
+from savoryfork.forward.messages import StageResult
+from savoryfork.forward.model import StagePlan
+
+
+class StageFailure(enum.Enum):
+    """Why the stages of a request ended without all of their results."""
+
+    LATE = "late"
+    OVERLOADED = "overloaded"
+    INPUT_GONE = "input_gone"
+    NO_TARGETS = "no_targets"
+    FAILED = "failed"
+
+
+class StageError(Exception):
+    """The stages of a request did not give all results; the request itself was not sent."""
+
+    def __init__(self, failure: StageFailure, stage: int, retry_ms: float) -> None:
+        super().__init__(failure.value)
+        self.failure = failure
+        self.stage = stage
+        self.retry_ms = retry_ms
+
+
+class Work:
+    """One request's stages: what they are, how urgent, and until when.
+
+    `aim_at` is when the stages must have ended for the request to be on time, `zone` where the
+    results are wanted. `late` says that the request is not expected to be on time.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        plans: Sequence[StagePlan],
+        pieces: Sequence[int],
+        key: str,
+        priority: int,
+        deadline_at: float,
+        aim_at: float,
+        zone: str | None,
+    ) -> None:
+        self.request_id = request_id
+        self.plans = tuple(plans)
+        self.pieces = tuple([*pieces, *[0] * len(plans)][: len(plans)])
+        self.key = key
+        self.priority = priority
+        self.deadline_at = deadline_at
+        self.aim_at = aim_at
+        self.zone = zone
+        self.late = False
+        self.results: dict[int, list[StageResult]] = {}
+
+    def present(self) -> list[int]:
+        """The stages that have pieces."""
+        return [stage for stage, count in enumerate(self.pieces) if count]
+
+    def before(self, stage: int) -> list[int]:
+        """The present stages whose results a stage needs."""
+        return planning.present_before(self.plans, self.pieces, stage)
+
+    def last(self) -> list[int]:
+        """The present stages whose results the target of the request needs."""
+        needed = {s for stage in self.present() for s in self.before(stage)}
+        return [stage for stage in self.present() if stage not in needed]
+
+    def inputs(self) -> tuple[str, ...]:
+        """The handles that the target of the request needs."""
+        return tuple(r.handle for stage in self.last() for r in self.results.get(stage, []))
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -215,7 +215,7 @@
 
 
 def decode_piece_results(body: bytes, count: int) -> list[PieceResult] | None:
-    """The results of a call for `count` pieces; None if the answer can't be read or is not whole."""
+    """The results of a call for `count` pieces; None if they can't be read or are not whole."""
     try:
         entries = msgspec.json.decode(body)["entries"]
         if len(entries) != count:
