Meet the seeds quickly at the start; a refused call costs a piece no try

Cause: after all hosts lost power, each coordinated its own stage work for 2 to 4 s: the seeds refused the first connection, were suspect for 2 s and asked again at the next second. Change: hosts that start ask the seeds every 100 ms for 1.5 s and are not ready before; a call that a target refused counts as no try.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -50,6 +50,11 @@
 RETRY_MS = 350.0
 LOOK_MS = 100.0
 
+# How long a host that starts tries to meet the seeds before it takes requests without them, and
+# how often.
+JOIN_MS = 1_500.0
+JOIN_RETRY_MS = 100.0
+
 # Exchange of members with one host at random, beside the one that is followed.
 MEET_MS = 1_000.0
 
@@ -113,6 +118,7 @@
         self.peer_loads: dict[str, dict[str, tuple[float, float]]] = {}
         self.shared_loads: dict[str, EngineLoad] = {}
         self.lost_peers: set[str] = set()
+        self.joined = False
 
     def now(self) -> float:
         """The suspend-aware time in milliseconds."""
@@ -233,6 +239,18 @@
             elif not await self.sync(source, SYNC_WAIT_MS):
                 await asyncio.sleep(0.01)
 
+    async def join(self) -> None:
+        """Meets the seeds at the start, until each has answered or the time for that is over."""
+        until = self.now() + JOIN_MS
+        while self.now() < until:
+            await self.meet()
+            others = self.members.alive(self.now())
+            if len(others) > 1 and not set(self.members.seeds) - {m.address for m in others}:
+                break
+            await asyncio.sleep(JOIN_RETRY_MS / 1000)
+        self.joined = True
+        logs.event(log, "joined", members=len(self.members.alive(self.now())))
+
     async def meet(self) -> None:
         """Exchanges members with the seeds that are not known yet and with one host at random."""
         now = self.now()
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -83,7 +83,7 @@
             loop.create_task(self.follower.run(Topic.CONFIGURATION)),
             loop.create_task(self.follower.run(Topic.TARGETS)),
             loop.create_task(self.follower.run_sync()),
-            loop.create_task(self.follower.meet()),
+            loop.create_task(self.follower.join()),
         ]
         for task in self.followers:
             task.add_done_callback(self.follower_ended)
@@ -194,6 +194,8 @@
             return "stopping"
         if self.follower.catalog is None:
             return "no configuration"
+        if not self.follower.joined:
+            return "joining"
         if self.follower.config_age_ms() > self.forwarder.trusted_ms:
             return "configuration out of date"
         return None
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -11,7 +11,10 @@
 SILENT_MS = 2_500.0
 
 # A host that did not answer is left out for this long, unless it is heard of again.
-SUSPECT_MS = 2_000.0
+SUSPECT_MS = 1_000.0
+
+# A seed that never answered is asked again after this: it may be starting as well.
+SEED_RETRY_MS = 150.0
 
 # Hosts that take the news of the store from one other host. At 82 hosts the news passes through
 # three levels.
@@ -58,7 +61,8 @@
 
     def failed(self, address: str, now: float) -> None:
         """Notes that a host did not answer."""
-        self.suspect_until[address] = now + SUSPECT_MS
+        known = address in self.known
+        self.suspect_until[address] = now + (SUSPECT_MS if known else SEED_RETRY_MS)
 
     def tell(self, leaving: bool | None = None, store_ok: bool | None = None) -> Member:
         """This host's own entry with a higher counter, and with what is given."""
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -383,13 +383,11 @@
         """Whether a task still waits for results."""
         return task.number in pool.tasks and not task.future.done()
 
-    def repeat(
-        self, pool: Pool, task: StageTask, number: int, now: float, free: bool = False
-    ) -> None:
-        """Lets a piece wait once more, within the budget; `free` if no target has begun it."""
+    def repeat(self, pool: Pool, task: StageTask, number: int, now: float) -> None:
+        """Lets a piece wait once more, within the budget."""
         if number in task.waiting or number in task.results:
             return
-        if task.tries[number] >= MAX_TRIES or (not free and not pool.budget.take(now, hosts=2)):
+        if task.tries[number] >= MAX_TRIES or not pool.budget.take(now, hosts=2):
             task.end(StageFailure.FAILED)
             return
         task.waiting.appendleft(number)
@@ -407,10 +405,14 @@
             weight = LIKELY if error.sent else CERTAIN
             peers = self.registry.usable(pool.service)
             self.health.bad(target, peers, weight, error.reason, now)
-        arrived = error.sent or error.reason in ("full", "wrong target")
         for task, number in batch:
-            if self.open(pool, task):
-                self.repeat(pool, task, number, now, free=not arrived)
+            if not self.open(pool, task):
+                continue
+            if error.sent:
+                self.repeat(pool, task, number, now)
+            else:
+                task.tries[number] -= 1
+                task.waiting.appendleft(number)
 
     def take_result(
         self,
