--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -122,7 +122,7 @@
 
         A task stays whole, unless it is larger than any call or than the room of the target.
         """
-        if not self.idle or self.queued:
+        if not self.idle:
             return 0
         space = self.fits(task, pieces)
         if space >= pieces:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -56,12 +56,16 @@
 
 
 class ForwardHost(aiomisc.Service):
-    """One forwarding host. `stopped` is set once it has stopped by request."""
+    """One forwarding host. `stopped` is set once it has stopped by request.
+
+    `signals` is False where a process runs several hosts, as tests do.
+    """
 
     settings: ForwardSettings
     wire: Wire
     open_store: Callable[[str], Store]
     reload: Callable[[], ForwardSettings]
+    signals: bool = True
 
     async def start(self) -> None:
         """Builds the parts and starts to listen; not ready before the first configuration."""
@@ -87,9 +91,9 @@
         ]
         for task in self.followers:
             task.add_done_callback(self.follower_ended)
-        for number in STOP_SIGNALS:
-            signal.signal(number, self.handle_signal)
-        signal.signal(signal.SIGHUP, self.handle_signal)
+        if self.signals:
+            for number in (*STOP_SIGNALS, signal.SIGHUP):
+                signal.signal(number, self.handle_signal)
         config = self.settings
         logs.event(
             log,
--- /dev/null
+++ b/standins/keyedstore.py
@@ -0,0 +1,80 @@
+"""A stand-in for the platform's store: keyed topics with long polls, and targets' entries."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+
+class KeyedStore:
+    """Two keyed topics in memory. `down` makes every call fail; `calls` counts them."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {"keyed.op": [], "keyed.servers": []}
+        self.first: dict[str, int] = {"keyed.op": 0, "keyed.servers": 0}
+        self.changed = asyncio.Event()
+        self.down = False
+        self.calls = 0
+
+    def put(self, topic: str, key: str, value: Any) -> int:
+        """Writes a value, or drops the key if there is none; returns the offset."""
+        body = b"" if value is None else msgspec.json.encode(value)
+        self.topics[topic].append((key, body))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return len(self.topics[topic]) - 1
+
+    def forget(self, topic: str) -> None:
+        """Deletes all records but the newest of each key."""
+        self.first[topic] = len(self.topics[topic])
+
+    def app(self) -> web.Application:
+        """The HTTP interface."""
+        app = web.Application()
+        app.router.add_get("/api/log-newest", self.newest)
+        app.router.add_get("/api/log-read", self.read)
+        return app
+
+    async def newest(self, request: web.Request) -> web.Response:
+        """The newest value of each key."""
+        self.calls += 1
+        if self.down:
+            return web.Response(status=503)
+        records = self.topics[request.query["topic"]]
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(records)}
+        entries = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in newest.items()
+            if value
+        ]
+        return web.json_response({"entries": entries, "has_more": False, "end": len(records)})
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Records from an offset on; waits for a first one if asked to."""
+        self.calls += 1
+        topic, start = request.query["topic"], int(request.query["from"])
+        until = asyncio.get_running_loop().time() + int(request.query.get("wait_ms", 0)) / 1000
+        while start >= len(self.topics[topic]) and not self.down:
+            left = until - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            changed = self.changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                break
+        if self.down:
+            return web.Response(status=503)
+        if start < self.first[topic]:
+            return web.json_response({"first": self.first[topic]}, status=410)
+        records = self.topics[topic]
+        body = struct.pack(">QQ", len(records), self.first[topic])
+        for key, value in records[start:]:
+            record = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(record)) + record
+        return web.Response(body=body)
--- /dev/null
+++ b/standins/replicas.py
@@ -0,0 +1,92 @@
+"""Stand-ins for the platform's replicas: plain services, engines and stage services."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from typing import Any
+
+from aiohttp import web
+
+# Times are far below those of the users' sheets, so that tests are quick.
+EVENT_S = 0.005
+CALL_S = 0.01
+
+
+class Replica:
+    """One replica. `ran` counts the runs of each request id, `seen` keeps what arrived."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.ran: Counter[str] = Counter()
+        self.seen: list[dict[str, Any]] = []
+        self.address = ""
+        self.held: set[str] = set()
+        self.numbers = itertools.count()
+        self.refuse = False
+        self.break_after: int | None = None
+        self.delay_s = 0.0
+        self.status = 200
+        self.calls: list[int] = []
+
+    def app(self) -> web.Application:
+        """The HTTP interface."""
+        app = web.Application()
+        app.router.add_post("/api/stage-run", self.stage_run)
+        app.router.add_post("/api/stage-free", self.stage_free)
+        app.router.add_route("*", "/{path:.*}", self.run)
+        return app
+
+    def wrong(self, request: web.Request) -> web.Response | None:
+        """The refusal of a request that is for another incarnation, or when full."""
+        if request.headers.get("Expect-Instance") not in (None, self.name):
+            return web.Response(status=421, headers={"Instance-Id": self.name})
+        if self.refuse:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        return None
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Runs a request: a stream if it tells its tokens, a short answer otherwise."""
+        if (refusal := self.wrong(request)) is not None:
+            return refusal
+        body = await request.read()
+        request_id = request.headers["Request-Id"]
+        self.seen.append(
+            {"path": request.raw_path, "headers": request.headers.copy(), "body": body}
+        )
+        self.ran[request_id] += 1
+        headers = {"Request-Id": request_id, "Response-Seal": f"seal-{self.name}"}
+        await asyncio.sleep(self.delay_s)
+        if "Token-Usage" not in request.headers:
+            return web.Response(status=self.status, body=b"done " + body, headers=headers)
+        count = int(request.headers["Token-Usage"].split(",")[1])
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, count + 1):
+            if self.break_after is not None and number > self.break_after:
+                await response.write(b"id: %d\nda" % number)
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, request_id.encode()))
+            await asyncio.sleep(EVENT_S)
+        return response
+
+    async def stage_run(self, request: web.Request) -> web.Response:
+        """Makes pieces."""
+        if (refusal := self.wrong(request)) is not None:
+            return refusal
+        entries = (await request.json())["entries"]
+        self.calls.append(len(entries))
+        self.seen.extend(entries)
+        await asyncio.sleep(CALL_S + self.delay_s)
+        made = [f"{self.address}/{next(self.numbers):x}" for _ in entries]
+        self.held.update(made)
+        return web.json_response({"entries": [{"handle": handle} for handle in made]})
+
+    async def stage_free(self, request: web.Request) -> web.Response:
+        """Gives results up."""
+        self.held.difference_update((await request.json())["handles"])
+        return web.Response()
--- /dev/null
+++ b/tests/forward/deployment.py
@@ -0,0 +1,165 @@
+"""A deployment in one process: the stand-in store, replicas and forwarding hosts on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import uuid
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from savoryfork.forward.host import ForwardHost
+from savoryfork.forward.settings import ForwardSettings
+from savoryfork.platform.store import PlatformStore
+from savoryfork.platform.wire import PlatformWire
+from standins.keyedstore import KeyedStore
+from standins.replicas import Replica
+
+STAGES = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
+ROUTES: list[dict[str, Any]] = [
+    {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
+    {"name": "view", "path_prefix": "/view/", "route_kind": "idempotent", "service": "plain",
+     "max_attempts": 2},
+    {"name": "chat", "path_prefix": "/chat/", "route_kind": "streaming", "service": "engine",
+     "stream_resume": True, "max_attempts": 2, "target_gap_ms": 150,
+     "stages": [{"service": "cave", "after": [], "payload_bytes": 8000},
+                {"service": "carri", "after": [0], "payload_bytes": 60000}]},
+    {"name": "ask", "path_prefix": "/ask/", "route_kind": "streaming", "service": "engine",
+     "target_gap_ms": 150},
+]  # fmt: skip
+
+
+def free_port() -> int:
+    """A port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def configuration(version: int = 1, keys: tuple[str, ...] = ("k1",)) -> dict[str, Any]:
+    """A configuration with one route of each kind."""
+    routes = [
+        {"host": "a.example", "timeout_ms": 3000, "target_latency_ms": 500, "priority": 1, **route}
+        for route in ROUTES
+    ]
+    services = [
+        {"name": "plain"},
+        {"name": "engine", "engine": {"slots": 8, "kv_capacity": 100_000}},
+        {"name": "cave", "pieces": {**STAGES, "batch": 4, "headroom_mb": 22}},
+        {"name": "carri", "pieces": {**STAGES, "batch": 18, "headroom_mb": 3}},
+    ]
+    tenants = [{"name": "w1", "api_keys": list(keys)}]
+    return {"version": version, "routes": routes, "services": services, "tenants": tenants}
+
+
+class Deployment:
+    """Started and stopped by `async with`."""
+
+    def __init__(self, hosts: int = 1, replicas: int = 2) -> None:
+        self.host_count = hosts
+        self.replica_count = replicas
+        self.store = KeyedStore()
+        self.replicas: dict[str, list[Replica]] = {}
+        self.hosts: list[ForwardHost] = []
+        self.runners: list[web.AppRunner] = []
+
+    async def __aenter__(self) -> Deployment:
+        self.session = aiohttp.ClientSession()
+        self.store_address = await self.serve(self.store.app())
+        self.store.put("keyed.op", "config", configuration())
+        for service in ("plain", "engine", "cave", "carri"):
+            self.replicas[service] = []
+            for number in range(self.replica_count):
+                await self.add_replica(service, f"{service}-{number}")
+        seeds = tuple(f"127.0.0.1:{free_port()}" for _ in range(self.host_count))
+        for number in range(self.host_count):
+            await self.start_host(number, seeds)
+        for host in self.hosts:
+            await until(lambda host=host: host.unready() is None)
+            await until(lambda host=host: len(host.follower.registry.targets) >= 8)
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        await self.session.close()
+        for host in self.hosts:
+            await host.stop()
+            await host.peer_server.stop()
+            for runner in host.runners:
+                await runner.cleanup()
+            await host.store.close()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def serve(self, app: web.Application) -> str:
+        """Serves an application on a free port and returns its address."""
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port()).start()
+        self.runners.append(runner)
+        return f"127.0.0.1:{port}"
+
+    async def add_replica(self, service: str, name: str) -> Replica:
+        """Starts a replica and registers it."""
+        replica = Replica(name)
+        replica.address = await self.serve(replica.app())
+        self.replicas[service].append(replica)
+        self.register(service, replica)
+        return replica
+
+    def register(self, service: str, replica: Replica, state: str = "ready") -> None:
+        """Writes a replica's entry."""
+        row = {"service": service, "address": replica.address, "zone": "z", "state": state}
+        self.store.put("keyed.servers", replica.name, {**row, "slots": 4, "born": 1})
+
+    async def start_host(self, number: int, seeds: tuple[str, ...]) -> ForwardHost:
+        """Starts a forwarding host."""
+        settings = ForwardSettings(
+            host=f"host-{number}",
+            availability_zone="z",
+            caller_address=f"127.0.0.1:{free_port()}",
+            ready_address=f"127.0.0.1:{free_port()}",
+            peer_address=seeds[number],
+            internal_ports=(free_port(), 65535),
+            store_address=self.store_address,
+            stop_grace_s=8.0,
+            key_revocation_ms=5_000.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_reserve=50.0,
+            seed_peers=seeds,
+        )
+        host = ForwardHost(
+            settings=settings,
+            wire=PlatformWire(),
+            open_store=PlatformStore,
+            reload=lambda: settings,
+            signals=False,
+        )
+        host.loop = asyncio.get_running_loop()
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    def url(self, path: str, host: int = 0) -> str:
+        """The address of a path at a host."""
+        return f"http://{self.hosts[host].settings.caller_address}{path}"
+
+    async def call(self, path: str, *, host: int = 0, **headers: str) -> tuple[int, bytes, Any]:
+        """One request; returns status, body and headers. Streams tell their size by `tokens`."""
+        sent = {"Host": "a.example", "Request-Id": uuid.uuid4().hex[:16], "Key": "k1"}
+        sent |= {"Deadline-Ms": "3000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        method = "GET" if path.startswith("/view/") else "POST"
+        async with self.session.request(
+            method, self.url(path, host), headers=sent, data=None if method == "GET" else b"body"
+        ) as response:
+            return response.status, await response.read(), response.headers
+
+
+async def until(condition: Any, limit_s: float = 5.0) -> None:
+    """Waits for a condition; fails after the limit."""
+    async with asyncio.timeout(limit_s):
+        while not condition():  # noqa: ASYNC110 (conditions of several parts)
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/forward/test_connection.py
@@ -0,0 +1,220 @@
+"""No byte of a target is taken for what it is not; each case replays a faulty target."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from savoryfork.forward.connection import Connection, Connections, TargetError
+from tests.forward.deployment import until
+
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+async def request_head(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+@pytest.fixture
+async def target():
+    """Serves each connection by a given function; returns its address."""
+    servers = []
+
+    async def start(serve: Serve) -> str:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        servers.append(server)
+        ip, port = server.sockets[0].getsockname()
+        return f"{ip}:{port}"
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+async def exchange(connection: Connection, path: bytes = b"/", body: bytes = b"") -> bytes:
+    headers = [(b"Host", b"h"), (b"Content-Length", str(len(body)).encode())]
+    connection.send(b"POST", path, headers, body)
+    await connection.head()
+    return await connection.body()
+
+
+class TestWholeness:
+    async def test_an_answer_without_length_that_is_reset_is_not_whole(self, target):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+            await writer.drain()
+            reset(writer)
+
+        connection = await Connections().open(await target(serve), 0.0)
+        with pytest.raises(TargetError) as error:
+            await exchange(connection)
+        assert error.value.sent
+
+    async def test_an_answer_without_length_that_is_closed_is_whole(self, target):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+            writer.close()
+
+        connection = await Connections().open(await target(serve), 0.0)
+        assert await exchange(connection) == b"all of it"
+        assert not connection.reusable()
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Le",
+            b"\x00\x01 nothing of the protocol\r\n\r\n",
+            b"",
+        ],
+    )
+    async def test_an_answer_that_is_cut_off_or_garbled_is_an_error(self, target, answer):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(answer)
+            writer.close()
+
+        connection = await Connections().open(await target(serve), 0.0)
+        with pytest.raises(TargetError) as error:
+            await exchange(connection)
+        assert error.value.sent
+
+
+class TestReuse:
+    async def test_a_kept_connection_is_used_again(self, target):
+        opened = []
+
+        async def serve(reader, writer):
+            opened.append(writer)
+            while True:
+                await request_head(reader)
+                writer.write(OK)
+
+        address, connections = await target(serve), Connections()
+        for _ in range(2):
+            connection = await connections.open(address, 0.0)
+            assert await exchange(connection) == b"ok"
+            connections.give_back(connection, 0.0, 5.0)
+        assert len(opened) == 1 and connections.reused == 1
+        connections.close()
+
+    @pytest.mark.parametrize("extra", [OK, b"rubbish"])
+    async def test_bytes_after_an_answer_end_the_connection(self, target, extra):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(OK + extra)
+            await reader.read()
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        assert await exchange(connection) == b"ok"
+        connections.give_back(connection, 0.0, 5.0)
+        assert connections.kept(connection.address, 0.0, 1.0) is None
+
+    async def test_bytes_on_an_idle_connection_end_it(self, target):
+        more = asyncio.Event()
+
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(OK)
+            await more.wait()
+            writer.write(OK)
+            await reader.read()
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        await exchange(connection)
+        connections.give_back(connection, 0.0, 5.0)
+        more.set()
+        await until(lambda: connection.closed, 2.0)
+        assert connections.kept(connection.address, 0.0, 1.0) is None
+
+    async def test_an_answer_before_the_body_was_read_ends_the_connection(self, target):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(OK)
+            await asyncio.Event().wait()
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        assert await exchange(connection, body=b"x" * 20_000_000) == b"ok"
+        assert not connection.reusable()
+        connection.abort()
+
+    async def test_a_connection_is_not_used_beyond_the_announced_idle_time(self, target):
+        async def serve(reader, writer):
+            while True:
+                await request_head(reader)
+                writer.write(OK)
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        await exchange(connection)
+        connections.give_back(connection, 0.0, 1.0)
+        assert connections.kept(connection.address, 900.0, 1.0) is None
+
+    async def test_what_can_not_be_repeated_uses_only_fresh_connections(self, target):
+        async def serve(reader, writer):
+            while True:
+                await request_head(reader)
+                writer.write(OK)
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        await exchange(connection)
+        connections.give_back(connection, 0.0, 1.0)
+        assert connections.kept(connection.address, 500.0, 0.5) is None
+
+    async def test_a_kept_connection_that_is_reset_on_reuse_may_have_run(self, target):
+        async def serve(reader, writer):
+            await request_head(reader)
+            writer.write(OK)
+            await request_head(reader)
+            reset(writer)
+
+        connections = Connections()
+        connection = await connections.open(await target(serve), 0.0)
+        await exchange(connection)
+        connections.give_back(connection, 0.0, 5.0)
+        again = await connections.open(connection.address, 1.0)
+        with pytest.raises(TargetError) as error:
+            await exchange(again)
+        assert again is connection and error.value.sent
+
+
+class TestSending:
+    async def test_a_target_that_is_not_there_got_nothing(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        with pytest.raises(TargetError) as error:
+            await Connections().open(address, 0.0)
+        assert not error.value.sent
+
+    async def test_the_path_is_sent_as_it_came(self, target):
+        seen = []
+
+        async def serve(reader, writer):
+            seen.append(await request_head(reader))
+            writer.write(OK)
+
+        connection = await Connections().open(await target(serve), 0.0)
+        await exchange(connection, b"/a%2fb/../%C3%A9//;x?q=%20&&a=+")
+        assert seen[0].startswith(b"POST /a%2fb/../%C3%A9//;x?q=%20&&a=+ HTTP/1.1\r\n")
+        connection.abort()
--- /dev/null
+++ b/tests/forward/test_host.py
@@ -0,0 +1,214 @@
+"""Hosts, the store and replicas together: what callers and replicas see."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.forward.deployment import Deployment, configuration, until
+
+TOKENS = {"Token_Usage": "100,6", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
+
+
+@pytest.fixture
+async def deployment():
+    """One host before two replicas of each service."""
+    async with Deployment() as made:
+        yield made
+
+
+class TestKinds:
+    async def test_a_plain_answer_comes_back_as_it_is(self, deployment):
+        status, body, headers = await deployment.call("/book/a%2Fb//?q=%20", Request_Id="r1")
+        assert (status, body) == (200, b"done body")
+        assert headers["Request-Id"] == "r1" and headers["Response-Seal"].startswith("seal-plain")
+        seen = [s for replica in deployment.replicas["plain"] for s in replica.seen]
+        assert seen[0]["path"] == "/book/a%2Fb//?q=%20" and seen[0]["body"] == b"body"
+
+    async def test_the_replica_gets_the_workspace_and_not_the_key(self, deployment):
+        await deployment.call("/book/x", Tenant="other", Hold="1", Kv_From="x", X_Own="kept")
+        seen = next(s for r in deployment.replicas["plain"] for s in r.seen)["headers"]
+        assert seen.getall("Tenant") == ["w1"] and "Key" not in seen and seen["X-Own"] == "kept"
+        assert "Hold" not in seen and "Kv-From" not in seen
+        assert 2_500 < int(seen["Deadline-Ms"]) < 3_000
+
+    async def test_a_stream_goes_through_its_stages(self, deployment):
+        status, body, _ = await deployment.call("/chat/x", Pieces="2,8", Piece_Key="pk", **TOKENS)
+        assert status == 200 and body.count(b"id: ") == 6
+        cave = [e for replica in deployment.replicas["cave"] for e in replica.seen]
+        carri = [e for replica in deployment.replicas["carri"] for e in replica.seen]
+        assert sorted(e["piece"] for e in cave) == [0, 1]
+        assert {e["key"] for e in cave} == {"pk"}
+        assert len(carri) == 8 and all(len(e["inputs"]) == 2 for e in carri)
+        engine = next(s for r in deployment.replicas["engine"] for s in r.seen)
+        assert len(engine["headers"]["Inputs"].split(",")) == 8
+
+    async def test_results_are_given_up(self, deployment):
+        await deployment.call("/chat/x", Pieces="2,8", Piece_Key="pk", **TOKENS)
+        makers = deployment.replicas["cave"] + deployment.replicas["carri"]
+        await until(lambda: not any(replica.held for replica in makers))
+
+    async def test_a_stage_without_pieces_is_left_out(self, deployment):
+        status, _, _ = await deployment.call("/chat/x", Pieces="1,0", Piece_Key="pk", **TOKENS)
+        assert status == 200 and not any(r.seen for r in deployment.replicas["carri"])
+
+
+class TestRefusals:
+    async def test_unknown_routes_and_keys(self, deployment):
+        assert (await deployment.call("/none/x"))[0] == 404
+        assert (await deployment.call("/book/x", Host="b.example"))[0] == 404
+        assert (await deployment.call("/book/x", Key="other"))[0] == 401
+
+    async def test_full_replicas_give_a_promise_and_a_time(self, deployment):
+        for replica in deployment.replicas["plain"]:
+            replica.refuse = True
+        status, _, headers = await deployment.call("/book/x")
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert not any(replica.ran for replica in deployment.replicas["plain"])
+
+    async def test_a_host_out_of_touch_neither_admits_nor_denies_keys(self, deployment):
+        """After a freeze the configuration is old before any timer has fired."""
+        host = deployment.hosts[0]
+        host.forwarder.trusted_ms = -1.0
+        for key in ("k1", "other"):
+            assert (await deployment.call("/book/x", Key=key))[0] == 503
+        assert host.unready() is not None
+        assert not any(replica.ran for replica in deployment.replicas["plain"])
+
+    async def test_a_revoked_key_stops_working(self, deployment):
+        deployment.store.put("keyed.op", "config", configuration(2, keys=("k2",)))
+        await until(lambda: deployment.hosts[0].follower.catalog.version == 2)
+        assert (await deployment.call("/book/x"))[0] == 401
+        assert (await deployment.call("/book/x", Key="k2"))[0] == 200
+
+
+class TestRepeats:
+    async def test_what_may_not_be_repeated_runs_once(self, deployment):
+        for replica in deployment.replicas["plain"]:
+            replica.status = 500
+        status, _, _ = await deployment.call("/book/x", Request_Id="once")
+        assert status == 500
+        assert sum(replica.ran["once"] for replica in deployment.replicas["plain"]) == 1
+
+    async def test_an_idempotent_request_gets_a_second_replica(self, deployment):
+        for replica in deployment.replicas["plain"]:
+            replica.status = 500
+        status, _, headers = await deployment.call("/view/x", Request_Id="twice")
+        assert status == 500 and "Response-Seal" in headers
+        assert sum(replica.ran["twice"] for replica in deployment.replicas["plain"]) == 2
+
+    async def test_another_incarnation_at_an_address_runs_nothing(self, deployment):
+        first, second = deployment.replicas["plain"]
+        first.name = "somebody-else"
+        for _ in range(4):
+            assert (await deployment.call("/book/x"))[0] == 200
+        assert not first.ran and second.ran
+
+
+class TestStreams:
+    async def test_a_broken_stream_goes_on_elsewhere_without_gap_or_repeat(self, deployment):
+        for replica in deployment.replicas["engine"]:
+            replica.break_after = 3
+        task = asyncio.create_task(deployment.call("/chat/x", Pieces="1,8", **TOKENS))
+        await until(lambda: any(r.ran for r in deployment.replicas["engine"]))
+        for replica in deployment.replicas["engine"]:
+            if not replica.ran:
+                replica.break_after = None
+        status, body, _ = await task
+        ids = [line for line in body.splitlines() if line.startswith(b"id: ")]
+        assert status == 200 and ids == [b"id: %d" % n for n in range(1, 7)]
+
+    async def test_one_that_may_not_be_resumed_ends_unfinished(self, deployment):
+        for replica in deployment.replicas["engine"]:
+            replica.break_after = 3
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await deployment.call("/ask/x", Request_Id="cut", **TOKENS)
+        assert sum(replica.ran["cut"] for replica in deployment.replicas["engine"]) == 1
+
+    async def test_a_caller_that_leaves_ends_the_work(self, deployment):
+        for replica in deployment.replicas["engine"]:
+            replica.delay_s = 2.0
+        task = asyncio.create_task(deployment.call("/ask/x", **TOKENS))
+        host = deployment.hosts[0]
+        await until(lambda: any(r.ran for r in deployment.replicas["engine"]))
+        task.cancel()
+        await until(lambda: host.entry.inflight == 0 and not host.forwarder.running, 0.5)
+
+
+class TestLeaving:
+    async def test_a_leaving_replica_gets_no_more_requests(self, deployment):
+        first, second = deployment.replicas["plain"]
+        deployment.register("plain", first, "draining")
+        registry = deployment.hosts[0].follower.registry
+        await until(lambda: len(registry.usable("plain")) == 1)
+        for _ in range(4):
+            await deployment.call("/book/x")
+        assert not first.ran and sum(second.ran.values()) == 4
+
+    async def test_entries_are_kept_while_the_store_is_down(self, deployment):
+        deployment.store.down = True
+        host = deployment.hosts[0]
+        await until(lambda: not host.members.own.store_ok)
+        assert (await deployment.call("/book/x"))[0] == 200
+
+    async def test_a_forgotten_history_loses_nothing(self, deployment):
+        first, _ = deployment.replicas["plain"]
+        deployment.store.put("keyed.servers", first.name, None)
+        deployment.store.forget("keyed.servers")
+        registry = deployment.hosts[0].follower.registry
+        await until(lambda: [t.name for t in registry.usable("plain")] == ["plain-1"])
+
+
+class TestStop:
+    async def test_a_stop_cuts_nothing_and_says_so(self, deployment):
+        for replica in deployment.replicas["plain"]:
+            replica.delay_s = 0.3
+        host = deployment.hosts[0]
+        task = asyncio.create_task(deployment.call("/book/x"))
+        await until(lambda: host.entry.inflight == 1)
+        host.request_stop()
+        await until(lambda: host.unready() == "stopping")
+        status, _, headers = await deployment.call("/book/x")
+        assert status == 200 and headers["Connection"] == "close"
+        assert (await task)[0] == 200
+        await until(host.stopped.is_set)
+
+
+class TestSeveralHosts:
+    async def test_one_reads_the_store_and_one_gathers_stage_work(self):
+        async with Deployment(hosts=3) as deployment:
+            hosts = deployment.hosts
+            await until(lambda: all(len(h.members.alive(h.follower.now())) == 3 for h in hosts))
+            readers = [h.members.source(h.follower.now()) for h in hosts]
+            assert readers.count(None) == 1
+            calls = [
+                deployment.call("/chat/x", host=n % 3, Pieces="1,8", Piece_Key="pk", **TOKENS)
+                for n in range(12)
+            ]
+            assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
+            sizes = [size for r in deployment.replicas["carri"] for size in r.calls]
+            assert max(sizes) == 16 and sum(sizes) == 96
+            coordinators = [h for h in hosts if h.pools.pools]
+            assert len(coordinators) == 1
+
+    async def test_work_goes_on_without_the_coordinator(self):
+        async with Deployment(hosts=3) as deployment:
+            hosts = deployment.hosts
+            await until(lambda: all(len(h.members.alive(h.follower.now())) == 3 for h in hosts))
+            owner = hosts[0].stages.owner(hosts[0].follower.now())
+            gone = next(h for h in hosts if h.settings.peer_address == owner)
+            others = [n for n, h in enumerate(hosts) if h is not gone]
+            for replica in deployment.replicas["cave"]:
+                replica.delay_s = 0.3
+            tasks = [
+                asyncio.create_task(deployment.call("/chat/x", host=n, Pieces="1,8", **TOKENS))
+                for n in others
+            ]
+            await until(lambda: bool(gone.stages.coordinator.active))
+            gone.peer_server.server.close()
+            for channel in [c for h in hosts for c in h.peers.channels.values()]:
+                channel.channel.close()
+            for task in tasks:
+                assert (await task)[0] == 200
--- /dev/null
+++ b/tests/forward/test_planning.py
@@ -0,0 +1,64 @@
+"""A burst beyond the narrowest stage is turned away before anything is done for it."""
+
+from savoryfork.forward import planning
+from savoryfork.forward.model import BatchLimits, StagePlan
+from savoryfork.forward.planning import ServiceQueue, Verdict
+
+CAVE = BatchLimits(1, 2, 4, 150.0, 32.0, 22e6, 4000.0)
+CARRI = BatchLimits(1, 2, 18, 150.0, 7.15556, 3e6, 4000.0)
+CONTI = BatchLimits(1, 2, 35, 150.0, 3.68, 0.6e6, 4000.0)
+PLANS = (StagePlan("cave", (), 8), StagePlan("carri", (0,), 6), StagePlan("conti", (1,), 6))
+PIECES = (1, 8, 16)
+
+
+def queues(ahead: float) -> dict[str, ServiceQueue]:
+    """Four targets a service, and so many requests accepted before."""
+    return {
+        "cave": ServiceQueue(CAVE, 4, 0.0, ahead * 1, 1.0),
+        "carri": ServiceQueue(CARRI, 4, 0.0, ahead * 8, 1.0),
+        "conti": ServiceQueue(CONTI, 4, 0.0, ahead * 16, 1.0),
+    }
+
+
+class TestFinishAt:
+    def test_without_a_queue_it_is_the_sum_of_the_calls(self):
+        assert round(planning.finish_at(PLANS, PIECES, queues(0), 0.0)) == 182 + 207 + 209
+
+    def test_queues_of_later_stages_drain_meanwhile(self):
+        """30 requests ahead: 0.9 s at the narrowest stage, not the sum over all stages."""
+        took = planning.finish_at(PLANS, PIECES, queues(30), 0.0)
+        narrowest = 30 * 16 / 35 * 278.8 / 4
+        assert narrowest < took < narrowest + 600
+
+    def test_omitted_stages_take_no_time(self):
+        assert planning.finish_at(PLANS, (1, 0, 0), queues(0), 0.0) == 182.0
+
+    def test_a_service_without_targets_never_ends(self):
+        none = {name: queue._replace(targets=0) for name, queue in queues(0).items()}
+        assert planning.finish_at(PLANS, PIECES, none, 0.0) == float("inf")
+
+
+class TestBurst:
+    def test_first_come_first_served_makes_all_late_and_the_plan_does_not(self):
+        """120 requests within a second, for stages that do 28 a second, due after 1.4 s.
+
+        Without a decision, all behind the first thirty-odd would be late and hold their callers.
+        """
+        verdicts = []
+        accepted = late = 0
+        for _ in range(120):
+            on_time = planning.finish_at(PLANS, PIECES, queues(accepted), 0.0)
+            behind = planning.finish_at(PLANS, PIECES, queues(accepted + late), 0.0)
+            verdict = planning.decide(on_time, behind, 1_400.0, 6_000.0, 0.0)
+            accepted += verdict is Verdict.ON_TIME
+            late += verdict is Verdict.LATE
+            verdicts.append(verdict)
+        assert 15 <= accepted <= 40
+        assert planning.finish_at(PLANS, PIECES, queues(accepted), 0.0) < 1_400 + 100
+        assert planning.finish_at(PLANS, PIECES, queues(accepted + late), 0.0) < 3_100
+        assert verdicts[-1] is Verdict.REFUSED
+
+    def test_a_refused_caller_is_asked_back_when_the_work_is_done(self):
+        assert planning.retry_ms(900.0, 0.0) == 900.0
+        assert planning.retry_ms(10.0, 0.0) == planning.LEAST_RETRY_MS
+        assert planning.retry_ms(1e9, 0.0) == planning.LONGEST_RETRY_MS
