Refuse waiting work in time for its caller; give inputs up as they are fetched

Ruled out: zones of cave, carri and conti (one target each in every zone); engines (1 answer 409 in 1,300 with inputs given up after 40 ms, as before). Change: stage work ends by the caller's patience; work that was not begun is reviewed every 100 ms; predictions count the more urgent work of the last second; inputs are given up 40 ms after the sending to an engine with free slots.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from savoryfork.forward import planning
 from savoryfork.forward.batching import call_ms
@@ -18,6 +19,17 @@
 log = logging.getLogger(__name__)
 
 
+# How far back arrivals of more urgent work count for what is still to come: bursts last seconds.
+ARRIVALS_MS = 1_000.0
+
+
+class Arrival(NamedTuple):
+    """Work that was accepted at a time."""
+
+    at: float
+    work: Work
+
+
 class Coordinator:
     """Runs the stages of requests on the pools of this host.
 
@@ -29,6 +41,7 @@
         self.pools = pools
         self.give_up = give_up
         self.active: dict[int, Work] = {}
+        self.arrivals: deque[Arrival] = deque()
 
     async def handle(self, request: WorkRequest) -> WorkReply:
         """Does the stages for another host or for this one."""
@@ -58,10 +71,8 @@
             service = work.plans[stage].service
             if self.pools.pool(service) is None or not self.pools.registry.usable(service):
                 raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
-        ahead = self.queues(work, now, urgent_only=True)
-        behind = self.queues(work, now, urgent_only=False)
-        on_time_at = planning.finish_at(work.plans, work.pieces, ahead, now)
-        late_at = planning.finish_at(work.plans, work.pieces, behind, now)
+        on_time_at = self.expected_end(work, now, late=False)
+        late_at = self.expected_end(work, now, late=True)
         verdict = planning.decide(on_time_at, late_at, work.aim_at, work.deadline_at, now)
         logs.event(
             log,
@@ -79,14 +90,69 @@
             retry_ms = planning.retry_ms(late_at, now)
             raise StageError(StageFailure.OVERLOADED, work.present()[0], retry_ms)
         work.late = verdict is Verdict.LATE
+        self.arrivals.append(Arrival(now, work))
 
-    def queues(self, work: Work, now: float, urgent_only: bool) -> dict[str, ServiceQueue]:
+    async def review(self) -> None:
+        """Refuses work that was not begun and can no longer be expected to end in time.
+
+        More urgent work may have come, or targets may have gone. Nothing has run for it, and its
+        caller does better elsewhere or later.
+        """
+        now = self.pools.now()
+        while self.arrivals and self.arrivals[0].at < now - ARRIVALS_MS:
+            self.arrivals.popleft()
+        for work in list(self.active.values()):
+            if work.started or now <= work.aim_at - self.shortest_ms(work):
+                continue
+            work.late = True
+            end = self.expected_end(work, now, late=True)
+            if end > work.deadline_at:
+                work.retry_ms = planning.retry_ms(end, now)
+                logs.event(
+                    log,
+                    "work_given_up",
+                    request=work.request_id,
+                    priority=work.priority,
+                    expected_ms=round(end - now),
+                    left_ms=round(work.deadline_at - now),
+                )
+                self.pools.refuse(work)
+
+    def shortest_ms(self, work: Work) -> float:
+        """The time that the stages take without any waiting."""
+        first = [stage for stage in work.present() if not work.before(stage)]
+        return max((self.own_ms(work, s) + self.rest_ms(work, s) for s in first), default=0.0)
+
+    def expected_end(self, work: Work, now: float, late: bool) -> float:
+        """When the work would end, as late work or as work that is to be on time."""
+        queues = self.queues(work, now, late)
+        return planning.finish_at(work.plans, work.pieces, queues, now)
+
+    def goes_before(self, other: Work, work: Work, late: bool) -> bool:
+        """Whether the pieces of `other` are made before those of `work`."""
+        if other is work:
+            return False
+        if not other.late or other.results:
+            return late or other.priority <= work.priority
+        return late and (other.priority, other.aim_at) <= (work.priority, work.aim_at)
+
+    def arriving(self, work: Work, now: float) -> dict[str, float]:
+        """Rates of more urgent work by service, in pieces a millisecond."""
+        rates: dict[str, float] = {}
+        for arrival in self.arrivals:
+            if arrival.at >= now - ARRIVALS_MS and arrival.work.priority < work.priority:
+                for stage in arrival.work.present():
+                    service = arrival.work.plans[stage].service
+                    pieces = arrival.work.pieces[stage] / ARRIVALS_MS
+                    rates[service] = rates.get(service, 0.0) + pieces
+        return rates
+
+    def queues(self, work: Work, now: float, late: bool) -> dict[str, ServiceQueue]:
         """The queues that the work would join, with what goes before it."""
+        arriving = self.arriving(work, now)
         ahead: dict[str, float] = {}
         for other in self.active.values():
-            if urgent_only and (
-                other.priority > work.priority or (other.late and not other.results)
-            ):
+            if not self.goes_before(other, work, late):
                 continue
             for stage in other.present():
                 if stage not in other.results:
@@ -96,7 +162,8 @@
         for stage in work.present():
             service = work.plans[stage].service
             if service not in found:
-                found[service] = self.queue(service, ahead.get(service, 0.0), now)
+                queue = self.queue(service, ahead.get(service, 0.0), now)
+                found[service] = queue._replace(arriving=arriving.get(service, 0.0))
         return found
 
     def queue(self, service: str, ahead: float, now: float) -> ServiceQueue:
@@ -149,14 +216,17 @@
             await asyncio.shield(task)
         failure = await self.pools.run(work, stage, work.aim_at - self.rest_ms(work, stage))
         if failure is not None:
-            raise StageError(failure, stage, 0.0)
+            raise StageError(failure, stage, work.retry_ms)
 
     def rest_ms(self, work: Work, stage: int) -> float:
         """Expected time from the end of a stage to that of the last one, without any waiting."""
         longest = 0.0
         for later in work.present():
-            limits = self.pools.limits(work.plans[later].service)
-            if stage in work.before(later) and limits is not None:
-                own = call_ms(limits, min(work.pieces[later], limits.batch))
-                longest = max(longest, own + self.rest_ms(work, later))
+            if stage in work.before(later):
+                longest = max(longest, self.own_ms(work, later) + self.rest_ms(work, later))
         return longest
+
+    def own_ms(self, work: Work, stage: int) -> float:
+        """The time of one call with the pieces of a stage."""
+        limits = self.pools.limits(work.plans[stage].service)
+        return call_ms(limits, min(work.pieces[stage], limits.batch)) if limits else 0.0
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -55,6 +55,14 @@
 # Time kept of the caller's for the way back.
 RETURN_MS = 5.0
 
+# An engine with a free slot fetches the inputs of a request as it arrives. Results of some stages
+# have room for seven requests, so they are given up without waiting for the first event.
+INPUT_FETCH_MS = 40.0
+
+# Part of an engine's slots up to which it is taken to have a free one; counts are some hundred
+# milliseconds old.
+SLOT_SHARE = 0.75
+
 # The least remaining time for which an attempt is worth starting.
 LEAST_ATTEMPT_MS = 20.0
 
@@ -65,6 +73,18 @@
 RETRY_MS = 400.0
 
 
+# Callers abandon a stream after a silence of the longest of these: so much, so many times the aim,
+# so many times the longest pause that is on time.
+PATIENCE_MS = 2_000.0
+PATIENCE_AIMS = 4.0
+PATIENCE_GAPS = 8.0
+
+
+def patience_ms(route: Route) -> float:
+    """How long the caller of a stream waits without an event."""
+    return max(PATIENCE_MS, PATIENCE_AIMS * route.aim_ms, PATIENCE_GAPS * route.gap_ms)
+
+
 class Delivery(Protocol):
     """The way back to the caller."""
 
@@ -112,6 +132,7 @@
         self.id = request.id.decode("latin-1")
         self.deadline_at = received_at
         self.aim_at = received_at
+        self.first_event_by = received_at
         self.route: Route | None = None
         self.service = ""
         self.workspace: Workspace | None = None
@@ -204,6 +225,9 @@
         allowed_ms = min(allowed_ms, route.timeout_ms)
         run.deadline_at = run.received_at + allowed_ms - RETURN_MS
         run.aim_at = run.received_at + route.aim_ms
+        run.first_event_by = run.deadline_at
+        if route.repeat is Repeat.STREAM:
+            run.first_event_by = min(run.deadline_at, run.received_at + patience_ms(route))
         run.priority = route.priority
         self.check_key(run, catalog)
         if not request.id:
@@ -271,7 +295,7 @@
             run.request.pieces,
             run.request.piece_key,
             run.priority,
-            run.deadline_at,
+            run.first_event_by if not run.begun else run.deadline_at,
             run.aim_at - placement.engine_ms(run.request.prompt),
             self.wanted_zone(run),
         )
@@ -414,6 +438,13 @@
             last_event_id=run.last_event,
         )
         connection.send(*self.wire.request_call(run.request, routing, run.body))
+        if run.work is not None and self.has_slot(target):
+            asyncio.get_running_loop().call_later(INPUT_FETCH_MS / 1000, self.release_inputs, run)
+
+    def has_slot(self, target: Target) -> bool:
+        """Whether an engine is taken to have a free slot."""
+        shared = self.follower.shared_loads.get(target.name, placement.NO_LOAD)
+        return shared.requests + self.running.get(target.name, 0) < SLOT_SHARE * target.slots
 
     def hold(self, run: Run, target: Target, change: int) -> None:
         """Counts the requests outstanding at a target."""
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -52,6 +52,7 @@
 
 MEET_PERIOD_MS = 1_000.0
 HOUSEKEEPING_MS = 500.0
+REVIEW_PERIOD_MS = 100.0
 BACKLOG = 1_024
 
 
@@ -80,6 +81,7 @@
         await self.listen()
         every = self.timer.subscribe
         every("meet", MEET_PERIOD_MS, self.follower.meet)
+        every("review", REVIEW_PERIOD_MS, self.stages.coordinator.review)
         every("housekeeping", HOUSEKEEPING_MS, self.housekeep)
         self.timer.start()
         loop = asyncio.get_running_loop()
--- a/savoryfork/forward/planning.py
+++ b/savoryfork/forward/planning.py
@@ -25,11 +25,16 @@
 LONGEST_RETRY_MS = 2_500.0
 
 
+# The least part of a service that work gets beside more urgent work.
+LEAST_RATE_SHARE = 0.25
+
+
 class ServiceQueue(NamedTuple):
     """The accepted work of one stage service.
 
     `free_at` is when the first target becomes free. `ahead` counts the pieces that are to be made
-    before those of the request in question, waiting ones and those of later stages.
+    before those of the request in question, waiting ones and those of later stages. `arriving` is
+    the rate in pieces a millisecond of more urgent work that has come lately and will go first.
     """
 
     limits: BatchLimits
@@ -37,6 +42,7 @@
     free_at: float
     ahead: float
     pace: float
+    arriving: float = 0.0
 
 
 class Verdict(enum.Enum):
@@ -57,7 +63,9 @@
     if queue.targets == 0:
         return float("inf")
     full = call_ms(queue.limits, queue.limits.batch) * queue.pace
-    return max(now, queue.free_at) + queue.ahead / queue.limits.batch * full / queue.targets
+    rate = queue.limits.batch * queue.targets / full
+    left = max(LEAST_RATE_SHARE * rate, rate - queue.arriving)
+    return max(now, queue.free_at) + queue.ahead / left
 
 
 def finish_at(
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -261,6 +261,7 @@
         reserved = 0.0
         for pick in picks:
             task = pool.tasks[pick.task]
+            task.work.started = True
             for _ in range(pick.pieces):
                 number = task.waiting.popleft()
                 task.tries[number] += 1
@@ -447,6 +448,13 @@
         if len(task.results) == task.pieces:
             task.end(None)
 
+    def refuse(self, work: Work) -> None:
+        """Ends the waiting stages of work that was not begun."""
+        for pool in self.pools.values():
+            for task in pool.tasks.values():
+                if task.work is work:
+                    task.end(StageFailure.OVERLOADED)
+
     # Giving results up.
 
     def free(self, service: str, results: list[StageResult]) -> None:
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -34,7 +34,8 @@
     """One request's stages: what they are, how urgent, and until when.
 
     `aim_at` is when the stages must have ended for the request to be on time, `zone` where the
-    results are wanted. `late` says that the request is not expected to be on time.
+    results are wanted. `late` says that the request is not expected to be on time, `started` that
+    a call was made for it.
     """
 
     def __init__(
@@ -57,6 +58,8 @@
         self.aim_at = aim_at
         self.zone = zone
         self.late = False
+        self.started = False
+        self.retry_ms = 0.0
         self.results: dict[int, list[StageResult]] = {}
 
     def present(self) -> list[int]:
