Admit by a margin that recent delays set

Change: a request must be able to bear the 0.6 quantile of the last 48 delays beyond their prediction. Ruled out: filling calls with parts of further requests. Conclusion: margin kept, parts reverted.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -15,6 +15,7 @@
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.util import logs
+from savoryfork.util.window import Window
 
 log = logging.getLogger(__name__)
 
@@ -23,6 +24,12 @@
 ARRIVALS_MS = 1_000.0
 
 
+# The delay of accepted work beyond its prediction that a new request must be able to bear: this
+# quantile of the last ones. Predictions leave out waits for a target in the right zone.
+DELAYS = 48
+DELAY_QUANTILE = 0.6
+
+
 class Arrival(NamedTuple):
     """Work that was accepted at a time."""
 
@@ -42,6 +49,7 @@
         self.give_up = give_up
         self.active: dict[int, Work] = {}
         self.arrivals: deque[Arrival] = deque()
+        self.delays = Window(DELAYS)
 
     async def handle(self, request: WorkRequest) -> WorkReply:
         """Does the stages for another host or for this one."""
@@ -73,7 +81,10 @@
                 raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
         on_time_at = self.expected_end(work, now, late=False)
         late_at = self.expected_end(work, now, late=True)
-        verdict = planning.decide(on_time_at, late_at, work.aim_at, work.deadline_at, now)
+        late_by = self.delays.quantile(DELAY_QUANTILE)
+        due_at = work.aim_at - late_by
+        verdict = planning.decide(on_time_at, late_at, due_at, work.deadline_at, now)
+        work.expected_at = on_time_at
         logs.event(
             log,
             "work_" + verdict.value,
@@ -81,6 +92,7 @@
             priority=work.priority,
             pieces=",".join(map(str, work.pieces)),
             expected_ms=round(on_time_at - now),
+            margin_ms=round(late_by),
             expected_late_ms=round(late_at - now),
             due_ms=round(work.aim_at - now),
             left_ms=round(work.deadline_at - now),
@@ -200,6 +212,8 @@
         try:
             await asyncio.gather(*tasks.values())
             done = True
+            if not work.late:
+                self.delays.add(self.pools.now() - work.expected_at)
         finally:
             del self.active[id(work)]
             for task in tasks.values():
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -59,6 +59,7 @@
         self.zone = zone
         self.late = False
         self.started = False
+        self.expected_at = 0.0
         self.retry_ms = 0.0
         self.results: dict[int, list[StageResult]] = {}
 
