--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -118,7 +118,7 @@
                 continue
             work.late = True
             end = self.expected_end(work, now, late=True)
-            if end > work.deadline_at:
+            if not planning.worth_doing_late(end, work.deadline_at, now):
                 work.retry_ms = planning.retry_ms(end, now)
                 logs.event(
                     log,
@@ -148,11 +148,16 @@
             return late or other.priority <= work.priority
         return late and (other.priority, other.aim_at) <= (work.priority, work.aim_at)
 
-    def arriving(self, work: Work, now: float) -> dict[str, float]:
-        """Rates of more urgent work by service, in pieces a millisecond."""
+    def arriving(self, work: Work, now: float, late: bool) -> dict[str, float]:
+        """Rates of work that will go first by service, in pieces a millisecond.
+
+        Late work lets all work pass that can be on time, whatever its urgency.
+        """
         rates: dict[str, float] = {}
         for arrival in self.arrivals:
-            if arrival.at >= now - ARRIVALS_MS and arrival.work.priority < work.priority:
+            if arrival.at < now - ARRIVALS_MS or arrival.work is work:
+                continue
+            if arrival.work.priority < work.priority or (late and not arrival.work.late):
                 for stage in arrival.work.present():
                     service = arrival.work.plans[stage].service
                     pieces = arrival.work.pieces[stage] / ARRIVALS_MS
@@ -161,7 +166,7 @@
 
     def queues(self, work: Work, now: float, late: bool) -> dict[str, ServiceQueue]:
         """The queues that the work would join, with what goes before it."""
-        arriving = self.arriving(work, now)
+        arriving = self.arriving(work, now, late)
         ahead: dict[str, float] = {}
         for other in self.active.values():
             if not self.goes_before(other, work, late):
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,62 @@
+"""The operators' configuration becomes routes, services and workspaces; bad rows spoil nothing."""
+
+import msgspec
+
+from savoryfork.forward.model import Repeat
+from savoryfork.platform import records
+
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "path_prefix": "/x/",
+    "route_kind": "streaming",
+    "timeout_ms": 6000,
+    "target_latency_ms": 1500,
+    "priority": 0,
+    "traffic_split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+    "max_attempts": 2,
+    "stages": [{"service": "c", "after": [], "payload_bytes": 8000}],
+    "stream_resume": True,
+    "target_gap_ms": 150,
+}
+PIECES = {"slots": 1, "queue": 2, "batch": 4, "call_ms": 150.0, "item_ms": 32.0}
+SERVICE = {"name": "c", "pieces": {**PIECES, "headroom_mb": 22.0, "handle_s": 4.0}}
+
+
+def catalog(**changes: object):
+    document = {"version": 7, "routes": [ROUTE], "services": [SERVICE], "limits": {}, **changes}
+    return records.decode_catalog(msgspec.json.encode(document))
+
+
+class TestCatalog:
+    def test_a_route_and_its_stages(self):
+        route = catalog().routes["a.example"][0]
+        assert route.repeat is Repeat.STREAM and route.resumable and route.max_targets == 2
+        assert route.services == (("a", 90.0), ("b", 10.0)) and route.stages[0].service == "c"
+
+    def test_room_and_times_have_the_project_s_units(self):
+        batch = catalog().services["c"].batch
+        assert batch.room_bytes == 22_000_000 and batch.keep_ms == 4_000
+
+    def test_routes_by_name_are_read_too(self):
+        table = {"r": {k: v for k, v in ROUTE.items() if k != "name"}}
+        assert catalog(routes=table).routes["a.example"][0].name == "r"
+
+    def test_an_unreadable_route_leaves_the_others(self):
+        found = catalog(routes=[{"name": "bad"}, ROUTE, "odd"])
+        assert [r.name for r in found.routes["a.example"]] == ["r"]
+
+    def test_without_tenants_no_key_is_asked_for(self):
+        assert not catalog().keyed
+        assert catalog(tenants=[{"name": "w", "api_keys": ["k"], "priority": 1}]).keys["k"] == (
+            "w",
+            1,
+        )
+
+    def test_an_unknown_kind_may_not_be_repeated(self):
+        found = catalog(routes=[{**ROUTE, "route_kind": "new"}])
+        assert found.routes["a.example"][0].repeat is Repeat.NON_IDEMPOTENT
+
+    def test_what_can_not_be_read_is_no_configuration(self):
+        assert records.decode_catalog(b"{") is None
+        assert records.decode_catalog(b'{"routes":[]}') is None
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,92 @@
+"""The deploy file's template gives settings that check, and a bad field is named."""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from savoryfork.errors import UserError
+from savoryfork.forward import settings
+
+ROOT = Path(__file__).parents[2]
+
+PLATFORM = {
+    "node_name": "front-ragusa-1",
+    "zone": "ragusa",
+    "ip": "10.1.0.41",
+    "listen_addrs": {
+        "front": "10.1.0.41:8625",
+        "ready_addr": "10.1.0.41:8621",
+        "control_plane": "10.1.0.41:8628",
+    },
+    "internal_ports": [7740, 7755],
+    "seed_nodes": ["10.1.0.41:8628"],
+    "platform": {"address": "10.200.1.7:8624"},
+    "bounds": {
+        "grace_s": 8,
+        "revoke_ms": 5000,
+        "retry_budget_ratio": 0.2,
+        "budget_window_s": 10,
+        "retry_slack": 58,
+    },
+}
+
+
+def filled() -> dict:
+    """The template as the platform fills it in."""
+
+    def value(match: re.Match[str]) -> str:
+        found = PLATFORM
+        for part in match[1].split("."):
+            found = found[part]
+        return json.dumps(found)
+
+    text = (ROOT / "deploy/settings.json.template").read_text()
+    return json.loads(re.sub(r"\{\{([a-z_.]+)\|json\}\}", value, text))
+
+
+class TestTemplate:
+    def test_it_gives_settings_that_check(self):
+        config = settings.parse(filled())
+        assert config.peer_address == "10.1.0.41:8628" and config.stop_grace_s == 8
+
+    def test_no_seeds_are_allowed(self):
+        assert settings.parse({**filled(), "seed_peers": None}).seed_peers == ()
+
+
+class TestFaults:
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [("caller_address", "nowhere"), ("stop_grace_s", 0), ("internal_ports", [])],
+    )
+    def test_a_bad_field_is_named(self, field, value):
+        with pytest.raises(UserError, match=field):
+            settings.parse({**filled(), field: value}, "local.json")
+
+    def test_the_program_checks_a_file(self, tmp_path):
+        good, bad = tmp_path / "good.json", tmp_path / "bad.json"
+        good.write_text(json.dumps(filled()))
+        bad.write_text(json.dumps({**filled(), "ready_address": 5}))
+        for path, code in ((good, 0), (bad, 2)):
+            command = [sys.executable, "-m", "savoryfork.platform", f"--settings={path}", "--check"]
+            done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
+            assert done.returncode == code
+        assert "ready_address" in done.stderr
+
+
+class TestBoundary:
+    NAMES = (
+        r"Response-Seal|Expect-Instance|Not-Executed|(?<!-)Deadline-Ms|Prefix-Hash|Token-Usage|"
+        r"route_kind|path_prefix|stage-run|stage-free|log-newest|log-read|keyed\.|listen_addrs|"
+        r"node_name|headroom_mb|api_keys|traffic_split"
+    )
+
+    def test_the_platform_s_names_stay_in_its_folder(self):
+        found = []
+        for path in (ROOT / "savoryfork").rglob("*.py"):
+            if "platform" not in path.relative_to(ROOT / "savoryfork").parts:
+                found += [f"{path}: {m}" for m in re.findall(self.NAMES, path.read_text())]
+        assert found == []
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,65 @@
+"""Reads of the store: pages, expired offsets, outages, cut answers."""
+
+import struct
+
+import pytest
+from aiohttp import web
+
+from savoryfork.forward.follower import Topic
+from savoryfork.platform.store import PlatformStore, decode_records
+from savoryfork.util.topic import LogUnavailable, OffsetExpired
+from standins.keyedstore import KeyedStore
+from tests.forward.deployment import free_port
+
+
+@pytest.fixture
+async def store():
+    """The stand-in and a client of it."""
+    fake = KeyedStore()
+    runner = web.AppRunner(fake.app(), access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    port = free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    client = PlatformStore(f"127.0.0.1:{port}")
+    yield fake, client
+    await client.close()
+    await runner.cleanup()
+
+
+class TestReads:
+    async def test_newest_then_changes(self, store):
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 1})
+        entries, end = await client.newest(Topic.CONFIGURATION)
+        assert [(e.key, e.value, e.offset) for e in entries] == [("config", b'{"version":1}', 0)]
+        fake.put("keyed.op", "config", None)
+        changes, next_offset, end = await client.read(Topic.CONFIGURATION, end, 0.0)
+        assert [(c.offset, c.value) for c in changes] == [(1, b"")] and next_offset == end == 2
+
+    async def test_a_heartbeat_does_not_look_like_a_change(self, store):
+        fake, client = store
+        for sequence in (1, 2):
+            row = {"slots": 2, "sequence": sequence, "warmup_left_ms": sequence}
+            fake.put("keyed.servers", "t", row)
+        changes, _, _ = await client.read(Topic.TARGETS, 0, 0.0)
+        assert changes[0].value == changes[1].value == b'{"slots":2}'
+
+    async def test_an_expired_offset(self, store):
+        fake, client = store
+        fake.put("keyed.op", "config", {})
+        fake.forget("keyed.op")
+        with pytest.raises(OffsetExpired):
+            await client.read(Topic.CONFIGURATION, 0, 0.0)
+
+    async def test_an_outage(self, store):
+        fake, client = store
+        fake.down = True
+        with pytest.raises(LogUnavailable):
+            await client.newest(Topic.TARGETS)
+
+
+class TestDecode:
+    @pytest.mark.parametrize("body", [b"", b"\x00" * 15, struct.pack(">QQI", 1, 0, 9) + b"abc"])
+    def test_a_cut_answer_is_no_news(self, body):
+        with pytest.raises(LogUnavailable):
+            decode_records(body, 0)
