Keep work off targets whose call is stuck

Cause: a target whose call was overdue counted as free a millisecond later, so the repeated pieces of the stuck call waited for that very target. Change: an overdue call is expected to take as long again, and a target with a stuck call gets work only if all have one. A host without other seeds joins at once.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -244,8 +244,8 @@
         until = self.now() + JOIN_MS
         while self.now() < until:
             await self.meet()
-            others = self.members.alive(self.now())
-            if len(others) > 1 and not set(self.members.seeds) - {m.address for m in others}:
+            met = {member.address for member in self.members.alive(self.now())}
+            if met.issuperset(self.members.seeds):
                 break
             await asyncio.sleep(JOIN_RETRY_MS / 1000)
         self.joined = True
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -35,6 +35,9 @@
 # A target that refused because it was full, or had no room, is left alone for this long.
 FULL_MS = 120.0
 LOOK_AGAIN_MS = 100.0
+
+# What is left at least of a call without an answer.
+LEAST_REST_MS = 1.0
 ROOM_MS = 150.0
 
 # Tries for one piece.
@@ -106,6 +109,7 @@
         self.ends_at = 0.0
         self.blocked_until = 0.0
         self.pace = 1.0
+        self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
         self.reserved = 0.0
         self.freed: list[str] = []
@@ -229,17 +233,18 @@
             self.wake_later(pool, LOOK_AGAIN_MS)
 
     def usable(self, pool: Pool, now: float) -> list[Target]:
-        """The targets that may get work of a pool."""
-        return self.health.usable(self.registry.usable(pool.service), now)
+        """The targets that may get work of a pool; those with a stuck call only if all have."""
+        found = self.health.usable(self.registry.usable(pool.service), now)
+        return [target for target in found if not pool.state(target).stuck] or found
 
     def place(self, pool: Pool, target: Target, now: float) -> batching.Place:
         """What is known of a target, for the decisions."""
         state = pool.state(target)
-        free_at = max(now, state.ends_at, state.blocked_until) if state.calls else 0.0
+        free_at = state.blocked_until
         if state.calls:
-            free_at = max(free_at, now + 1.0)
-        elif state.blocked_until > now:
-            free_at = state.blocked_until
+            # A call that is overdue is expected to take as long again.
+            overdue = max(0.0, now - state.ends_at)
+            free_at = max(free_at, state.ends_at + overdue, now + LEAST_REST_MS) + overdue
         room = state.room(pool.limits, now)
         return batching.Place(target.name, target.zone, free_at, room, max(0.5, state.pace))
 
@@ -301,6 +306,7 @@
         finally:
             stuck.cancel()
             state.calls -= 1
+            state.stuck = False
             state.reserved -= reserved
         now = self.now()
         took = now - started
@@ -373,6 +379,7 @@
     def note_stuck(self, pool: Pool, target: Target, batch: list[tuple[StageTask, int]]) -> None:
         """Repeats elsewhere the pieces of a call that takes much longer than expected."""
         now = self.now()
+        pool.state(target).stuck = True
         self.health.bad(target, self.registry.usable(pool.service), CERTAIN, "stuck", now)
         logs.event(log, "stage_call_stuck", target=target.name, pieces=len(batch))
         for task, number in batch:
--- /dev/null
+++ b/tests/forward/test_coordinator.py
@@ -0,0 +1,143 @@
+"""Work is begun, delayed, refused or given up by what goes before it at the worst load."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from savoryfork.forward.batching import Place
+from savoryfork.forward.coordinator import Coordinator
+from savoryfork.forward.messages import StageResult, WorkRequest
+from savoryfork.forward.model import BatchLimits, StagePlan
+from savoryfork.forward.work import StageFailure, Work
+
+LIMITS = BatchLimits(1, 2, 20, 150.0, 6.4, 350_000.0, 4_000.0)
+PLANS = (StagePlan("invoicing", (), 6_000),)
+
+
+class FakePool:
+    """A pool without calls in progress."""
+
+    def __init__(self) -> None:
+        self.limits = LIMITS
+        self.tasks: dict[int, object] = {}
+
+
+class FakePools:
+    """Four idle targets; each stage takes until its event is set."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+        self.registry = self
+        self.fake = FakePool()
+        self.release = asyncio.Event()
+        self.refused: list[Work] = []
+
+    def now(self) -> float:
+        return self.time
+
+    def pool(self, service: str) -> FakePool:
+        return self.fake
+
+    def usable(self, *_: object) -> list[int]:
+        return [0, 1, 2, 3]
+
+    def place(self, pool: FakePool, target: int, now: float) -> Place:
+        return Place(str(target), "z", now, 1e9, 1.0)
+
+    def limits(self, service: str) -> BatchLimits:
+        return LIMITS
+
+    async def run(self, work: Work, stage: int, due_at: float) -> StageFailure | None:
+        await self.release.wait()
+        if work in self.refused:
+            return StageFailure.OVERLOADED
+        work.results[stage] = [StageResult("h", "a", "z")]
+        return None
+
+    def refuse(self, work: Work) -> None:
+        self.refused.append(work)
+
+
+@pytest.fixture
+def coordinator():
+    return Coordinator(FakePools(), lambda service, results: None)
+
+
+def request(number: int, priority: int = 1, aim_ms: float = 1_300.0) -> WorkRequest:
+    return WorkRequest(str(number), PLANS, (16,), "k", priority, 6_000.0, aim_ms, None)
+
+
+async def start(coordinator: Coordinator, count: int, **changes: float) -> list[asyncio.Task]:
+    tasks = [asyncio.create_task(coordinator.handle(request(n, **changes))) for n in range(count)]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    return tasks
+
+
+class TestBurst:
+    async def test_a_burst_beyond_capacity_is_refused_at_once(self, coordinator):
+        """60 requests of 16 pieces at once, for targets that do 18 a second."""
+        tasks = await start(coordinator, 60)
+        active = list(coordinator.active.values())
+        on_time = [work for work in active if not work.late]
+        assert 12 <= len(on_time) <= 24
+        refused = [task.result() for task in tasks if task.done()]
+        assert len(refused) == 60 - len(active) > 0
+        assert {reply.failure for reply in refused} == {"overloaded"}
+        assert all(reply.retry_ms >= 300 for reply in refused)
+        coordinator.pools.release.set()
+        await asyncio.gather(*tasks)
+
+    async def test_urgent_work_is_on_time_behind_less_urgent_work(self, coordinator):
+        tasks = await start(coordinator, 40, priority=2)
+        urgent = await start(coordinator, 1, priority=0)
+        assert not list(coordinator.active.values())[-1].late
+        coordinator.pools.release.set()
+        await asyncio.gather(*tasks, *urgent)
+
+    async def test_delays_that_were_seen_make_admission_stricter(self, coordinator):
+        for _ in range(48):
+            coordinator.delays.add(600.0)
+        tasks = await start(coordinator, 60)
+        assert len([w for w in coordinator.active.values() if not w.late]) <= 10
+        coordinator.pools.release.set()
+        await asyncio.gather(*tasks)
+
+
+class TestReview:
+    async def test_waiting_work_is_given_up_while_its_caller_still_waits(self, coordinator):
+        """Work due at 1.3 s that was not begun by then, with a burst of on-time work behind it.
+
+        It was kept until just before its caller's patience ended, and then refused.
+        """
+        pools = coordinator.pools
+        first = await start(coordinator, 12)
+        work = next(iter(coordinator.active.values()))
+        for other in coordinator.active.values():
+            other.started = other is not work
+        pools.time = 1_700.0
+        later = await start(coordinator, 12, aim_ms=1_300.0)
+        pools.time = 2_600.0
+        later += await start(coordinator, 12, aim_ms=1_300.0)
+        await coordinator.review()
+        assert work in pools.refused and work.retry_ms > 0
+        pools.release.set()
+        replies = await asyncio.gather(*first, *later)
+        assert replies[0].failure == "overloaded"
+
+    async def test_work_that_was_begun_is_never_given_up(self, coordinator):
+        tasks = await start(coordinator, 20)
+        for work in coordinator.active.values():
+            work.started = True
+        coordinator.pools.time = 5_900.0
+        await coordinator.review()
+        assert coordinator.pools.refused == []
+        coordinator.pools.release.set()
+        await asyncio.gather(*tasks)
+
+    async def test_a_service_without_targets_is_refused_as_such(self, coordinator):
+        coordinator.pools.usable = lambda *_: []
+        reply = await coordinator.handle(request(1))
+        assert reply.failure == "no_targets"
