Pass on no promise that a target did not give; notice changed settings

Cause: a 503 of a target without its word that nothing ran would have been taken by the caller of a booking as "not run". The settings file may change without a signal, and revocation and retry bounds were kept from the start. A timer that gives inputs up outlived its attempt. The state of one request is parted from the forwarder (run.py).

--- a/savoryfork/forward/budget.py
+++ b/savoryfork/forward/budget.py
@@ -21,11 +21,15 @@
     """
 
     def __init__(self, ratio: float, reserve: float, window_ms: float) -> None:
+        self.set_bounds(ratio, reserve, window_ms)
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    def set_bounds(self, ratio: float, reserve: float, window_ms: float) -> None:
+        """Sets what the platform allows; what was counted stays counted."""
         self.ratio = ratio
         self.reserve = reserve
         self.window_ms = window_ms
-        self.requests: deque[float] = deque()
-        self.repeats: deque[float] = deque()
 
     def note_request(self, now: float) -> None:
         """Counts a first request."""
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -9,9 +9,10 @@
 from aiohttp import web
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
-from savoryfork.forward.forwarder import Forwarder, Run
+from savoryfork.forward.forwarder import Forwarder
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Headers
+from savoryfork.forward.run import PROMISES, Run
 from savoryfork.forward.wire import Wire
 from savoryfork.util import logs
 
@@ -24,8 +25,6 @@
 # shorter, or a request would cross the closing of its connection.
 KEEP_ALIVE_S = 75.0
 
-# Status codes that promise that a request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAY_HAVE_RUN_STATUS = 502
 
 # The least time after which a refused caller is asked back.
@@ -153,8 +152,8 @@
     def refuse(self, run: Run, error: ServiceError) -> web.Response:
         """The answer of the system's own to a request without one of a target."""
         status = error.answer.status
-        if run.may_have_run or (error.ran is Ran.UNKNOWN and status in NOT_RUN_STATUSES):
-            status = MAY_HAVE_RUN_STATUS if status in NOT_RUN_STATUSES else status
+        if run.may_have_run or (error.ran is Ran.UNKNOWN and status in PROMISES):
+            status = MAY_HAVE_RUN_STATUS if status in PROMISES else status
         response = web.Response(
             status=status,
             body=msgspec.json.encode(error.body(run.id)),
@@ -162,7 +161,7 @@
         )
         if run.id:
             response.headers[self.wire.request_id_header] = run.id
-        if status in NOT_RUN_STATUSES:
+        if status in PROMISES:
             response.headers["Retry-After"] = f"{max(LEAST_RETRY_S, run.retry_ms / 1000):.2f}"
         if self.stopping:
             response.force_close()
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
-from typing import NamedTuple, Protocol, TypeVar
+from typing import TypeVar
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward import catalog as catalogs
@@ -17,16 +17,13 @@
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthBook
 from savoryfork.forward.model import (
     AnswerHead,
-    CallerRequest,
     Catalog,
-    Headers,
     Repeat,
-    Route,
     Routing,
     Target,
-    Workspace,
 )
 from savoryfork.forward.placement import EngineLoad
+from savoryfork.forward.run import PROMISES, RETRY_MS, Offered, Run, patience_ms
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -69,97 +66,6 @@
 # Urgency of priority 0 at engines, whose ranks go from 0 to 9 with 5 as the default.
 TOP_URGENCY = 3
 
-# When a refused caller may come back, unless something better is known.
-RETRY_MS = 400.0
-
-
-# Callers abandon a stream after a silence of the longest of these: so much, so many times the aim,
-# so many times the longest pause that is on time.
-PATIENCE_MS = 2_000.0
-PATIENCE_AIMS = 4.0
-PATIENCE_GAPS = 8.0
-
-
-def patience_ms(route: Route) -> float:
-    """How long the caller of a stream waits without an event."""
-    return max(PATIENCE_MS, PATIENCE_AIMS * route.aim_ms, PATIENCE_GAPS * route.gap_ms)
-
-
-class Delivery(Protocol):
-    """The way back to the caller."""
-
-    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a whole answer."""
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Begins a stream."""
-
-    async def part(self, data: bytes) -> None:
-        """Sends a part of a stream."""
-
-    async def end(self) -> None:
-        """Ends a stream as complete."""
-
-    def cut(self) -> None:
-        """Ends a stream so that it can't be taken for complete."""
-
-
-class Offered(NamedTuple):
-    """Counts of what a request's targets did, for its log line."""
-
-    target: str
-    outcome: str
-
-
-class Run:
-    """The state of one request.
-
-    `may_have_run` counts the targets that may have worked on it. `begun` is True once the caller
-    has got the head of an answer; `last_event` is the id of the last event passed on.
-    """
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        body: bytes | None,
-        delivery: Delivery,
-        received_at: float,
-    ) -> None:
-        self.request = request
-        self.body = body
-        self.delivery = delivery
-        self.received_at = received_at
-        self.id = request.id.decode("latin-1")
-        self.deadline_at = received_at
-        self.aim_at = received_at
-        self.first_event_by = received_at
-        self.route: Route | None = None
-        self.service = ""
-        self.workspace: Workspace | None = None
-        self.priority = 0
-        self.version = -1
-        self.config_age_ms = 0.0
-        self.offers: list[Offered] = []
-        self.tried: set[str] = set()
-        self.may_have_run = 0
-        self.begun = False
-        self.last_event: bytes | None = None
-        self.events = 0
-        self.work: Work | None = None
-        self.staged_at: float | None = None
-        self.first_event_at: float | None = None
-        self.failed_answer: tuple[AnswerHead, bytes] | None = None
-        self.retry_ms = RETRY_MS
-
-    def repeatable(self) -> bool:
-        """Whether the request may run on more than one target."""
-        route = self.route
-        if route is None:
-            return False
-        return route.repeat is Repeat.IDEMPOTENT or (
-            route.repeat is Repeat.STREAM and route.resumable
-        )
-
 
 class Forwarder:
     """Forwards requests from this host."""
@@ -182,16 +88,20 @@
         self.stages = stages
         self.wire = wire
         self.zone = zone
-        self.trusted_ms = TRUSTED_SHARE * revocation_ms
+        self.trusted_ms = 0.0
+        self.set_revocation(revocation_ms)
         self.budget = budget
         self.running: dict[str, int] = {}
         self.unread: dict[str, float] = {}
-        self.inflight = 0
 
     def now(self) -> float:
         """The suspend-aware time in milliseconds."""
         return self.follower.now()
 
+    def set_revocation(self, revocation_ms: float) -> None:
+        """Sets the time in which a revoked key must stop working."""
+        self.trusted_ms = TRUSTED_SHARE * revocation_ms
+
     def own_loads(self) -> dict[str, tuple[float, float]]:
         """This host's outstanding work on engines."""
         return {
@@ -415,6 +325,9 @@
                 self.health.bad(target, peers, LIKELY, "timeout", self.now())
             raise self.too_late(run) from None
         finally:
+            if run.fetching is not None:
+                # The next target has not fetched the inputs yet.
+                run.fetching.cancel()
             self.hold(run, target, -1)
             unread()
             if connection is not None and connection.busy:
@@ -439,7 +352,9 @@
         )
         connection.send(*self.wire.request_call(run.request, routing, run.body))
         if run.work is not None and self.has_slot(target):
-            asyncio.get_running_loop().call_later(INPUT_FETCH_MS / 1000, self.release_inputs, run)
+            run.fetching = asyncio.get_running_loop().call_later(
+                INPUT_FETCH_MS / 1000, self.release_inputs, run
+            )
 
     def has_slot(self, target: Target) -> bool:
         """Whether an engine is taken to have a free slot."""
@@ -500,6 +415,12 @@
         if answer.not_run:
             return self.refused_by_target(run, target, answer)
         run.may_have_run += 1
+        if answer.status in PROMISES and not run.repeatable():
+            # A caller would take it as a promise that nothing ran, which the target did not give.
+            raise ServiceError(
+                ErrorKind.ANSWER_INCOMPLETE,
+                f"status {answer.status} without a promise",
+            )
         if answer.status >= 500:
             self.health.bad(target, self.registry.usable(run.service), LIKELY / 4, "5xx", now)
             run.failed_answer = (answer, body)
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -59,13 +59,15 @@
 class ForwardHost(aiomisc.Service):
     """One forwarding host. `stopped` is set once it has stopped by request.
 
-    `signals` is False where a process runs several hosts, as tests do.
+    `signals` is False where a process runs several hosts, as tests do. `settings_version` tells
+    whether the settings file has changed, which may happen without a signal.
     """
 
     settings: ForwardSettings
     wire: Wire
     open_store: Callable[[str], Store]
     reload: Callable[[], ForwardSettings]
+    settings_version: Callable[[], int]
     signals: bool = True
 
     async def start(self) -> None:
@@ -76,6 +78,7 @@
         self.stop_task: asyncio.Task[None] | None = None
         self.stopping = False
         self.was_ready = False
+        self.settings_seen = self.settings_version()
         self.runners: list[web.ServerRunner] = []
         self.build()
         await self.listen()
@@ -236,7 +239,11 @@
         return Done()
 
     async def housekeep(self) -> None:
-        """Closes what is idle and forgets what is gone."""
+        """Closes what is idle, forgets what is gone, and notices changed settings."""
+        version = self.settings_version()
+        if version != self.settings_seen:
+            self.settings_seen = version
+            self.reload_settings()
         self.connections.close_idle(self.follower.now())
         await self.follower.expire()
         self.health.forget(list(self.follower.registry.targets.values()))
@@ -264,6 +271,11 @@
             logs.event(log, "reload_refused", logging.ERROR, reason=str(error))
             return
         self.members.seeds = [s for s in config.seed_peers if s != config.peer_address]
+        self.forwarder.set_revocation(config.key_revocation_ms)
+        for budget in self.budgets.values():
+            budget.set_bounds(
+                config.retry_ratio, config.retry_reserve, config.retry_window_s * 1000
+            )
         self.settings = self.settings._replace(
             seed_peers=config.seed_peers,
             stop_grace_s=config.stop_grace_s,
@@ -317,10 +329,17 @@
     wire: Wire,
     open_store: Callable[[str], Store],
     reload: Callable[[], ForwardSettings],
+    settings_version: Callable[[], int],
 ) -> None:
     """Runs a host until it is asked to stop."""
     logs.setup_bounded(config.host, config.log_level)
-    service = ForwardHost(settings=config, wire=wire, open_store=open_store, reload=reload)
+    service = ForwardHost(
+        settings=config,
+        wire=wire,
+        open_store=open_store,
+        reload=reload,
+        settings_version=settings_version,
+    )
     with aiomisc.entrypoint(
         service,
         log_config=False,
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import Any, NamedTuple
 
 from savoryfork import settings
@@ -83,6 +84,14 @@
     return ForwardSettings(**fields)
 
 
+def version(path: str) -> int:
+    """Differs after each change of a settings file; 0 while there is none."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0  # the next reload reports what is wrong with the file
+
+
 def load(path: str) -> ForwardSettings:
     """Reads a settings file; raises UserError if it can't be read or does not check."""
     return parse(settings.read_json(path), path)
--- a/savoryfork/platform/__main__.py
+++ b/savoryfork/platform/__main__.py
@@ -37,7 +37,13 @@
         print(error, file=sys.stderr)
         return 2
     if not FLAGS.check:
-        host.run_host(config, PlatformWire(), PlatformStore, lambda: settings.load(path))
+        host.run_host(
+            config,
+            PlatformWire(),
+            PlatformStore,
+            lambda: settings.load(path),
+            lambda: settings.version(path),
+        )
     return 0
 
 
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -64,6 +64,8 @@
         self.replicas: dict[str, list[Replica]] = {}
         self.hosts: list[ForwardHost] = []
         self.runners: list[web.AppRunner] = []
+        self.reloaded: ForwardSettings | None = None
+        self.settings_version = 1
 
     async def __aenter__(self) -> Deployment:
         self.session = aiohttp.ClientSession()
@@ -134,7 +136,8 @@
             settings=settings,
             wire=PlatformWire(),
             open_store=PlatformStore,
-            reload=lambda: settings,
+            reload=lambda: self.reloaded or settings,
+            settings_version=lambda: self.settings_version,
             signals=False,
         )
         host.loop = asyncio.get_running_loop()
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from savoryfork.errors import UserError
 from tests.forward.deployment import Deployment, configuration, until
 
 TOKENS = {"Token_Usage": "100,6", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
@@ -99,6 +100,13 @@
         assert status == 500 and "Response-Seal" in headers
         assert sum(replica.ran["twice"] for replica in deployment.replicas["plain"]) == 2
 
+    async def test_a_promise_that_a_replica_did_not_give_is_not_passed_on(self, deployment):
+        """A 503 says "not run" to callers; without the replica's word it may have run."""
+        for replica in deployment.replicas["plain"]:
+            replica.status = 503
+        status, _, headers = await deployment.call("/book/x")
+        assert status == 502 and "Response-Seal" not in headers
+
     async def test_another_incarnation_at_an_address_runs_nothing(self, deployment):
         first, second = deployment.replicas["plain"]
         first.name = "somebody-else"
@@ -176,6 +184,24 @@
         await until(host.stopped.is_set)
 
 
+class TestSettings:
+    async def test_a_change_without_a_signal_is_noticed(self, deployment):
+        host = deployment.hosts[0]
+        deployment.reloaded = host.settings._replace(key_revocation_ms=9_000.0)
+        deployment.settings_version = 2
+        await until(lambda: host.forwarder.trusted_ms > 7_000)
+
+    async def test_a_bad_file_changes_nothing(self, deployment):
+        host = deployment.hosts[0]
+
+        def refuse():
+            raise UserError("settings: ready_address: wrong")
+
+        host.reload = refuse
+        host.reload_settings()
+        assert (await deployment.call("/book/x"))[0] == 200
+
+
 class TestSeveralHosts:
     async def test_one_reads_the_store_and_one_gathers_stage_work(self):
         async with Deployment(hosts=3) as deployment:
