--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -32,13 +32,12 @@
 
 
 class Reply:
-    """The answer to one request, on its way back. `cut_short` is True for a broken stream."""
+    """The answer to one request, on its way back."""
 
     def __init__(self, request: web.BaseRequest, closing: bool) -> None:
         self.request = request
         self.closing = closing
         self.response: web.StreamResponse | None = None
-        self.cut_short = False
 
     def head(self, response: web.StreamResponse, headers: Headers) -> None:
         """Adds a target's headers as they came."""
@@ -75,7 +74,6 @@
 
     def cut(self) -> None:
         """Closes the connection without the end of the answer."""
-        self.cut_short = True
         if self.request.transport is not None:
             self.request.transport.close()
 
--- a/savoryfork/forward/health.py
+++ b/savoryfork/forward/health.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 from collections.abc import Sequence
 
 from savoryfork import ejection
@@ -82,8 +81,3 @@
         """Drops what concerns targets that are gone."""
         keys = {self.key(target) for target in known}
         self.healths = {key: health for key, health in self.healths.items() if key in keys}
-
-    def faults(self, target: Target, now: float) -> float:
-        """The decayed count of a target's failures, infinite while it is ejected."""
-        health = self.of(target)
-        return math.inf if health.ejected else ejection.faults_at(health, now)
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -68,20 +68,11 @@
     keep_ms: float
 
 
-class EngineLimits(NamedTuple):
-    """Requests that an engine runs at once, and the tokens that fit its memory."""
-
-    slots: int
-    memory_tokens: int
-
-
 class ServiceInfo(NamedTuple):
-    """A service and how its targets work; `batch` for stages, `engine` for generation."""
+    """A service, and how its targets work if it does stage work."""
 
     name: str
-    max_connections: int
     batch: BatchLimits | None = None
-    engine: EngineLimits | None = None
 
 
 class Workspace(NamedTuple):
@@ -121,10 +112,9 @@
 
 
 class Prompt(NamedTuple):
-    """The size of a generation and the parts of its prompt, in order."""
+    """The size of a prompt and its parts, in order."""
 
     input_tokens: int
-    output_tokens: int
     parts: tuple[PromptPart, ...]
 
 
@@ -162,7 +152,7 @@
     """The head of a target's answer.
 
     `not_run` is the target's promise that it did not run the request; `wrong_target` says that
-    another incarnation has the address; `load` is (running, waiting, slots) if reported.
+    another incarnation has the address.
     """
 
     status: int
@@ -171,9 +161,7 @@
     not_run: bool
     wrong_target: bool
     retry_after_s: float | None
-    event_stream: bool
     idle_s: float | None
-    load: tuple[float, ...] | None
 
 
 class Piece(NamedTuple):
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -241,7 +241,7 @@
         """What is known of a target, for the decisions."""
         state = pool.state(target)
         free_at = state.blocked_until
-        if state.calls:
+        if state.calls >= pool.limits.slots:
             # A call that is overdue is expected to take as long again.
             overdue = max(0.0, now - state.ends_at)
             free_at = max(free_at, state.ends_at + overdue, now + LEAST_REST_MS) + overdue
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -100,13 +100,13 @@
     if tokens is None:
         return None
     try:
-        given, _, made = tokens.partition(",")
+        given, _, _ = tokens.partition(",")
         shared = []
         for entry in (parts or "").split(","):
             if entry:
                 name, _, size = entry.strip().partition(":")
                 shared.append(PromptPart(name, int(size)))
-        return Prompt(int(given), int(made or 0), tuple(shared))
+        return Prompt(int(given), tuple(shared))
     except ValueError:
         return None
 
@@ -169,8 +169,6 @@
     given_id = first(headers, b"request-id")
     keep_alive = first(headers, b"keep-alive") or ""
     timeout = next((p for p in keep_alive.split(",") if p.strip().startswith("timeout=")), "")
-    load = first(headers, b"server-load")
-    figures = [positive(part) for part in load.split(",")] if load else []
     return AnswerHead(
         status=status,
         headers=[(name, value) for name, value in headers if name.lower() not in dropped],
@@ -178,9 +176,7 @@
         not_run=first(headers, b"not-executed") is not None or status == 421,
         wrong_target=status == 421,
         retry_after_s=positive(first(headers, b"retry-after")),
-        event_stream=(first(headers, b"content-type") or "").startswith("text/event-stream"),
         idle_s=positive(timeout.strip().removeprefix("timeout=")),
-        load=tuple(f for f in figures if f is not None) or None,
     )
 
 
--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -10,7 +10,6 @@
 from savoryfork.forward.model import (
     BatchLimits,
     Catalog,
-    EngineLimits,
     Repeat,
     Route,
     ServiceInfo,
@@ -112,7 +111,7 @@
 
 def service_of(row: dict[str, Any]) -> ServiceInfo:
     """One service of a configuration."""
-    batch = engine = None
+    batch = None
     pieces = row.get("pieces")
     if pieces:
         batch = BatchLimits(
@@ -124,10 +123,7 @@
             room_bytes=float(pieces.get("headroom_mb") or 0.0) * MB,
             keep_ms=float(pieces.get("handle_s") or 0.0) * 1000,
         )
-    sizes = row.get("engine")
-    if sizes:
-        engine = EngineLimits(int(sizes.get("slots") or 1), int(sizes.get("kv_capacity") or 0))
-    return ServiceInfo(str(row["name"]), int(row.get("max_connections") or 0), batch, engine)
+    return ServiceInfo(str(row["name"]), batch)
 
 
 def decode_target(name: str, value: bytes) -> Target | None:
