Name forwarding's parts by their usual terms

Renames only: updates, heartbeats and merges of members, candidates and target statuses of an assignment, successes and failures of targets, release of results.

--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -51,7 +51,7 @@
     input_bytes: Mapping[str, float]
 
 
-class Place(NamedTuple):
+class TargetStatus(NamedTuple):
     """One target: when its present call is expected to end, and its room for results.
 
     `pace` is the observed duration of its calls over the declared one.
@@ -74,7 +74,7 @@
 class OrderKey(NamedTuple):
     """The place of a task in the queue; lower goes first."""
 
-    hopeless: bool
+    late: bool
     priority: int
     due_at: float
     id: int
@@ -98,20 +98,20 @@
     return task.pieces * (read + written)
 
 
-class Bench:
+class Candidate:
     """A target while work is being assigned: what its next call holds, and what waits for it."""
 
-    def __init__(self, place: Place, limits: BatchLimits, now: float) -> None:
-        self.place = place
+    def __init__(self, target: TargetStatus, limits: BatchLimits, now: float) -> None:
+        self.target = target
         self.limits = limits
-        self.idle = place.free_at <= now
+        self.idle = target.free_at <= now
         self.picks: list[Pick] = []
         self.filled = 0
-        self.room = place.room_bytes
+        self.room = target.room_bytes
         self.queued = 0.0
 
     def fits(self, task: Task, pieces: int) -> int:
-        """How many of the pieces the next call has place and room for."""
+        """How many of the pieces the next call has space and room for."""
         space = min(pieces, self.limits.batch - self.filled)
         if task.result_bytes:
             space = min(space, int(max(0.0, self.room) // task.result_bytes))
@@ -134,19 +134,19 @@
         """When the pieces are expected to be done here."""
         own = min(pieces, self.limits.batch)
         if self.takes_now(task, pieces):
-            return now + call_ms(self.limits, self.filled + own) * self.place.pace
-        start = max(now, self.place.free_at)
+            return now + call_ms(self.limits, self.filled + own) * self.target.pace
+        start = max(now, self.target.free_at)
         if self.idle:
             start = now + (call_ms(self.limits, self.filled) if self.filled else ROOM_WAIT_MS)
         full = call_ms(self.limits, self.limits.batch)
         wait = self.queued / self.limits.batch * full
-        return start + (wait + call_ms(self.limits, own)) * self.place.pace
+        return start + (wait + call_ms(self.limits, own)) * self.target.pace
 
     def cost(self, task: Task, pieces: int, now: float) -> float:
         """What it costs to have the pieces made here."""
         finish = self.finish_at(task, pieces, now)
         late = LATE_COST if finish > task.due_at and not task.late else 0.0
-        crossing = crossing_bytes(task, self.place.zone) / 1e6 * CROSSING_PER_MB
+        crossing = crossing_bytes(task, self.target.zone) / 1e6 * CROSSING_PER_MB
         return crossing + late + COST_PER_MS * (finish - now)
 
     def add(self, task: Task, pieces: int) -> None:
@@ -157,24 +157,27 @@
 
 
 def assign(
-    tasks: Iterable[Task], places: Sequence[Place], limits: BatchLimits, now: float
+    tasks: Iterable[Task], targets: Sequence[TargetStatus], limits: BatchLimits, now: float
 ) -> dict[str, list[Pick]]:
     """The calls to start now, by target.
 
     Each task, in order, is given to the target where it costs least, busy ones included; it is sent
     if that target is idle, and waits otherwise.
     """
-    benches = [Bench(place, limits, now) for place in places]
+    candidates = [Candidate(target, limits, now) for target in targets]
     for task in sorted(tasks, key=lambda task: order_key(task, limits, now)):
-        if not any(bench.idle and bench.filled < limits.batch for bench in benches):
+        if not any(candidate.idle and candidate.filled < limits.batch for candidate in candidates):
             break
         left = task.pieces
         while left:
-            best = min(benches, key=lambda bench: (bench.cost(task, left, now), bench.place.name))
+            best = min(
+                candidates,
+                key=lambda candidate: (candidate.cost(task, left, now), candidate.target.name),
+            )
             count = best.takes_now(task, left)
             if not count:
                 best.queued += left
                 break
             best.add(task, count)
             left -= count
-    return {bench.place.name: bench.picks for bench in benches if bench.picks}
+    return {candidate.target.name: candidate.picks for candidate in candidates if candidate.picks}
--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -44,9 +44,9 @@
     moment after a change two may do it, which costs only order and fullness of calls.
     """
 
-    def __init__(self, pools: Pools, give_up: Callable[[str, list[Any]], None]) -> None:
+    def __init__(self, pools: Pools, release: Callable[[str, list[Any]], None]) -> None:
         self.pools = pools
-        self.give_up = give_up
+        self.release = release
         self.active: dict[int, Work] = {}
         self.arrivals: deque[Arrival] = deque()
         self.delays = Window(DELAYS)
@@ -118,7 +118,7 @@
                 continue
             work.late = True
             end = self.expected_end(work, now, late=True)
-            if not planning.worth_doing_late(end, work.deadline_at, now):
+            if not planning.can_finish_late(end, work.deadline_at, now):
                 work.retry_ms = planning.retry_ms(end, now)
                 logs.event(
                     log,
@@ -187,15 +187,15 @@
         """The queue of one service, given the unfinished pieces that go first."""
         pool = self.pools.pool(service)
         assert pool is not None
-        places = [self.pools.place(pool, t, now) for t in self.pools.usable(pool, now)]
+        targets = [self.pools.status(pool, t, now) for t in self.pools.usable(pool, now)]
         started = sum(
             task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
         )
-        paces = sorted(place.pace for place in places) or [1.0]
+        paces = sorted(target.pace for target in targets) or [1.0]
         return ServiceQueue(
             pool.limits,
-            len(places),
-            min((place.free_at for place in places), default=now),
+            len(targets),
+            min((target.free_at for target in targets), default=now),
             max(0.0, ahead - started),
             paces[len(paces) // 2],
         )
@@ -226,7 +226,7 @@
             keep = set(work.last()) if done else set()
             for stage, results in work.results.items():
                 if stage not in keep:
-                    self.give_up(work.plans[stage].service, results)
+                    self.release(work.plans[stage].service, results)
 
     async def run_stage(self, work: Work, stage: int, before: list[asyncio.Task[None]]) -> None:
         """Runs one stage once the stages before it have ended."""
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -72,7 +72,7 @@
         assert self.response is not None
         await self.response.write_eof()
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Closes the connection without the end of the answer."""
         if self.request.transport is not None:
             self.request.transport.close()
@@ -141,7 +141,7 @@
             self.account(run, error, abandoned)
         if error is not None:
             if run.begun:
-                reply.cut()
+                reply.abort()
             else:
                 return self.refuse(run, error)
         assert reply.response is not None or abandoned
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from savoryfork.forward.knowledge import Entry, News, Register
+from savoryfork.forward.knowledge import Entry, Register, Update
 from savoryfork.forward.members import Members
 from savoryfork.forward.messages import SyncReply, SyncRequest
 from savoryfork.forward.model import Catalog
@@ -181,7 +181,7 @@
             name = "store_regained" if ok else "store_lost"
             logs.event(log, name, logging.WARNING, topic=topic.value, reason=reason or None)
         if self.members.own.store_ok != both:
-            self.members.tell(store_ok=both)
+            self.members.heartbeat(store_ok=both)
             self.notify()
 
     def take(self, topic: Topic, new: list[Entry], source: str, age_ms: float) -> None:
@@ -189,7 +189,7 @@
         if not new:
             return
         if topic is Topic.CONFIGURATION:
-            self.take_catalog(new, source, age_ms)
+            self.apply_catalog(new, source, age_ms)
         else:
             for target, what in self.registry.update(new, self.now()):
                 logs.event(
@@ -203,7 +203,7 @@
                 )
         self.notify()
 
-    def take_catalog(self, new: list[Entry], source: str, age_ms: float) -> None:
+    def apply_catalog(self, new: list[Entry], source: str, age_ms: float) -> None:
         """Puts a newer configuration into force; versions never fall."""
         for entry in new:
             if entry.key != CONFIGURATION_KEY or not entry.value:
@@ -243,7 +243,7 @@
         """Meets the seeds at the start, until each has answered or the time for that is over."""
         until = self.now() + JOIN_MS
         while self.now() < until:
-            await self.meet()
+            await self.exchange_members()
             met = {member.address for member in self.members.alive(self.now())}
             if met.issuperset(self.members.seeds):
                 break
@@ -251,7 +251,7 @@
         self.joined = True
         logs.event(log, "joined", members=len(self.members.alive(self.now())))
 
-    async def meet(self) -> None:
+    async def exchange_members(self) -> None:
         """Exchanges members with the seeds that are not known yet and with one host at random."""
         now = self.now()
         self.note_loads()
@@ -267,7 +267,7 @@
         """Asks one host for news; False if it did not answer."""
         asked_at = self.now()
         request = SyncRequest(
-            sender=self.members.tell(),
+            sender=self.members.heartbeat(),
             config_next=self.registers[Topic.CONFIGURATION].next,
             targets_next=self.registers[Topic.TARGETS].next,
             wait_ms=wait_ms,
@@ -281,7 +281,7 @@
             return False
         self.note_peer(address, True, "")
         now = self.now()
-        self.members.hear([reply.sender, *reply.members], now)
+        self.members.merge([reply.sender, *reply.members], now)
         for topic, news in self.parts(reply):
             new = self.registers[topic].take(news, asked_at)
             self.take(topic, new, address, now - asked_at + news.age_ms)
@@ -290,22 +290,22 @@
 
     async def ping(self, address: str, timeout_ms: float) -> None:
         """Asks a host whether it is there; raises PeerUnavailable if no answer came."""
-        request = SyncRequest(self.members.tell(), NOTHING_WANTED, NOTHING_WANTED, 0.0, [], {})
+        request = SyncRequest(self.members.heartbeat(), NOTHING_WANTED, NOTHING_WANTED, 0.0, [], {})
         await self.peers.call(address, "Sync", request, timeout_ms)
 
-    def parts(self, reply: SyncReply) -> list[tuple[Topic, News]]:
+    def parts(self, reply: SyncReply) -> list[tuple[Topic, Update]]:
         """The news of a reply by topic."""
         return [(Topic.CONFIGURATION, reply.config), (Topic.TARGETS, reply.targets)]
 
     def note_peer(self, address: str, ok: bool, reason: str) -> None:
         """Notes whether another host answered."""
         if ok:
-            self.members.answered(address)
+            self.members.mark_alive(address)
             if address in self.lost_peers:
                 self.lost_peers.discard(address)
                 logs.event(log, "peer_regained", peer=address)
             return
-        self.members.failed(address, self.now())
+        self.members.mark_suspect(address, self.now())
         if address not in self.lost_peers:
             self.lost_peers.add(address)
             logs.event(log, "peer_lost", logging.WARNING, peer=address, reason=reason)
@@ -313,7 +313,7 @@
     async def handle_sync(self, request: SyncRequest) -> SyncReply:
         """Answers another host once there is something that it lacks, or after its wait."""
         now = self.now()
-        self.members.hear([request.sender, *request.members], now)
+        self.members.merge([request.sender, *request.members], now)
         if request.config_next != NOTHING_WANTED:
             self.peer_loads[request.sender.address] = request.loads
         if request.wait_ms > 0 and not self.ahead(request):
@@ -327,7 +327,7 @@
         self.note_loads()
         registers = self.registers
         return SyncReply(
-            sender=self.members.tell(),
+            sender=self.members.heartbeat(),
             members=self.members.recent(now),
             config=registers[Topic.CONFIGURATION].news(request.config_next, now),
             targets=registers[Topic.TARGETS].news(request.targets_next, now),
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -14,7 +14,7 @@
 from savoryfork.forward.connection import Connection, Connections, TargetError
 from savoryfork.forward.events import EventSplitter, EventTooLarge, number
 from savoryfork.forward.follower import Follower
-from savoryfork.forward.health import CERTAIN, LIKELY, HealthBook
+from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
 from savoryfork.forward.model import (
     AnswerHead,
     Catalog,
@@ -73,7 +73,7 @@
     def __init__(
         self,
         follower: Follower,
-        health: HealthBook,
+        health: HealthTracker,
         connections: Connections,
         stages: Stages,
         wire: Wire,
@@ -241,7 +241,7 @@
         if run.work is not None:
             for stage in run.work.last():
                 results = run.work.results.get(stage, [])
-                self.stages.give_up(run.work.plans[stage].service, results)
+                self.stages.release(run.work.plans[stage].service, results)
             run.work = None
 
     # Choosing.
@@ -322,7 +322,7 @@
             run.offers.append(Offered(target.name, "timeout"))
             if run.repeatable():
                 peers = self.registry.usable(run.service)
-                self.health.bad(target, peers, LIKELY, "timeout", self.now())
+                self.health.record_failure(target, peers, LIKELY, "timeout", self.now())
             raise self.too_late(run) from None
         finally:
             if run.fetching is not None:
@@ -422,12 +422,14 @@
                 f"status {answer.status} without a promise",
             )
         if answer.status >= 500:
-            self.health.bad(target, self.registry.usable(run.service), LIKELY / 4, "5xx", now)
+            self.health.record_failure(
+                target, self.registry.usable(run.service), LIKELY / 4, "5xx", now
+            )
             run.failed_answer = (answer, body)
             if self.may_repeat(run):
                 return False
         else:
-            self.health.good(target, now)
+            self.health.record_success(target, now)
         await self.deliver(run, answer, body)
         return True
 
@@ -476,7 +478,7 @@
         if error.reason != "left":
             peers = self.registry.usable(run.service)
             weight = LIKELY if error.sent else CERTAIN
-            self.health.bad(target, peers, weight, error.reason, self.now())
+            self.health.record_failure(target, peers, weight, error.reason, self.now())
         if error.sent:
             run.may_have_run += 1
 
@@ -556,7 +558,7 @@
             raise TargetError("ended within an event", sent=True)
         now = self.now()
         self.connections.give_back(connection, now, answer.idle_s)
-        self.health.good(target, now)
+        self.health.record_success(target, now)
         run.offers.append(Offered(target.name, "200"))
         if not run.begun:
             run.begun = True
--- a/savoryfork/forward/health.py
+++ b/savoryfork/forward/health.py
@@ -19,7 +19,7 @@
 LIKELY = 1.0
 
 
-class HealthBook:
+class HealthTracker:
     """The health of all targets of this host's services, by incarnation."""
 
     def __init__(self) -> None:
@@ -41,14 +41,14 @@
         found = [t for t in targets if not (h := self.of(t)).ejected or now >= h.probe_ms]
         return found or list(targets)
 
-    def good(self, target: Target, now: float) -> None:
+    def record_success(self, target: Target, now: float) -> None:
         """Notes a good answer."""
         health = self.of(target)
         if health.ejected:
             self.healths[self.key(target)] = ejection.returned(health, now)
             logs.event(log, "target_returned", target=target.name, service=target.service)
 
-    def bad(
+    def record_failure(
         self, target: Target, peers: Sequence[Target], weight: float, reason: str, now: float
     ) -> None:
         """Notes a failure and ejects the target if that is too many."""
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -20,7 +20,7 @@
 from savoryfork.forward.entry import Entry
 from savoryfork.forward.follower import Follower, Store, Topic
 from savoryfork.forward.forwarder import Forwarder
-from savoryfork.forward.health import HealthBook
+from savoryfork.forward.health import HealthTracker
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import (
     Done,
@@ -50,7 +50,7 @@
 # Time kept of the grace period for the end of the process.
 EXIT_MARGIN_MS = 700.0
 
-MEET_PERIOD_MS = 1_000.0
+MEMBERS_PERIOD_MS = 1_000.0
 HOUSEKEEPING_MS = 500.0
 REVIEW_PERIOD_MS = 100.0
 BACKLOG = 1_024
@@ -83,7 +83,7 @@
         self.build()
         await self.listen()
         every = self.timer.subscribe
-        every("meet", MEET_PERIOD_MS, self.follower.meet)
+        every("meet", MEMBERS_PERIOD_MS, self.follower.exchange_members)
         every("review", REVIEW_PERIOD_MS, self.stages.coordinator.review)
         every("housekeeping", HOUSEKEEPING_MS, self.housekeep)
         self.timer.start()
@@ -127,7 +127,7 @@
             random.Random(config.peer_address),
             lambda: self.forwarder.own_loads(),
         )
-        self.health = HealthBook()
+        self.health = HealthTracker()
         self.connections = Connections()
         self.pools = Pools(
             self.follower.registry,
@@ -299,9 +299,9 @@
         """
         started = self.follower.now()
         self.stopping = self.entry.stopping = True
-        self.members.tell(leaving=True)
+        self.members.heartbeat(leaving=True)
         self.follower.notify()
-        await self.follower.meet()
+        await self.follower.exchange_members()
         logs.event(log, "stopping", inflight=self.entry.inflight)
         limit_ms = self.settings.stop_grace_s * 1000 - EXIT_MARGIN_MS
         await asyncio.sleep(LINGER_MS / 1000)
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -24,7 +24,7 @@
     value: bytes
 
 
-class News(NamedTuple):
+class Update(NamedTuple):
     """Entries that changed since some offset, or all of them if `full`.
 
     Everything before the offset `next` is included. `age_ms` is the time since the store confirmed
@@ -91,13 +91,13 @@
         self.entries = {key: entry for key, entry in self.entries.items() if entry.value}
         self.oldest_complete = self.next
 
-    def news(self, since: int, now: float) -> News:
+    def news(self, since: int, now: float) -> Update:
         """What another host lacks that has everything before the offset `since`."""
         full = since < self.oldest_complete
         found = [e for e in self.entries.values() if (e.value if full else e.offset >= since)]
-        return News(self.next, self.age_ms(now), full, found)
+        return Update(self.next, self.age_ms(now), full, found)
 
-    def take(self, news: News, asked_at: float) -> list[Entry]:
+    def take(self, news: Update, asked_at: float) -> list[Entry]:
         """Takes over what another host answered to a question asked at `asked_at`.
 
         The answer may have lain unread for long, so its age counts from the question.
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -44,8 +44,8 @@
         self.heard_at: dict[str, float] = {}
         self.suspect_until: dict[str, float] = {}
 
-    def hear(self, members: Iterable[Member], now: float) -> None:
-        """Takes over what others tell; only a higher counter is a sign of life."""
+    def merge(self, members: Iterable[Member], now: float) -> None:
+        """Takes over what others report; only a higher counter is a sign of life."""
         for member in members:
             if member.address == self.own.address:
                 continue
@@ -55,16 +55,16 @@
                 self.known[member.address] = member
                 self.heard_at[member.address] = now
 
-    def answered(self, address: str) -> None:
+    def mark_alive(self, address: str) -> None:
         """Notes that a host answered."""
         self.suspect_until.pop(address, None)
 
-    def failed(self, address: str, now: float) -> None:
+    def mark_suspect(self, address: str, now: float) -> None:
         """Notes that a host did not answer."""
         known = address in self.known
         self.suspect_until[address] = now + (SUSPECT_MS if known else SEED_RETRY_MS)
 
-    def tell(self, leaving: bool | None = None, store_ok: bool | None = None) -> Member:
+    def heartbeat(self, leaving: bool | None = None, store_ok: bool | None = None) -> Member:
         """This host's own entry with a higher counter, and with what is given."""
         self.own = self.own._replace(
             counter=self.own.counter + 1,
@@ -105,7 +105,7 @@
         """The host to take the store's news from; None if this host reads it itself.
 
         >>> members = Members(Member("h0", "z", 1, 0, False, True), [])
-        >>> members.hear([Member(f"h{n}", "z", 1, 1, False, True) for n in (1, 2)], 0.0)
+        >>> members.merge([Member(f"h{n}", "z", 1, 1, False, True) for n in (1, 2)], 0.0)
         >>> reader = members.readers(0.0)[0]
         >>> members.source(0.0) == (None if reader == "h0" else reader)
         True
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -10,7 +10,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 
-from savoryfork.forward.knowledge import News
+from savoryfork.forward.knowledge import Update
 from savoryfork.forward.members import Member
 from savoryfork.forward.model import StagePlan
 from savoryfork.peers import answer
@@ -39,8 +39,8 @@
 
     sender: Member
     members: list[Member]
-    config: News
-    targets: News
+    config: Update
+    targets: Update
     loads: dict[str, tuple[float, float]]
 
 
--- a/savoryfork/forward/planning.py
+++ b/savoryfork/forward/planning.py
@@ -86,7 +86,7 @@
     return max(ends.values(), default=now)
 
 
-def worth_doing_late(late_at: float, deadline_at: float, now: float) -> bool:
+def can_finish_late(late_at: float, deadline_at: float, now: float) -> bool:
     """Whether late work that is expected to end at `late_at` will surely end in time."""
     return late_at <= now + LATE_SHARE * (deadline_at - now)
 
@@ -107,7 +107,7 @@
     """
     if on_time_at <= due_at:
         return Verdict.ON_TIME
-    if worth_doing_late(late_at, deadline_at, now):
+    if can_finish_late(late_at, deadline_at, now):
         return Verdict.LATE
     return Verdict.REFUSED
 
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -13,7 +13,7 @@
 from savoryfork.forward.batching import Pick, Task
 from savoryfork.forward.budget import RepeatBudget
 from savoryfork.forward.connection import Connections, TargetError
-from savoryfork.forward.health import CERTAIN, LIKELY, HealthBook
+from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
 from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.registry import Registry
@@ -143,7 +143,7 @@
     def __init__(
         self,
         registry: Registry,
-        health: HealthBook,
+        health: HealthTracker,
         connections: Connections,
         wire: Wire,
         clock: Clock,
@@ -225,8 +225,8 @@
         if not tasks:
             return
         targets = {t.name: t for t in self.usable(pool, now)}
-        places = [self.place(pool, target, now) for target in targets.values()]
-        for name, picks in batching.assign(tasks, places, pool.limits, now).items():
+        statuses = [self.status(pool, target, now) for target in targets.values()]
+        for name, picks in batching.assign(tasks, statuses, pool.limits, now).items():
             self.start(pool, targets[name], picks, now)
         if any(task.waiting for task in pool.tasks.values()):
             # A call that ends looks again by itself; this is for room, and for targets that return.
@@ -237,7 +237,7 @@
         found = self.health.usable(self.registry.usable(pool.service), now)
         return [target for target in found if not pool.state(target).stuck] or found
 
-    def place(self, pool: Pool, target: Target, now: float) -> batching.Place:
+    def status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
         """What is known of a target, for the decisions."""
         state = pool.state(target)
         free_at = state.blocked_until
@@ -246,7 +246,7 @@
             overdue = max(0.0, now - state.ends_at)
             free_at = max(free_at, state.ends_at + overdue, now + LEAST_REST_MS) + overdue
         room = state.room(pool.limits, now)
-        return batching.Place(target.name, target.zone, free_at, room, max(0.5, state.pace))
+        return batching.TargetStatus(target.name, target.zone, free_at, room, max(0.5, state.pace))
 
     def wake_later(self, pool: Pool, delay_ms: float) -> None:
         """Looks again later, for room or a target that comes back."""
@@ -324,7 +324,7 @@
         if error is None:
             ratio = took / max(1.0, batching.call_ms(pool.limits, len(batch)))
             state.pace += PACE_GAIN * (ratio - state.pace)
-            self.health.good(target, now)
+            self.health.record_success(target, now)
             for (task, number), result in zip(batch, results, strict=True):
                 self.take_result(pool, target, state, task, number, result)
         else:
@@ -380,7 +380,9 @@
         """Repeats elsewhere the pieces of a call that takes much longer than expected."""
         now = self.now()
         pool.state(target).stuck = True
-        self.health.bad(target, self.registry.usable(pool.service), CERTAIN, "stuck", now)
+        self.health.record_failure(
+            target, self.registry.usable(pool.service), CERTAIN, "stuck", now
+        )
         logs.event(log, "stage_call_stuck", target=target.name, pieces=len(batch))
         for task, number in batch:
             if self.open(pool, task) and number not in task.results:
@@ -412,7 +414,7 @@
         if error.reason not in ("full", "wrong target"):
             weight = LIKELY if error.sent else CERTAIN
             peers = self.registry.usable(pool.service)
-            self.health.bad(target, peers, weight, error.reason, now)
+            self.health.record_failure(target, peers, weight, error.reason, now)
         for task, number in batch:
             if not self.open(pool, task):
                 continue
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -49,7 +49,7 @@
     async def end(self) -> None:
         """Ends a stream as complete."""
 
-    def cut(self) -> None:
+    def abort(self) -> None:
         """Ends a stream so that it can't be taken for complete."""
 
 
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -38,7 +38,7 @@
     def __init__(self, follower: Follower, pools: Pools, peers: PeerClient) -> None:
         self.follower = follower
         self.pools = pools
-        self.coordinator = Coordinator(pools, self.give_up)
+        self.coordinator = Coordinator(pools, self.release)
         self.peers = peers
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.watchers: dict[str, asyncio.Task[None]] = {}
@@ -129,7 +129,7 @@
 
     # Giving results up.
 
-    def give_up(self, service: str, results: list[StageResult]) -> None:
+    def release(self, service: str, results: list[StageResult]) -> None:
         """Lets the results go soon, together with those of other requests."""
         if not results:
             return
--- a/tests/forward/test_batching.py
+++ b/tests/forward/test_batching.py
@@ -1,7 +1,7 @@
 """Calls are full, ordered over all callers, and kept in the zone of their inputs."""
 
 from savoryfork.forward import batching
-from savoryfork.forward.batching import Place, Task
+from savoryfork.forward.batching import TargetStatus, Task
 from savoryfork.forward.model import BatchLimits
 
 CARRI = BatchLimits(1, 2, 18, 150.0, 7.15556, 3_085_710.0, 4000.0)
@@ -13,8 +13,8 @@
     return made._replace(**changes)
 
 
-def place(name: str, zone: str = "a", free_at: float = 0.0, room: float = 1e9) -> Place:
-    return Place(name, zone, free_at, room, 1.0)
+def status(name: str, zone: str = "a", free_at: float = 0.0, room: float = 1e9) -> TargetStatus:
+    return TargetStatus(name, zone, free_at, room, 1.0)
 
 
 def sent(calls: dict) -> dict[str, list[int]]:
@@ -24,72 +24,72 @@
 class TestOrder:
     def test_urgent_work_goes_first(self):
         tasks = [task(1, priority=2), task(2, priority=0), task(3, priority=1)]
-        calls = batching.assign(tasks, [place("t")], CARRI, 0.0)
+        calls = batching.assign(tasks, [status("t")], CARRI, 0.0)
         assert sent(calls) == {"t": [2, 3]}
 
     def test_what_can_no_longer_be_on_time_waits_behind_what_can(self):
         tasks = [task(1, priority=0, due_at=100.0), task(2, priority=2), task(3, priority=2)]
-        calls = batching.assign(tasks, [place("t")], CARRI, 0.0)
+        calls = batching.assign(tasks, [status("t")], CARRI, 0.0)
         assert sent(calls) == {"t": [2, 3]}
 
     def test_work_that_has_begun_is_not_left_to_expire(self):
         tasks = [task(1, due_at=100.0, begun=True), task(2, due_at=900.0), task(3, due_at=901.0)]
-        calls = batching.assign(tasks, [place("t")], CARRI, 0.0)
+        calls = batching.assign(tasks, [status("t")], CARRI, 0.0)
         assert sent(calls) == {"t": [1, 2]}
 
 
 class TestFullness:
     def test_a_burst_fills_every_call(self):
         """40 requests of 8 pieces at once: two whole requests go into each call of 18."""
-        places = [place(f"t{n}") for n in range(4)]
-        calls = batching.assign([task(n) for n in range(40)], places, CARRI, 0.0)
+        targets = [status(f"t{n}") for n in range(4)]
+        calls = batching.assign([task(n) for n in range(40)], targets, CARRI, 0.0)
         assert sorted(len(picks) for picks in calls.values()) == [2, 2, 2, 2]
 
     def test_a_task_is_split_only_if_no_call_can_hold_it(self):
-        picks = batching.assign([task(1, pieces=40)], [place("t")], CARRI, 0.0)["t"]
+        picks = batching.assign([task(1, pieces=40)], [status("t")], CARRI, 0.0)["t"]
         assert picks[0].pieces == 18
 
     def test_one_request_is_not_divided_to_fill_a_call(self):
         tasks = [task(1, pieces=12), task(2, pieces=12)]
-        calls = batching.assign(tasks, [place("t")], CARRI, 0.0)
+        calls = batching.assign(tasks, [status("t")], CARRI, 0.0)
         assert sent(calls) == {"t": [1]}
 
     def test_a_busy_target_gets_no_second_call(self):
-        assert batching.assign([task(1)], [place("t", free_at=50.0)], CARRI, 0.0) == {}
+        assert batching.assign([task(1)], [status("t", free_at=50.0)], CARRI, 0.0) == {}
 
 
 class TestZones:
     def test_inputs_are_read_in_their_own_zone_if_that_is_in_time(self):
         """16 pieces that each read 480 KB: waiting 100 ms is worth more than 7.7 MB moved."""
         reader = task(1, pieces=16, input_bytes={"a": 480_000.0}, due_at=1_000.0)
-        places = [place("far", "b"), place("near", "a", free_at=100.0)]
-        assert batching.assign([reader], places, CARRI, 0.0) == {}
+        targets = [status("far", "b"), status("near", "a", free_at=100.0)]
+        assert batching.assign([reader], targets, CARRI, 0.0) == {}
 
     def test_but_not_if_the_request_would_be_late(self):
         reader = task(1, pieces=16, input_bytes={"a": 480_000.0}, due_at=300.0)
-        places = [place("far", "b"), place("near", "a", free_at=100.0)]
-        assert sent(batching.assign([reader], places, CARRI, 0.0)) == {"far": [1]}
+        targets = [status("far", "b"), status("near", "a", free_at=100.0)]
+        assert sent(batching.assign([reader], targets, CARRI, 0.0)) == {"far": [1]}
 
     def test_without_a_target_in_the_zone_another_one_does_it(self):
         reader = task(1, pieces=16, input_bytes={"c": 480_000.0})
-        assert sent(batching.assign([reader], [place("far", "b")], CARRI, 0.0)) == {"far": [1]}
+        assert sent(batching.assign([reader], [status("far", "b")], CARRI, 0.0)) == {"far": [1]}
 
     def test_results_are_made_where_they_are_wanted(self):
         maker = task(1, pieces=2, result_bytes=3_000_000, zone="b")
-        places = [place("a", "a"), place("b", "b")]
-        assert sent(batching.assign([maker], places, CAVE, 0.0)) == {"b": [1]}
+        targets = [status("a", "a"), status("b", "b")]
+        assert sent(batching.assign([maker], targets, CAVE, 0.0)) == {"b": [1]}
 
 
 class TestRoom:
     def test_nothing_is_sent_where_its_results_do_not_fit(self):
         maker = task(1, pieces=2, result_bytes=3_000_000)
-        assert batching.assign([maker], [place("t", room=5e6)], CAVE, 0.0) == {}
+        assert batching.assign([maker], [status("t", room=5e6)], CAVE, 0.0) == {}
 
     def test_small_results_pass_a_large_one_that_does_not_fit(self):
         tasks = [task(1, pieces=2, result_bytes=3_000_000), task(2, pieces=1, result_bytes=8_000)]
-        assert sent(batching.assign(tasks, [place("t", room=5e6)], CAVE, 0.0)) == {"t": [2]}
+        assert sent(batching.assign(tasks, [status("t", room=5e6)], CAVE, 0.0)) == {"t": [2]}
 
     def test_what_is_larger_than_all_room_is_done_in_parts(self):
         maker = task(1, pieces=10, result_bytes=3_000_000)
-        picks = batching.assign([maker], [place("t", room=22e6)], CAVE, 0.0)["t"]
+        picks = batching.assign([maker], [status("t", room=22e6)], CAVE, 0.0)["t"]
         assert picks[0].pieces == 4
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from savoryfork.forward.batching import Place
+from savoryfork.forward.batching import TargetStatus
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
 from savoryfork.forward.model import BatchLimits, StagePlan
@@ -43,8 +43,8 @@
     def usable(self, *_: object) -> list[int]:
         return [0, 1, 2, 3]
 
-    def place(self, pool: FakePool, target: int, now: float) -> Place:
-        return Place(str(target), "z", now, 1e9, 1.0)
+    def status(self, pool: FakePool, target: int, now: float) -> TargetStatus:
+        return TargetStatus(str(target), "z", now, 1e9, 1.0)
 
     def limits(self, service: str) -> BatchLimits:
         return LIMITS
--- a/tests/forward/test_members.py
+++ b/tests/forward/test_members.py
@@ -9,7 +9,7 @@
 
 def view(own: str, others: list[str], now: float = 0.0) -> Members:
     members = Members(member(own), [])
-    members.hear([member(other) for other in others], now)
+    members.merge([member(other) for other in others], now)
     return members
 
 
@@ -25,9 +25,9 @@
         members = view(NAMES[0], NAMES)
         first = members.owners("duty", 0.0)[0]
         if first == NAMES[0]:
-            members.tell(leaving=True)
+            members.heartbeat(leaving=True)
         else:
-            members.hear([member(first, 2, leaving=True)], 0.0)
+            members.merge([member(first, 2, leaving=True)], 0.0)
         assert members.owners("duty", 0.0)[-1] == first
 
 
@@ -39,18 +39,18 @@
 
     def test_hearsay_without_a_higher_counter_is_no_sign_of_life(self):
         members = view(NAMES[0], NAMES)
-        members.hear([member(NAMES[1])], SILENT_MS)
+        members.merge([member(NAMES[1])], SILENT_MS)
         assert len(members.alive(SILENT_MS)) == 1
 
     def test_a_restarted_host_counts_from_the_start(self):
         members = view(NAMES[0], [])
-        members.hear([member(NAMES[1], counter=900)], 0.0)
-        members.hear([member(NAMES[1], counter=1, incarnation=2)], SILENT_MS)
+        members.merge([member(NAMES[1], counter=900)], 0.0)
+        members.merge([member(NAMES[1], counter=1, incarnation=2)], SILENT_MS)
         assert len(members.alive(SILENT_MS)) == 2
 
     def test_a_host_that_did_not_answer_is_left_out_for_a_while(self):
         members = view(NAMES[0], NAMES)
-        members.failed(NAMES[1], 0.0)
+        members.mark_suspect(NAMES[1], 0.0)
         assert NAMES[1] not in members.owners("duty", SUSPECT_MS - 1)
         assert NAMES[1] in members.owners("duty", SUSPECT_MS)
 
@@ -60,9 +60,9 @@
         members = view(NAMES[0], NAMES)
         first = members.readers(0.0)[0]
         if first == NAMES[0]:
-            members.tell(store_ok=False)
+            members.heartbeat(store_ok=False)
         else:
-            members.hear([member(first, 2, store_ok=False)], 0.0)
+            members.merge([member(first, 2, store_ok=False)], 0.0)
         assert members.readers(0.0)[-1] == first
 
     def test_news_reaches_many_hosts_through_few_levels(self):
