--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -71,7 +71,9 @@
 
 
 class Store(Protocol):
-    """Reads of the platform's store."""
+    """Reads of the platform's store; `calls` counts them."""
+
+    calls: int
 
     async def newest(self, topic: Topic) -> tuple[list[Entry], int]:
         """The newest value of each key and the offset to go on from. Raises LogUnavailable."""
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -225,6 +225,7 @@
         metrics.connections.set({"use": "opened"}, self.connections.opened)
         metrics.connections.set({"use": "reused"}, self.connections.reused)
         metrics.inflight.set({}, self.entry.inflight)
+        metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
         metrics.config_age.set({}, age_ms if self.follower.catalog is not None else -1)
         metrics.members.set({}, len(self.members.alive(self.follower.now())))
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -184,6 +184,19 @@
         await until(host.stopped.is_set)
 
 
+class TestMetrics:
+    async def test_what_the_page_for_operators_names_is_served(self, deployment):
+        await deployment.call("/book/x")
+        ip = deployment.hosts[0].settings.caller_address.partition(":")[0]
+        port = deployment.hosts[0].settings.internal_ports[0]
+        async with deployment.session.get(f"http://{ip}:{port}/metrics") as response:
+            text = await response.text()
+        for name in ("requests_total", "request_seconds", "config_age_ms", "members"):
+            assert f"savoryfork_{name}" in text
+        calls = next(x for x in text.splitlines() if x.startswith("savoryfork_store_calls"))
+        assert float(calls.split()[-1]) > 0
+
+
 class TestSettings:
     async def test_a_change_without_a_signal_is_noticed(self, deployment):
         host = deployment.hosts[0]
