Part the dispatcher into state, survey, choice and progress

Moved without a change of behaviour:

- callstate.py: what is remembered of calls, targets and services
- survey.py: load, pace and health of the targets as this host sees them
- progress.py: CallLedger, which notes starts, tokens and ends of calls

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -23,11 +23,13 @@
 from aiohttp import web
 
 from savoryfork import defaults
+from savoryfork.admission import Work
 from savoryfork.board import Board
 from savoryfork.burn import BurnRecorder
+from savoryfork.callstate import CallResult
 from savoryfork.claimfold import ClaimFold
 from savoryfork.discovery import Discovery
-from savoryfork.dispatch import CallResult, Dispatcher, Work
+from savoryfork.dispatch import Dispatcher
 from savoryfork.membership import HostEntry, LoadReport, Membership
 from savoryfork.pipeline import Service
 from savoryfork.publication import ConfigFold, publication_record
@@ -216,8 +218,8 @@
     for _ in range(rounds):
         now[0] += 1.0
         slot = await dispatcher.acquire(service, work)
-        dispatcher.first_token(slot)
-        dispatcher.release(slot, CallResult.ANSWERED, 50)
+        dispatcher.calls.first_token(slot)
+        dispatcher.calls.release(slot, CallResult.ANSWERED, 50)
     spent_ms = (time.process_time() - started) * 1000 / rounds
     emit("dispatch, one call", {"targets": targets, "outstanding": busy}, spent_ms, "ms")
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -9,7 +9,9 @@
 from bench import virtual
 from bench.virtual import Arrival, Outcome, Reports, Result, Setting, StageLoad, named
 from savoryfork.board import Board, TargetView
-from savoryfork.dispatch import Dispatcher, ServiceState
+from savoryfork.callstate import ServiceState, Waiter
+from savoryfork.choice import Choice, PlainChooser
+from savoryfork.dispatch import LEAST_OUTSTANDING, Dispatcher
 from savoryfork.pipeline import (
     ActionStage,
     GenerateStage,
@@ -28,17 +30,23 @@
 SERVICES = {s.name: s for s in (ENGINE, SEARCH, RERANK, PLAIN)}
 
 
-class ReportedLeast(Dispatcher):
+class ReportedLeast(PlainChooser):
     """A naive balancer that trusts reports: the target with the least reported load, always."""
 
-    def __init__(self, board: Board, clock: Clock, rng: random.Random) -> None:
-        super().__init__(board, clock, rng, "least_outstanding")
-
-    def plain_choice(self, state: ServiceState, allowed: Mapping[str, TargetView]) -> str | None:
+    def choose(
+        self, state: ServiceState, waiter: Waiter, allowed: Mapping[str, TargetView], now: float
+    ) -> Choice | None:
         limit = state.service.max_inflight
-        free = [name for name, v in allowed.items() if len(self.target(v).slots) < limit]
+        free = [n for n, view in allowed.items() if len(self.survey.target(view).slots) < limit]
         load = {name: allowed[name].running + allowed[name].waiting for name in free}
-        return min(free, key=lambda name: (load[name], name), default=None)
+        return Choice(min(free, key=lambda name: (load[name], name)), 0.0) if free else None
+
+
+def reported_least(board: Board, clock: Clock, rng: random.Random) -> Dispatcher:
+    """A dispatcher whose choice trusts reports."""
+    dispatcher = Dispatcher(board, clock, rng, LEAST_OUTSTANDING)
+    dispatcher.chooser = ReportedLeast(dispatcher.survey, rng, least=True)
+    return dispatcher
 
 
 class Row(NamedTuple):
@@ -427,7 +435,7 @@
     Scenario(
         "stale-reports",
         {f"hosts={h} age={a // 1000}s": stale(h, a) for h in HOSTS for a in AGES},
-        policies(("reported_least", ReportedLeast)),
+        policies(("reported_least", reported_least)),
         judge_stale,
     ),
 ]
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -15,8 +15,10 @@
 
 import looptime
 
+from savoryfork.admission import Work
 from savoryfork.board import Board, HostView, TargetView
-from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
+from savoryfork.callstate import CallResult, Slot
+from savoryfork.dispatch import Dispatcher
 from savoryfork.errors import ServiceError
 from savoryfork.pipeline import (
     GenerateStage,
@@ -298,16 +300,16 @@
         finally:
             if result is CallResult.CANCELLED:
                 target.cancel(call)
-            self.dispatcher.release(slot, result, call.produced)
+            self.dispatcher.calls.release(slot, result, call.produced)
 
     def listener(self, slot: Slot) -> Callable[[int], None]:
         """Reports tokens to the dispatcher."""
 
         def on_token(count: int) -> None:
             if count == 1:
-                self.dispatcher.first_token(slot)
+                self.dispatcher.calls.first_token(slot)
             else:
-                self.dispatcher.progress(slot, count)
+                self.dispatcher.calls.progress(slot, count)
 
         return on_token
 
--- a/savoryfork/attempts.py
+++ b/savoryfork/attempts.py
@@ -12,7 +12,7 @@
     Superseded,
     TokenStream,
 )
-from savoryfork.dispatch import CallResult, Slot
+from savoryfork.callstate import CallResult, Slot
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.pipeline import (
     GenerateStage,
@@ -103,7 +103,7 @@
 
     def release(self, slot: Slot) -> None:
         """Gives back a slot whose attempt has ended."""
-        self.runner.dispatcher.release(slot, CallResult.CANCELLED, 0)
+        self.runner.dispatcher.calls.release(slot, CallResult.CANCELLED, 0)
 
     async def hedge(self) -> None:
         """Starts a second attempt at another target if the budget allows it."""
--- a/savoryfork/calls.py
+++ b/savoryfork/calls.py
@@ -13,7 +13,7 @@
 
 from savoryfork import defaults
 from savoryfork.board import TargetView
-from savoryfork.dispatch import CallResult
+from savoryfork.callstate import CallResult
 from savoryfork.membership import LoadReport, Membership
 from savoryfork.pipeline import (
     ActionStage,
--- /dev/null
+++ b/savoryfork/callstate.py
@@ -0,0 +1,146 @@
+"""What a host remembers of its calls, of targets and of services while it dispatches."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import Counter, deque
+
+from sortedcontainers import SortedKeyList
+
+from savoryfork import admission, ejection, hedging, routing
+from savoryfork.admission import Prediction, Work, WorkModel
+from savoryfork.board import TargetView
+from savoryfork.pipeline import Service
+from savoryfork.util.window import Window
+
+# Changes of the own outstanding calls that are kept per target, to look up how many there were
+# when a load report was taken.
+TIMELINE = 256
+
+
+class CallResult(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    CONNECT_FAILED = "connect_failed"
+    CANCELLED = "cancelled"
+    MISMATCHED = "mismatched"
+
+
+class Slot:
+    """The right to make one call to one target, held until `CallLedger.release`.
+
+    `next_ms` is the expected time from `last_ms`, the last sign of the call, to the next one;
+    `tokens` counts the tokens that have arrived. `straggling` is set once the call itself shows
+    that its target is a straggler, so that a hedge is worth sending before its delay.
+    """
+
+    def __init__(
+        self, target: TargetView, work: Work, started_ms: float, prediction: Prediction, long: bool
+    ) -> None:
+        self.target = target
+        self.work = work
+        self.started_ms = started_ms
+        self.prediction = prediction
+        self.long = long
+        self.outgrown = False
+        self.probe = False
+        self.at_home = False
+        self.released = False
+        self.first_ms: float | None = None
+        self.last_ms = started_ms
+        self.next_ms = prediction.expected_ms
+        self.tokens = 0
+        self.marked_tokens = 0
+        self.straggling = asyncio.Event()
+
+
+class Waiter:
+    """A call that waits for a slot; `lower_ms` includes the later stages of its pipeline."""
+
+    def __init__(
+        self,
+        work: Work,
+        exclude: frozenset[str],
+        prediction: Prediction,
+        lower_ms: float,
+        key: tuple[int, float],
+        long: bool,
+    ) -> None:
+        self.work = work
+        self.exclude = exclude
+        self.prediction = prediction
+        self.lower_ms = lower_ms
+        self.key = key
+        self.long = long
+        self.future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+
+
+class TargetState:
+    """What this host remembers of one incarnation of a target."""
+
+    def __init__(self) -> None:
+        self.slots: set[Slot] = set()
+        self.long = 0
+        self.prefill_ms = 0.0
+        self.health = ejection.Health()
+        self.probing = False
+        self.timeline: deque[tuple[float, int]] = deque(maxlen=TIMELINE)
+        self.reported_ms = -1.0
+        self.surveyed_ms = -1.0
+        self.own_then = 0
+
+    def note(self, now_ms: float) -> None:
+        """Remembers the number of own calls from now on."""
+        self.timeline.append((now_ms, len(self.slots)))
+
+    def own_at(self, at_ms: float) -> int:
+        """How many own calls were outstanding at a time."""
+        if at_ms != self.reported_ms:
+            self.reported_ms = at_ms
+            self.own_then = next((n for at, n in reversed(self.timeline) if at <= at_ms), 0)
+        return self.own_then
+
+
+class ServiceState:
+    """What this host knows of one service."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self.model = WorkModel()
+        self.budgets = hedging.Budgets()
+        self.queue: SortedKeyList = SortedKeyList(key=lambda waiter: waiter.key)
+        self.queued: Counter[str] = Counter()
+        self.held: Counter[str] = Counter()
+        self.shares: dict[str, float] = {}
+        self.expected_calls: dict[tuple[str, str], deque[tuple[float, float, int]]] = {}
+        self.offered: deque[tuple[float, float, int]] = deque()
+        self.long = 0
+        self.long_prefills = 0
+        self.long_prefill_ms = 0.0
+        self.most_running = 0
+        self.kept: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
+        self.durations = Window(64)
+        self.capacities = Window(16)
+        self.pool = routing.Pool(0.0, admission.CALL_MS, float("inf"), 1)
+        self.median_pace = 1.0
+        self.load = 0.0
+        self.wait_ms = 0.0
+        self.slots = 0
+        self.survey_ms = 0.0
+        self.turn = 0
+        self.started = 0
+        self.outgrown = 0
+
+    def idle(self) -> bool:
+        """True if no call is outstanding or waiting."""
+        return not self.queue and not any(self.held.values())
+
+    def forget(self, workspace: str) -> None:
+        """Drops the weight of a workspace that neither holds nor wants a slot."""
+        if self.queued[workspace] <= 0 and self.held[workspace] <= 0:
+            del self.queued[workspace]
+            del self.held[workspace]
+            self.shares.pop(workspace, None)
--- /dev/null
+++ b/savoryfork/choice.py
@@ -0,0 +1,182 @@
+"""Chooses the target of one call."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from savoryfork import admission, ejection, routing
+from savoryfork.admission import Work
+from savoryfork.board import TargetView
+from savoryfork.callstate import ServiceState, TargetState, Waiter
+from savoryfork.survey import Survey
+from savoryfork.util import rendezvous
+
+# Long prompts that a host has in process at once, at least: an engine processes one after the
+# other, so more only delay short work. With 1, the p99 of long work was 1.27 of the baseline's,
+# with 2 it was 1.14 (bench, short-behind-long).
+LONG_PROMPTS = 2
+
+# A probe goes only with a call that has this many times its expected time left.
+PROBE_SLACK = 4.0
+
+
+class Choice(NamedTuple):
+    """The target for a call.
+
+    `first_ms` is the expected time to the first token, 0 if that is not known. `at_home` says that
+    the target should have the prefix in its cache, `probe` that the call tries an ejected target.
+    """
+
+    name: str
+    first_ms: float
+    at_home: bool = False
+    probe: bool = False
+
+
+class TargetChooser:
+    """Weighs load, pace, health and cached prefixes of the targets against each other."""
+
+    def __init__(self, survey: Survey, rng: random.Random) -> None:
+        self.survey = survey
+        self.rng = rng
+
+    def choose(
+        self, state: ServiceState, waiter: Waiter, allowed: Mapping[str, TargetView], now: float
+    ) -> Choice | None:
+        """The target for a call; None if none has a slot for it."""
+        states = {name: self.survey.target(view) for name, view in allowed.items()}
+        loads: dict[str, routing.Load] = {}
+
+        names = list(allowed)
+        kept = self.kept(state, names)
+        others = state.long_prefill_ms * (state.pool.hosts - 1) / max(1, len(names) - len(kept))
+
+        def load(name: str) -> routing.Load:
+            if name not in loads:
+                found = self.survey.load_of(state, allowed[name], states[name], now)
+                if name not in kept:
+                    found = found._replace(prefill_ms=found.prefill_ms + others)
+                loads[name] = found
+            return loads[name]
+
+        def free(name: str) -> bool:
+            limit = routing.limit(load(name), state.pool, state.service.max_inflight)
+            target = states[name]
+            room = len(target.slots) < limit
+            if not room or not waiter.long:
+                return room
+            return name not in kept and target.long < admission.long_slots(limit)
+
+        if waiter.long and not self.long_allowed(state, waiter, len(allowed)):
+            return None
+
+        open_ = all(target.health.ejected for target in states.values())
+
+        def weight(name: str) -> float:
+            if not free(name):
+                return 0.0
+            health = states[name].health
+            if health.ejected:
+                return ejection.LEAST_WEIGHT if open_ else 0.0
+            pace = ejection.relative(load(name).pace, state.median_pace)
+            return ejection.weight(health, pace, now)
+
+        probe = self.probe_target(waiter, states, now)
+        if probe is not None and not open_ and free(probe):
+            return Choice(probe, 0.0, probe=True)
+        prediction = waiter.prediction
+        candidates = routing.sample(names, weight, self.rng, routing.SAMPLES)
+        if kept and not waiter.long:
+            candidates += routing.sample(
+                [n for n in kept if n not in candidates], weight, self.rng, 1
+            )
+        if not candidates:
+            return None
+        costs = {
+            name: routing.completion_ms(
+                load(name), state.pool, prediction.first_ms, prediction.rest_ms
+            )
+            for name in candidates
+        }
+        home = self.home(state, waiter.work, names, load)
+        if home is not None and weight(home) > 0:
+            prompt = prediction.first_ms * state.model.prefix_factor
+            costs[home] = routing.completion_ms(load(home), state.pool, prompt, prediction.rest_ms)
+        name = routing.choose(costs, self.rng)
+        prompt = prediction.first_ms * (state.model.prefix_factor if name == home else 1.0)
+        first = routing.first_ms(load(name), state.pool, prompt)
+        return Choice(name, first, at_home=name == home)
+
+    def long_allowed(self, state: ServiceState, waiter: Waiter, targets: int) -> bool:
+        """Whether long work is within its bounds over all targets of the service.
+
+        A capacity that no report has shown yet counts as a little more than was seen running.
+        """
+        pool = state.pool
+        capacity = min(pool.capacity, max(state.service.max_inflight, 1.5 * state.most_running))
+        if state.long + 1 > admission.long_share(targets, capacity, pool.hosts):
+            return False
+        bound = max(LONG_PROMPTS, targets // pool.hosts)
+        return waiter.prediction.first_ms == 0 or state.long_prefills < bound
+
+    def kept(self, state: ServiceState, names: list[str]) -> frozenset[str]:
+        """The targets kept free of long work: the same ones on every host, by rendezvous.
+
+        Other hosts are taken to have as much long work elsewhere as this one.
+        """
+        key = tuple(names)
+        if state.kept[0] != key:
+            count = admission.reserved(len(names))
+            order = rendezvous.ranked(f"{state.service.name}/short", names)
+            state.kept = key, frozenset(order[:count])
+        return state.kept[1]
+
+    def home(
+        self, state: ServiceState, work: Work, names: list[str], load: routing.Lookup
+    ) -> str | None:
+        """The target that should have the prefix in its cache."""
+        if not work.prefix:
+            return None
+        return routing.home(
+            work.prefix, names, lambda name: routing.load_now(load(name), state.pool), state.load
+        )
+
+    def probe_target(
+        self, waiter: Waiter, states: Mapping[str, TargetState], now: float
+    ) -> str | None:
+        """An ejected target that is due for a probe, if the call can afford to be the probe."""
+        left = waiter.work.deadline_ms - now
+        if waiter.long or left < PROBE_SLACK * waiter.prediction.expected_ms:
+            return None
+        for name, target in states.items():
+            health = target.health
+            if not health.ejected or target.probing or now < health.probe_ms:
+                continue
+            pending = self.survey.pending(target, now)
+            if pending < ejection.SLOW:
+                return name
+        return None
+
+
+class PlainChooser:
+    """The baselines: the next target in turn, or the one with the least own calls."""
+
+    def __init__(self, survey: Survey, rng: random.Random, least: bool) -> None:
+        self.survey = survey
+        self.rng = rng
+        self.least = least
+
+    def choose(
+        self, state: ServiceState, waiter: Waiter, allowed: Mapping[str, TargetView], now: float
+    ) -> Choice | None:
+        """The target for a call; None if none has a slot for it."""
+        names = list(allowed)
+        counts = {name: len(self.survey.target(view).slots) for name, view in allowed.items()}
+        turn = state.held.total() if self.least else state.started
+        names = names[turn % len(names) :] + names[: turn % len(names)]
+        names = [name for name in names if counts[name] < state.service.max_inflight]
+        if self.least:
+            names.sort(key=lambda name: (counts[name], self.rng.random()))
+        return Choice(names[0], 0.0) if names else None
--- /dev/null
+++ b/savoryfork/progress.py
@@ -0,0 +1,161 @@
+"""Notes the progress of calls and learns from it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from savoryfork import admission, ejection, routing
+from savoryfork.board import TargetView
+from savoryfork.callstate import CallResult, ServiceState, Slot, TargetState, Waiter
+from savoryfork.choice import Choice
+from savoryfork.survey import Survey
+from savoryfork.util.timer import Clock
+
+# A probe that took more than this many times its expected time failed.
+PROBE_GOOD = 2.0
+
+
+class CallLedger:
+    """The calls in progress. `freed` is called when capacity of a service became free."""
+
+    def __init__(
+        self,
+        survey: Survey,
+        clock: Clock,
+        services: dict[str, ServiceState],
+        adaptive: bool,
+        freed: Callable[[ServiceState], None],
+    ) -> None:
+        self.survey = survey
+        self.clock = clock
+        self.services = services
+        self.adaptive = adaptive
+        self.freed = freed
+
+    def start(
+        self, state: ServiceState, waiter: Waiter, view: TargetView, choice: Choice, now: float
+    ) -> Slot:
+        """Notes a call that starts now."""
+        slot = Slot(view, waiter.work, now, waiter.prediction, waiter.long)
+        slot.at_home = choice.at_home
+        slot.probe = choice.probe
+        if waiter.prediction.first_ms:
+            slot.next_ms = choice.first_ms or waiter.prediction.first_ms
+        target = self.survey.target(view)
+        target.slots.add(slot)
+        if slot.probe:
+            target.probing = True
+        target.long += slot.long
+        state.long += slot.long
+        if slot.long and slot.prediction.first_ms > 0:
+            state.long_prefills += 1
+            state.long_prefill_ms += slot.prediction.first_ms
+        target.prefill_ms += waiter.prediction.first_ms
+        target.note(now)
+        state.held[waiter.work.workspace] += 1
+        state.started += 1
+        return slot
+
+    def first_token(self, slot: Slot) -> None:
+        """Notes that the first token of a generation arrived."""
+        if slot.released or slot.first_ms is not None:
+            return
+        now = self.clock.monotonic_ms()
+        slot.first_ms = now - slot.started_ms
+        target = self.survey.target(slot.target)
+        state = self.services[slot.target.service]
+        self.end_prefill(state, target, slot)
+        target.health = ejection.observe(target.health, slot.first_ms, slot.next_ms, now)
+        if slot.at_home:
+            state.model.learn_prefix(slot.first_ms, slot.prediction.first_ms)
+        slot.last_ms = now
+        slot.tokens = slot.marked_tokens = 1
+        slot.next_ms = self.token_ms(state)
+
+    def end_prefill(self, state: ServiceState, target: TargetState, slot: Slot) -> None:
+        """The prompt of a call is no longer being processed."""
+        target.prefill_ms = max(0.0, target.prefill_ms - slot.prediction.first_ms)
+        if slot.long and not slot.outgrown and slot.prediction.first_ms > 0:
+            state.long_prefills -= 1
+            state.long_prefill_ms = max(0.0, state.long_prefill_ms - slot.prediction.first_ms)
+            self.freed(state)
+
+    def token_ms(self, state: ServiceState) -> float:
+        """The usual time between tokens at the present load."""
+        usual = state.model.token.quantile(0.5, admission.TOKEN_MS)
+        return usual * (1 + routing.CROWDING * max(0.0, state.load))
+
+    def progress(self, slot: Slot, tokens: int) -> None:
+        """Notes that `tokens` tokens of a generation have arrived in all."""
+        if slot.released:
+            return
+        if slot.first_ms is None:
+            self.first_token(slot)
+        slot.tokens = tokens
+        if tokens > slot.prediction.tokens and not slot.outgrown:
+            self.outgrow(slot)
+        expected = (tokens - slot.marked_tokens) * slot.next_ms
+        if expected < ejection.JITTER_MS:
+            return
+        now = self.clock.monotonic_ms()
+        target = self.survey.target(slot.target)
+        target.health = ejection.observe(target.health, now - slot.last_ms, expected, now)
+        slot.last_ms = now
+        slot.marked_tokens = tokens
+
+    def outgrow(self, slot: Slot) -> None:
+        """A call that is longer than predicted counts as long work from then on."""
+        slot.outgrown = True
+        state = self.services[slot.target.service]
+        state.outgrown += 1
+        grown = slot.prediction.first_ms + 2 * slot.prediction.rest_ms
+        if self.adaptive and not slot.long and state.model.is_long(grown):
+            slot.long = True
+            self.survey.target(slot.target).long += 1
+            state.long += 1
+
+    def release(self, slot: Slot, result: CallResult, output_tokens: int) -> None:
+        """Ends a call; a second release of the same slot does nothing."""
+        if slot.released:
+            return
+        slot.released = True
+        now = self.clock.monotonic_ms()
+        state = self.services[slot.target.service]
+        target = self.survey.target(slot.target)
+        target.slots.discard(slot)
+        target.long -= slot.long
+        state.long -= slot.long
+        if slot.first_ms is None:
+            self.end_prefill(state, target, slot)
+        target.note(now)
+        state.held[slot.work.workspace] -= 1
+        state.forget(slot.work.workspace)
+        took = now - slot.started_ms
+        if result is CallResult.ANSWERED:
+            expected = slot.prediction.expected_ms
+            if not slot.work.max_tokens:
+                target.health = ejection.observe(target.health, took, expected, now)
+            state.durations.add(took)
+            state.model.learn(slot.work, slot.first_ms, took, output_tokens, expected)
+        elif result is CallResult.CONNECT_FAILED:
+            target.health = ejection.fault(target.health, ejection.FAULT_LIMIT, now)
+        elif result is not CallResult.CANCELLED:
+            target.health = ejection.fault(target.health, 1.0, now)
+        if slot.probe:
+            self.end_probe(slot, target, result, took, now)
+        if self.adaptive and result is not CallResult.ANSWERED:
+            self.survey.review(state, now)
+        self.freed(state)
+
+    def end_probe(
+        self, slot: Slot, target: TargetState, result: CallResult, took: float, now: float
+    ) -> None:
+        """Judges a probe by its time; a cancelled one only counts if it was too slow already."""
+        target.probing = False
+        if not target.health.ejected:
+            return
+        slow = took > PROBE_GOOD * max(slot.prediction.expected_ms, ejection.JITTER_MS)
+        if result is CallResult.CANCELLED and not slow:
+            return
+        good = result is CallResult.ANSWERED and not slow
+        target.health = ejection.probed(target.health, good, now)
--- a/savoryfork/runner.py
+++ b/savoryfork/runner.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from savoryfork import defaults
+from savoryfork.admission import Work
 from savoryfork.attempts import StageAttempts
 from savoryfork.board import Board
 from savoryfork.burn import BurnRecorder
@@ -22,8 +23,9 @@
     TokenStream,
     generation_prompt,
 )
+from savoryfork.callstate import CallResult, Slot
 from savoryfork.claims import ClaimRequestData, Claims, Existing, KeyState, lost
-from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
+from savoryfork.dispatch import Dispatcher
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import (
@@ -423,8 +425,8 @@
             run.request.key if action else None,
             stream,
             before_send,
-            lambda: self.dispatcher.first_token(slot),
-            lambda tokens: self.dispatcher.progress(slot, tokens - before),
+            lambda: self.dispatcher.calls.first_token(slot),
+            lambda tokens: self.dispatcher.calls.progress(slot, tokens - before),
         )
         try:
             following = await self.client.attempt(stage, run.given, frame)
@@ -450,7 +452,7 @@
             raise
         finally:
             tokens = len(stream.tokens) - before if stream else 0
-            self.dispatcher.release(slot, result, tokens)
+            self.dispatcher.calls.release(slot, result, tokens)
             self.metrics.attempts.inc({"service": stage.service, "result": result.value})
             if tokens:
                 self.metrics.tokens.add({"stage": stage.name}, tokens)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -21,7 +21,7 @@
     TokenStream,
     output,
 )
-from savoryfork.dispatch import CallResult
+from savoryfork.callstate import CallResult
 from savoryfork.membership import Membership
 from savoryfork.pipeline import ActionStage, RerankStage, RetrieveStage
 from savoryfork.util.timer import system_clock
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,8 +10,10 @@
 from hypothesis import strategies as st
 
 from savoryfork import admission, ejection
+from savoryfork.admission import Work
 from savoryfork.board import Board, TargetView
-from savoryfork.dispatch import CallResult, Dispatcher, Slot, Work
+from savoryfork.callstate import CallResult, Slot
+from savoryfork.dispatch import Dispatcher
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.pipeline import GenerateStage, Pipeline, Service
 from savoryfork.util.timer import Clock
@@ -43,13 +45,13 @@
         for _ in range(count):
             slot = await self.dispatcher.acquire(SERVICE, work._replace(deadline_ms=1e9))
             self.now += 10
-            self.dispatcher.first_token(slot)
+            self.dispatcher.calls.first_token(slot)
             self.now += total_ms - 10
-            self.dispatcher.release(slot, CallResult.ANSWERED, 50)
+            self.dispatcher.calls.release(slot, CallResult.ANSWERED, 50)
 
 
 def held(bench: Bench) -> int:
-    return sum(len(target.slots) for target in bench.dispatcher.targets.values())
+    return sum(len(target.slots) for target in bench.dispatcher.survey.targets.values())
 
 
 class TestSlots:
@@ -80,18 +82,18 @@
                     task = tasks.pop(index % len(tasks))
                     if step != "cancel" and task.done():
                         result = CallResult.ANSWERED if step == "end" else CallResult.FAILED
-                        bench.dispatcher.release(task.result(), result, 3)
+                        bench.dispatcher.calls.release(task.result(), result, 3)
                     else:
                         if task.done():
-                            bench.dispatcher.release(task.result(), CallResult.CANCELLED, 0)
+                            bench.dispatcher.calls.release(task.result(), CallResult.CANCELLED, 0)
                         task.cancel()
                 if index % 2:
                     await asyncio.sleep(0)
-                for target in bench.dispatcher.targets.values():
+                for target in bench.dispatcher.survey.targets.values():
                     assert len(target.slots) <= SERVICE.max_inflight
             for task in tasks:
                 if task.done():
-                    bench.dispatcher.release(task.result(), CallResult.ANSWERED, 3)
+                    bench.dispatcher.calls.release(task.result(), CallResult.ANSWERED, 3)
                 task.cancel()
             await asyncio.sleep(0)
             await asyncio.sleep(0)
@@ -108,7 +110,7 @@
         bench = Bench(targets=1)
         slots = [(await bench.ask()).result() for _ in range(2)]
         waiting = await bench.ask()
-        bench.dispatcher.release(slots[0], CallResult.ANSWERED, 1)
+        bench.dispatcher.calls.release(slots[0], CallResult.ANSWERED, 1)
         waiting.cancel()
         with pytest.raises(asyncio.CancelledError):
             await waiting
@@ -118,13 +120,13 @@
         """Evidence against a process must not follow the process that replaced it."""
         bench = Bench(targets=3)
         slot = await bench.dispatcher.acquire(SERVICE, WORK)
-        bench.dispatcher.release(slot, CallResult.CONNECT_FAILED, 0)
-        old = bench.dispatcher.target(slot.target)
+        bench.dispatcher.calls.release(slot, CallResult.CONNECT_FAILED, 0)
+        old = bench.dispatcher.survey.target(slot.target)
         assert old.health.ejected
         bench.board.targets[slot.target.name] = slot.target._replace(incarnation="2")
         bench.dispatcher.tick()
-        assert old not in bench.dispatcher.targets.values()
-        fresh = bench.dispatcher.target(bench.board.targets[slot.target.name])
+        assert old not in bench.dispatcher.survey.targets.values()
+        fresh = bench.dispatcher.survey.target(bench.board.targets[slot.target.name])
         assert not fresh.health.ejected
 
     async def test_leaving_target_gets_nothing(self):
@@ -145,7 +147,7 @@
         short = await bench.ask(WORK)
         high = await bench.ask(WORK._replace(priority=0, prompt_tokens=9_000))
         for expected in (high, short, long, low):
-            bench.dispatcher.release(slots.pop(0), CallResult.CANCELLED, 0)
+            bench.dispatcher.calls.release(slots.pop(0), CallResult.CANCELLED, 0)
             await asyncio.sleep(0)
             assert expected.done()
             slots.append(expected.result())
@@ -156,7 +158,7 @@
         slots = [(await bench.ask()).result() for _ in range(4)]
         flood = [await bench.ask() for _ in range(10)]
         other = await bench.ask(WORK._replace(workspace="x"))
-        bench.dispatcher.release(slots[0], CallResult.ANSWERED, 5)
+        bench.dispatcher.calls.release(slots[0], CallResult.ANSWERED, 5)
         await asyncio.sleep(0)
         assert other.done() and not any(task.done() for task in flood)
 
@@ -193,7 +195,7 @@
         assert not slot.long
         state = bench.dispatcher.services["s"]
         before = state.long
-        bench.dispatcher.progress(slot, 99)
+        bench.dispatcher.calls.progress(slot, 99)
         assert state.outgrown == 1 and state.long == before + 1
 
 
@@ -237,15 +239,15 @@
         slot = await bench.dispatcher.acquire(SERVICE, WORK._replace(deadline_ms=1e9))
         bench.now += 2_000
         bench.dispatcher.tick()
-        target = bench.dispatcher.target(slot.target)
+        target = bench.dispatcher.survey.target(slot.target)
         assert target.health.ejected and slot.straggling.is_set()
-        bench.dispatcher.release(slot, CallResult.CANCELLED, 0)
+        bench.dispatcher.calls.release(slot, CallResult.CANCELLED, 0)
         bench.now += ejection.MAX_PROBE_MS
         probe = await bench.dispatcher.acquire(SERVICE, WORK._replace(deadline_ms=1e9))
         assert probe.probe and probe.target.name == slot.target.name
         bench.now += 50
-        bench.dispatcher.first_token(probe)
-        bench.dispatcher.release(probe, CallResult.ANSWERED, 50)
+        bench.dispatcher.calls.first_token(probe)
+        bench.dispatcher.calls.release(probe, CallResult.ANSWERED, 50)
         assert not target.health.ejected
 
     async def test_retry_excludes_and_hedge_needs_idempotence(self):
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -14,7 +14,7 @@
 from savoryfork.board import Board, TargetView
 from savoryfork.burn import BurnRecorder
 from savoryfork.calls import CallError, TargetClient
-from savoryfork.dispatch import CallResult
+from savoryfork.callstate import CallResult
 from savoryfork.errors import Ran, ServiceError
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import (
@@ -51,12 +51,11 @@
     def __init__(self, view: Any) -> None:
         self.view = view
 
+        self.calls = SimpleNamespace(release=lambda *given: None)
+
     async def acquire(self, *given: Any) -> Any:
         return SimpleNamespace(target=self.view)
 
-    def release(self, *given: Any) -> None:
-        pass
-
 
 def make_runner(client: TargetClient, view: Any, clock: Clock) -> Runner:
     """A runner whose claims are not used."""
@@ -130,7 +129,9 @@
         self.dispatcher = SimpleNamespace(
             hedge_delay_ms=lambda service, work: None,
             take_hedge=self.take_hedge,
-            release=lambda slot, result, tokens: self.released.append(slot.target.name),
+            calls=SimpleNamespace(
+                release=lambda slot, result, tokens: self.released.append(slot.target.name)
+            ),
         )
         self.released: list[str] = []
         views = [SimpleNamespace(name=name) for name in ("a", "b")]
