Count the room of stage targets right after a change of coordinator

Cause: results of the coordinator before it were given up at the new one before that had called any target. Giving up created a state of the target under incarnation 0, and results were looked up by address alone, so all later results were taken off that first state. The room that the pool reserves for results came back only when they expired (4 s). Second cause: results were given up at the host that is coordinator now, not at the one that had them made, so a coordinator on its way out counted room as taken.

Ruled out: calls without an answer (no call was stuck or timed out), targets out of use (none was ejected), engines (requests of that time were answered within a second of their last stage).

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -5,8 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from savoryfork.forward import planning
 from savoryfork.forward.batching import call_ms
@@ -44,9 +43,8 @@
     moment after a change two may do it, which costs only order and fullness of calls.
     """
 
-    def __init__(self, pools: Pools, release: Callable[[str, list[Any]], None]) -> None:
+    def __init__(self, pools: Pools) -> None:
         self.pools = pools
-        self.release = release
         self.active: dict[int, Work] = {}
         self.arrivals: deque[Arrival] = deque()
         self.delays = Window(DELAYS)
@@ -226,7 +224,7 @@
             keep = set(work.last()) if done else set()
             for stage, results in work.results.items():
                 if stage not in keep:
-                    self.release(work.plans[stage].service, results)
+                    self.pools.free(work.plans[stage].service, results)
 
     async def run_stage(self, work: Work, stage: int, before: list[asyncio.Task[None]]) -> None:
         """Runs one stage once the stages before it have ended."""
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -241,7 +241,7 @@
         if run.work is not None:
             for stage in run.work.last():
                 results = run.work.results.get(stage, [])
-                self.stages.release(run.work.plans[stage].service, results)
+                self.stages.release(run.work.made_by, run.work.plans[stage].service, results)
             run.work = None
 
     # Choosing.
--- /dev/null
+++ b/savoryfork/forward/freeing.py
@@ -0,0 +1,82 @@
+"""Gives results up at the stage targets that keep them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from savoryfork.forward.connection import Connections, TargetError
+from savoryfork.forward.messages import StageResult
+from savoryfork.forward.wire import Wire
+from savoryfork.util import logs
+from savoryfork.util.background import Background
+from savoryfork.util.timer import Clock
+
+log = logging.getLogger(__name__)
+
+# Results that are given up are named together, unless the target is short of room.
+FREE_DELAY_MS = 15.0
+
+# After that a call is given up. What it named stays at the target until it expires.
+FREE_TIMEOUT_MS = 4_000.0
+
+
+class ResultFreer:
+    """Names results to their targets, those of a short while in one call.
+
+    `freed` is told the service, the address and the handles once the target has answered.
+    """
+
+    def __init__(
+        self,
+        connections: Connections,
+        wire: Wire,
+        clock: Clock,
+        background: Background,
+        freed: Callable[[str, str, Sequence[str]], None],
+    ) -> None:
+        self.connections = connections
+        self.wire = wire
+        self.clock = clock
+        self.background = background
+        self.freed = freed
+        self.pending: dict[tuple[str, str], list[str]] = {}
+
+    def free(self, service: str, result: StageResult) -> None:
+        """Gives one result up soon."""
+        key = (service, result.address)
+        if key not in self.pending:
+            asyncio.get_running_loop().call_later(FREE_DELAY_MS / 1000, self.flush, key)
+        self.pending.setdefault(key, []).append(result.handle)
+
+    def flush(self, key: tuple[str, str]) -> None:
+        """Sends what has been given up at one target."""
+        service, address = key
+        self.background.spawn(self.send(service, address, self.pending.pop(key)))
+
+    async def send(self, service: str, address: str, handles: list[str]) -> None:
+        """One call that gives results up; a failure only leaves them until they expire."""
+        try:
+            async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
+                await self.call(address, handles)
+        except (TimeoutError, TargetError) as error:
+            reason = str(error) or "timeout"
+            logs.event(log, "free_failed", address=address, count=len(handles), error=reason)
+            return
+        self.freed(service, address, handles)
+
+    async def call(self, address: str, handles: list[str]) -> None:
+        """The call itself; raises TargetError."""
+        connection = await self.connections.open(address, self.clock.monotonic_ms())
+        kept = False
+        try:
+            connection.send(*self.wire.free_call(address, handles))
+            head = await connection.head()
+            answer = self.wire.decode_answer(head.status, head.headers)
+            await connection.body()
+            self.connections.give_back(connection, self.clock.monotonic_ms(), answer.idle_s)
+            kept = True
+        finally:
+            if not kept:
+                connection.abort()
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -39,6 +39,7 @@
 from savoryfork.peers import PeerClient, PeerServer
 from savoryfork.settings import split_address
 from savoryfork.util import logs
+from savoryfork.util.background import Background
 from savoryfork.util.signals import STOP_SIGNALS
 from savoryfork.util.timer import TimerService, suspend_aware_clock
 
@@ -129,6 +130,7 @@
         )
         self.health = HealthTracker()
         self.connections = Connections()
+        self.background = Background()
         self.pools = Pools(
             self.follower.registry,
             self.health,
@@ -137,8 +139,9 @@
             self.clock,
             self.limits,
             self.budget,
+            self.background,
         )
-        self.stages = Stages(self.follower, self.pools, self.peers)
+        self.stages = Stages(self.follower, self.pools, self.peers, self.background)
         self.forwarder = Forwarder(
             self.follower,
             self.health,
@@ -248,6 +251,7 @@
         self.connections.close_idle(self.follower.now())
         await self.follower.expire()
         self.health.forget(list(self.follower.registry.targets.values()))
+        self.pools.forget_gone()
 
     def follower_ended(self, task: asyncio.Task[None]) -> None:
         """A follower that ends by an exception is a bug that would leave the host blind."""
--- /dev/null
+++ b/savoryfork/forward/pool.py
@@ -0,0 +1,110 @@
+"""The stage work of one service as its coordinator sees it: tasks, targets and their room."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+
+from savoryfork.forward.batching import Task
+from savoryfork.forward.budget import RepeatBudget
+from savoryfork.forward.messages import StageResult
+from savoryfork.forward.model import BatchLimits, Target
+from savoryfork.forward.work import StageFailure, Work
+
+
+class StageTask:
+    """One stage of a request: the pieces that wait, and the results so far.
+
+    `due_at` is when it must end for the request to be on time.
+    """
+
+    def __init__(self, number: int, work: Work, stage: int, due_at: float) -> None:
+        self.number = number
+        self.work = work
+        self.stage = stage
+        self.due_at = due_at
+        self.plan = work.plans[stage]
+        self.pieces = work.pieces[stage]
+        inputs = [r for s in work.before(stage) for r in work.results[s]]
+        self.inputs = tuple(result.handle for result in inputs)
+        self.input_bytes: dict[str, float] = {}
+        for before in work.before(stage):
+            for result in work.results[before]:
+                size = work.plans[before].result_bytes
+                self.input_bytes[result.zone] = self.input_bytes.get(result.zone, 0.0) + size
+        self.zone = work.zone if stage in work.last() else None
+        self.waiting: deque[int] = deque(range(self.pieces))
+        self.tries = [0] * self.pieces
+        self.results: dict[int, StageResult] = {}
+        self.future: asyncio.Future[StageFailure | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def view(self) -> Task:
+        """The task as the order sees it."""
+        return Task(
+            self.number,
+            self.work.priority,
+            self.due_at,
+            self.work.late,
+            bool(self.work.results),
+            len(self.waiting),
+            self.plan.result_bytes,
+            self.zone,
+            self.input_bytes,
+        )
+
+    def end(self, failure: StageFailure | None) -> None:
+        """Notes how the stage ended, unless that is known."""
+        if not self.future.done():
+            self.future.set_result(failure)
+
+
+class PoolTarget:
+    """What the pool's owner knows of one target. `calls` are those in progress."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.ends_at = 0.0
+        self.blocked_until = 0.0
+        self.pace = 1.0
+        self.stuck = False
+        self.held: dict[str, tuple[int, float]] = {}
+        self.reserved = 0.0
+
+    def room(self, limits: BatchLimits, now: float) -> float:
+        """Bytes for results that are not taken up."""
+        for handle in [h for h, (_, until) in self.held.items() if until <= now]:
+            del self.held[handle]
+        return limits.room_bytes - self.reserved - sum(size for size, _ in self.held.values())
+
+
+class Pool:
+    """The work of one service."""
+
+    def __init__(self, service: str, limits: BatchLimits, budget: RepeatBudget) -> None:
+        self.service = service
+        self.limits = limits
+        self.budget = budget
+        self.tasks: dict[int, StageTask] = {}
+        self.targets: dict[tuple[str, int], PoolTarget] = {}
+        self.wake_handle: asyncio.TimerHandle | None = None
+
+    def state(self, target: Target) -> PoolTarget:
+        """The state of a target's incarnation."""
+        return self.targets.setdefault((target.address, target.born), PoolTarget())
+
+    def note_freed(self, address: str, handles: Sequence[str]) -> None:
+        """Counts the room of results that were given up, whatever incarnation made them."""
+        for (kept_at, _), state in self.targets.items():
+            if kept_at == address:
+                for handle in handles:
+                    state.held.pop(handle, None)
+
+    def forget_gone(self, known: Sequence[Target]) -> None:
+        """Drops the states of incarnations that are gone and have no call in progress."""
+        current = {(target.address, target.born) for target in known}
+        self.targets = {
+            key: state for key, state in self.targets.items() if key in current or state.calls
+        }
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -5,21 +5,22 @@
 import asyncio
 import itertools
 import logging
-from collections import deque
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable, Sequence
 
 from savoryfork.forward import batching
-from savoryfork.forward.batching import Pick, Task
+from savoryfork.forward.batching import Pick
 from savoryfork.forward.budget import RepeatBudget
 from savoryfork.forward.connection import Connections, TargetError
+from savoryfork.forward.freeing import ResultFreer
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
 from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
+from savoryfork.forward.pool import Pool, PoolTarget, StageTask
 from savoryfork.forward.registry import Registry
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageFailure, Work
 from savoryfork.util import logs
+from savoryfork.util.background import Background
 from savoryfork.util.timer import Clock
 
 log = logging.getLogger(__name__)
@@ -49,93 +50,6 @@
 # Between two looks at the work that is left at a stop.
 DRAIN_LOOK_MS = 100.0
 
-# Results that are given up are named together, unless the target is short of room.
-FREE_DELAY_MS = 15.0
-
-
-class StageTask:
-    """One stage of a request: the pieces that wait, and the results so far.
-
-    `due_at` is when it must end for the request to be on time.
-    """
-
-    def __init__(self, number: int, work: Work, stage: int, due_at: float) -> None:
-        self.number = number
-        self.work = work
-        self.stage = stage
-        self.due_at = due_at
-        self.plan = work.plans[stage]
-        self.pieces = work.pieces[stage]
-        inputs = [r for s in work.before(stage) for r in work.results[s]]
-        self.inputs = tuple(result.handle for result in inputs)
-        self.input_bytes: dict[str, float] = {}
-        for before in work.before(stage):
-            for result in work.results[before]:
-                size = work.plans[before].result_bytes
-                self.input_bytes[result.zone] = self.input_bytes.get(result.zone, 0.0) + size
-        self.zone = work.zone if stage in work.last() else None
-        self.waiting: deque[int] = deque(range(self.pieces))
-        self.tries = [0] * self.pieces
-        self.results: dict[int, StageResult] = {}
-        self.future: asyncio.Future[StageFailure | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-    def view(self) -> Task:
-        """The task as the order sees it."""
-        return Task(
-            self.number,
-            self.work.priority,
-            self.due_at,
-            self.work.late,
-            bool(self.work.results),
-            len(self.waiting),
-            self.plan.result_bytes,
-            self.zone,
-            self.input_bytes,
-        )
-
-    def end(self, failure: StageFailure | None) -> None:
-        """Notes how the stage ended, unless that is known."""
-        if not self.future.done():
-            self.future.set_result(failure)
-
-
-class PoolTarget:
-    """What the pool's owner knows of one target. `calls` are those in progress."""
-
-    def __init__(self) -> None:
-        self.calls = 0
-        self.ends_at = 0.0
-        self.blocked_until = 0.0
-        self.pace = 1.0
-        self.stuck = False
-        self.held: dict[str, tuple[int, float]] = {}
-        self.reserved = 0.0
-        self.freed: list[str] = []
-
-    def room(self, limits: BatchLimits, now: float) -> float:
-        """Bytes for results that are not taken up."""
-        for handle in [h for h, (_, until) in self.held.items() if until <= now]:
-            del self.held[handle]
-        return limits.room_bytes - self.reserved - sum(size for size, _ in self.held.values())
-
-
-class Pool:
-    """The work of one service."""
-
-    def __init__(self, service: str, limits: BatchLimits, budget: RepeatBudget) -> None:
-        self.service = service
-        self.limits = limits
-        self.budget = budget
-        self.tasks: dict[int, StageTask] = {}
-        self.targets: dict[tuple[str, int], PoolTarget] = {}
-        self.wake_handle: asyncio.TimerHandle | None = None
-
-    def state(self, target: Target) -> PoolTarget:
-        """The state of a target's incarnation."""
-        return self.targets.setdefault((target.address, target.born), PoolTarget())
-
 
 class Pools:
     """All pools of this host. Whether this host should own one is decided by those who ask it."""
@@ -149,6 +63,7 @@
         clock: Clock,
         limits: Callable[[str], BatchLimits | None],
         budget: Callable[[str], RepeatBudget],
+        background: Background,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -159,7 +74,8 @@
         self.budget = budget
         self.pools: dict[str, Pool] = {}
         self.numbers = itertools.count()
-        self.background: set[asyncio.Task[None]] = set()
+        self.background = background
+        self.freer = ResultFreer(connections, wire, clock, background, self.note_freed)
 
     def now(self) -> float:
         """The suspend-aware time in milliseconds."""
@@ -277,7 +193,7 @@
         expected = batching.call_ms(pool.limits, len(batch)) * max(1.0, state.pace)
         state.ends_at = now + expected
         self.health.begin_probe(target, now)
-        self.spawn(self.call(pool, target, state, batch, reserved, expected))
+        self.background.spawn(self.call(pool, target, state, batch, reserved, expected))
 
     async def call(
         self,
@@ -464,51 +380,22 @@
                 if task.work is work:
                     task.end(StageFailure.OVERLOADED)
 
-    # Giving results up.
-
-    def free(self, service: str, results: list[StageResult]) -> None:
+    def free(self, service: str, results: Sequence[StageResult]) -> None:
         """Gives results up at the targets that keep them."""
-        pool = self.pool(service)
-        if pool is None:
-            return
         for result in results:
-            born = next((b for a, b in pool.targets if a == result.address), 0)
-            state = pool.targets.setdefault((result.address, born), PoolTarget())
-            if not state.freed:
-                asyncio.get_running_loop().call_later(
-                    FREE_DELAY_MS / 1000, self.flush_freed, pool, result.address, state
-                )
-            state.freed.append(result.handle)
-
-    def flush_freed(self, pool: Pool, address: str, state: PoolTarget) -> None:
-        """Sends what has been given up at one target."""
-        handles, state.freed = state.freed, []
-        self.spawn(self.send_free(pool, address, state, handles))
-
-    async def send_free(
-        self, pool: Pool, address: str, state: PoolTarget, handles: list[str]
-    ) -> None:
-        """One call that gives results up; a failure only leaves them until they expire."""
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_MS / 1000):
-                connection = await self.connections.open(address, self.now())
-                kept = False
-                try:
-                    connection.send(*self.wire.free_call(address, handles))
-                    head = await connection.head()
-                    answer = self.wire.decode_answer(head.status, head.headers)
-                    await connection.body()
-                    self.connections.give_back(connection, self.now(), answer.idle_s)
-                    kept = True
-                finally:
-                    if not kept:
-                        connection.abort()
-        except (TimeoutError, TargetError) as error:
-            logs.event(log, "free_failed", address=address, count=len(handles), error=str(error))
-            return
-        for handle in handles:
-            state.held.pop(handle, None)
-        self.pump(pool)
+            self.freer.free(service, result)
+
+    def note_freed(self, service: str, address: str, handles: Sequence[str]) -> None:
+        """Uses the room of results that a target has given up."""
+        pool = self.pools.get(service)
+        if pool is not None:
+            pool.note_freed(address, handles)
+            self.pump(pool)
+
+    def forget_gone(self) -> None:
+        """Drops what concerns targets that are gone."""
+        for pool in self.pools.values():
+            pool.forget_gone(self.registry.known(pool.service))
 
     async def drained(self) -> None:
         """Waits until no work of other hosts is left here."""
@@ -516,15 +403,3 @@
             waiting = [t.future for pool in self.pools.values() for t in pool.tasks.values()]
             await asyncio.wait(waiting, timeout=DRAIN_LOOK_MS / 1000)
             await asyncio.sleep(0)
-
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine of this part in the background and logs it if it fails."""
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.background.add(task)
-        task.add_done_callback(self.ended)
-
-    def ended(self, task: asyncio.Task[None]) -> None:
-        """Forgets a background task; an exception in it is a bug."""
-        self.background.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error({"event": "pool_task_failed"}, exc_info=task.exception())
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -66,7 +66,7 @@
         changes = []
         recent = now - self.returned_at < LAPSE_MS
         for target in dropped:
-            peers = [t for t in self.targets.values() if t.service == target.service]
+            peers = self.known(target.service)
             gone = [t for t in dropped if t.service == target.service]
             if recent and len(gone) > max(1.0, LAPSED_SHARE * len(peers)):
                 self.lapsed[target.name] = self.returned_at + LAPSE_MS
@@ -107,6 +107,10 @@
             self.misdirected[target.name] = target
             self.reindex()
 
+    def known(self, service: str) -> list[Target]:
+        """All targets of a service, also those that are leaving."""
+        return [target for target in self.targets.values() if target.service == service]
+
     def usable(self, service: str) -> list[Target]:
         """The targets of a service that may get new work."""
         return self.by_service.get(service, [])
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -13,6 +13,7 @@
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.peers import PeerClient, PeerUnavailable
 from savoryfork.util import logs
+from savoryfork.util.background import Background
 
 log = logging.getLogger(__name__)
 
@@ -35,14 +36,17 @@
 class Stages:
     """Runs stages on behalf of this host's callers."""
 
-    def __init__(self, follower: Follower, pools: Pools, peers: PeerClient) -> None:
+    def __init__(
+        self, follower: Follower, pools: Pools, peers: PeerClient, background: Background
+    ) -> None:
         self.follower = follower
         self.pools = pools
-        self.coordinator = Coordinator(pools, self.release)
+        self.coordinator = Coordinator(pools)
         self.peers = peers
+        self.background = background
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.watchers: dict[str, asyncio.Task[None]] = {}
-        self.unneeded: dict[str, list[StageResult]] = {}
+        self.unneeded: dict[tuple[str, str], list[StageResult]] = {}
 
     def now(self) -> float:
         """The suspend-aware time in milliseconds."""
@@ -87,6 +91,7 @@
             if reply.failure is not None:
                 raise StageError(StageFailure(reply.failure), reply.stage, reply.retry_ms)
             work.results = reply.results
+            work.made_by = owner
             return
         raise StageError(StageFailure.LATE, -1, 0.0)
 
@@ -129,22 +134,25 @@
 
     # Giving results up.
 
-    def release(self, service: str, results: list[StageResult]) -> None:
-        """Lets the results go soon, together with those of other requests."""
+    def release(self, owner: str, service: str, results: list[StageResult]) -> None:
+        """Lets the results go soon, together with those of other requests.
+
+        `owner` is the host that had them made: it counts the room that they take.
+        """
         if not results:
             return
-        if service not in self.unneeded:
-            asyncio.get_running_loop().call_later(FREE_DELAY_MS / 1000, self.flush, service)
-        self.unneeded.setdefault(service, []).extend(results)
+        key = (owner, service)
+        if key not in self.unneeded:
+            asyncio.get_running_loop().call_later(FREE_DELAY_MS / 1000, self.flush, owner, service)
+        self.unneeded.setdefault(key, []).extend(results)
 
-    def flush(self, service: str) -> None:
+    def flush(self, owner: str, service: str) -> None:
         """Tells the owner of the pool which results are no longer needed."""
-        results = self.unneeded.pop(service, [])
-        owner = self.owner(self.now())
+        results = self.unneeded.pop((owner, service), [])
         if owner == self.follower.members.own.address:
             self.pools.free(service, results)
         else:
-            self.pools.spawn(self.send_free(owner, FreeRequest(service, results)))
+            self.background.spawn(self.send_free(owner, FreeRequest(service, results)))
 
     async def send_free(self, owner: str, request: FreeRequest) -> None:
         """Passes results to be given up to the pool's owner, or gives them up from here."""
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -34,8 +34,8 @@
     """One request's stages: what they are, how urgent, and until when.
 
     `aim_at` is when the stages must have ended for the request to be on time, `zone` where the
-    results are wanted. `late` says that the request is not expected to be on time, `started` that
-    a call was made for it.
+    results are wanted. `made_by` is the host that had the results made. `late` says that the
+    request is not expected to be on time, `started` that a call was made for it.
     """
 
     def __init__(
@@ -57,6 +57,7 @@
         self.deadline_at = deadline_at
         self.aim_at = aim_at
         self.zone = zone
+        self.made_by = ""
         self.late = False
         self.started = False
         self.expected_at = 0.0
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -56,13 +56,16 @@
         work.results[stage] = [StageResult("h", "a", "z")]
         return None
 
+    def free(self, service: str, results: list[StageResult]) -> None:
+        pass
+
     def refuse(self, work: Work) -> None:
         self.refused.append(work)
 
 
 @pytest.fixture
 def coordinator():
-    return Coordinator(FakePools(), lambda service, results: None)
+    return Coordinator(FakePools())
 
 
 def request(number: int, priority: int = 1, aim_ms: float = 1_300.0) -> WorkRequest:
