--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -31,9 +31,11 @@
 # The key of the configuration in its topic.
 CONFIGURATION_KEY = "config"
 
-# Long poll of the configuration. Each answer confirms it as of the poll's start, and keyed
-# requests need a confirmation within `key_revocation_ms` (5 s on the sheets).
-CONFIG_WAIT_MS = 1_000.0
+# Long poll of the configuration. Each answer confirms it as of the poll's start, so the last
+# confirmation before an outage is up to two polls old. Callers count on keyed requests for 0.6 of
+# `key_revocation_ms` (5 s on the sheets) after the store is lost: two polls must fit between that
+# and the part for which a confirmation is trusted.
+CONFIG_WAIT_MS = 750.0
 
 # Pause between reads of the targets' register. Targets that leave must get no work 2 s after.
 TARGETS_PERIOD_MS = 450.0
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -20,6 +20,7 @@
 from savoryfork.forward.entry import Entry
 from savoryfork.forward.follower import Follower, Store, Topic
 from savoryfork.forward.forwarder import Forwarder
+from savoryfork.forward.gate import Gate
 from savoryfork.forward.health import HealthTracker
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import (
@@ -33,6 +34,7 @@
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits
 from savoryfork.forward.pools import Pools
+from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.settings import ForwardSettings
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
@@ -126,7 +128,7 @@
             self.peers,
             self.clock,
             random.Random(config.peer_address),
-            lambda: self.forwarder.own_loads(),
+            lambda: self.selector.own_loads(),
         )
         self.health = HealthTracker()
         self.connections = Connections()
@@ -142,14 +144,15 @@
             self.background,
         )
         self.stages = Stages(self.follower, self.pools, self.peers, self.background)
+        self.gate = Gate(self.follower, config.key_revocation_ms)
+        self.selector = TargetSelector(self.follower, self.health, config.availability_zone)
         self.forwarder = Forwarder(
-            self.follower,
+            self.gate,
+            self.selector,
             self.health,
             self.connections,
             self.stages,
             self.wire,
-            config.availability_zone,
-            config.key_revocation_ms,
             self.budget,
         )
         self.entry = Entry(self.forwarder, self.wire, self.metrics)
@@ -208,7 +211,7 @@
             return "no configuration"
         if not self.follower.joined:
             return "joining"
-        if self.follower.config_age_ms() > self.forwarder.trusted_ms:
+        if self.follower.config_age_ms() > self.gate.trusted_ms:
             return "configuration out of date"
         return None
 
@@ -276,7 +279,7 @@
             logs.event(log, "reload_refused", logging.ERROR, reason=str(error))
             return
         self.members.seeds = [s for s in config.seed_peers if s != config.peer_address]
-        self.forwarder.set_revocation(config.key_revocation_ms)
+        self.gate.set_revocation(config.key_revocation_ms)
         for budget in self.budgets.values():
             budget.set_bounds(
                 config.retry_ratio, config.retry_reserve, config.retry_window_s * 1000
--- /dev/null
+++ b/savoryfork/forward/selection.py
@@ -0,0 +1,120 @@
+"""Chooses the target of a request, and counts what this host has outstanding at each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from savoryfork.forward import placement
+from savoryfork.forward.follower import Follower
+from savoryfork.forward.health import HealthTracker
+from savoryfork.forward.model import Target
+from savoryfork.forward.placement import EngineLoad
+from savoryfork.forward.run import Run
+
+# Part of an engine's slots up to which it is taken to have a free one; counts are some hundred
+# milliseconds old.
+SLOT_SHARE = 0.75
+
+
+class TargetSelector:
+    """Weighs the loads that hosts share, this host's own, cached prefixes and distance."""
+
+    def __init__(self, follower: Follower, health: HealthTracker, zone: str) -> None:
+        self.follower = follower
+        self.registry = follower.registry
+        self.health = health
+        self.zone = zone
+        self.running: dict[str, int] = {}
+        self.unread: dict[str, float] = {}
+
+    # Choice.
+
+    def candidates(self, run: Run) -> list[Target]:
+        """The targets that the request may be offered to."""
+        usable = [t for t in self.registry.usable(run.service) if t.name not in run.tried]
+        return self.health.usable(usable, self.follower.now()) if usable else []
+
+    def engine_costs(
+        self, run: Run, targets: Sequence[Target], input_bytes: dict[str, float]
+    ) -> dict[str, float]:
+        """What a generation would cost on each engine."""
+        loads = {}
+        for target in targets:
+            shared = self.follower.shared_loads.get(target.name, placement.NO_LOAD)
+            loads[target.name] = EngineLoad(
+                shared.prompt_tokens + self.unread.get(target.name, 0.0),
+                shared.requests + self.running.get(target.name, 0),
+            )
+        return placement.engine_costs(targets, run.request.prompt, loads, input_bytes, self.zone)
+
+    def choose(self, run: Run) -> Target | None:
+        """The target for the next attempt; None if there is none."""
+        targets = self.candidates(run)
+        if not targets:
+            return None
+        if run.request.prompt is not None:
+            costs = self.engine_costs(run, targets, self.input_bytes(run))
+        else:
+            costs = placement.plain_costs(targets, self.running, self.zone, run.id)
+        return min(targets, key=lambda target: costs[target.name])
+
+    def wanted_zone(self, run: Run) -> str | None:
+        """The zone of the engine that the request is likely to get."""
+        targets = self.candidates(run)
+        if not targets or run.request.prompt is None:
+            return None
+        costs = self.engine_costs(run, targets, {})
+        best = min(targets, key=lambda target: costs[target.name])
+        return best.zone
+
+    def input_bytes(self, run: Run) -> dict[str, float]:
+        """Bytes of the inputs by the zone of the target that keeps them."""
+        totals: dict[str, float] = {}
+        if run.work is not None:
+            for stage in run.work.last():
+                for result in run.work.results.get(stage, []):
+                    size = run.work.plans[stage].result_bytes
+                    totals[result.zone] = totals.get(result.zone, 0.0) + size
+        return totals
+
+    # Counts.
+
+    def own_loads(self) -> dict[str, tuple[float, float]]:
+        """This host's outstanding work on engines."""
+        return {
+            name: (self.unread.get(name, 0.0), float(count))
+            for name, count in self.running.items()
+            if count
+        }
+
+    def has_slot(self, target: Target) -> bool:
+        """Whether an engine is taken to have a free slot."""
+        shared = self.follower.shared_loads.get(target.name, placement.NO_LOAD)
+        return shared.requests + self.running.get(target.name, 0) < SLOT_SHARE * target.slots
+
+    def hold(self, target: Target, change: int) -> None:
+        """Counts the requests outstanding at a target."""
+        count = self.running.get(target.name, 0) + change
+        if count:
+            self.running[target.name] = count
+        else:
+            self.running.pop(target.name, None)
+
+    def add_unread(self, run: Run, target: Target) -> Callable[[], None]:
+        """Counts the prompt as unread until the returned function is called."""
+        prompt = run.request.prompt
+        if prompt is None:
+            return lambda: None
+        tokens = placement.unread_tokens(prompt, at_home=True)
+        self.unread[target.name] = self.unread.get(target.name, 0.0) + tokens
+        pending = [tokens]
+
+        def read() -> None:
+            if pending:
+                left = self.unread.get(target.name, 0.0) - pending.pop()
+                if left > 0:
+                    self.unread[target.name] = left
+                else:
+                    self.unread.pop(target.name, None)
+
+        return read
