Divide stage work among coordinators on large deployments

Cause: one coordinator decides for all hosts. At 12 hosts its host used 0.17 of a core at the worst second; the grown sites send five times the requests from 69 and 82 hosts, most of which have half a core and 5 to 10 Mbit/s, and the work of admission grows with the queue besides. Any host could get the duty, and any host could be the one that nine others take the store's news from.

Change: each 30 hosts form a cell with an equal part of the requests and of each service's targets (neighbours in order of zone go to different cells) and a coordinator of its own; below 60 hosts nothing changes. Hosts tell how strong they are (processor share times speed, or 20 Mbit/s for a core), and those with less than half of the strongest one's strength get duties last.

Ruled out: more cells than that, as each cell needs several targets of a service for full calls, and a number of cells by targets, which would change with each crash.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -9,6 +9,7 @@
 
 from savoryfork.forward import planning
 from savoryfork.forward.batching import call_ms
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
 from savoryfork.forward.planning import ServiceQueue, Verdict
 from savoryfork.forward.pools import Pools
@@ -61,6 +62,7 @@
             now + request.remaining_ms,
             now + request.aim_ms,
             request.zone,
+            request.cell,
         )
         try:
             self.admit(work, now)
@@ -75,7 +77,8 @@
         """Decides whether the work is begun; raises StageError if it is refused."""
         for stage in work.present():
             service = work.plans[stage].service
-            if self.pools.pool(service) is None or not self.pools.registry.usable(service):
+            pool = self.pools.pool(service, work.cell)
+            if pool is None or not self.pools.registry.usable(service):
                 raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
         on_time_at = self.expected_end(work, now, late=False)
         late_at = self.expected_end(work, now, late=True)
@@ -140,7 +143,7 @@
 
     def goes_before(self, other: Work, work: Work, late: bool) -> bool:
         """Whether the pieces of `other` are made before those of `work`."""
-        if other is work:
+        if other is work or other.cell != work.cell:
             return False
         if not other.late or other.results:
             return late or other.priority <= work.priority
@@ -155,6 +158,8 @@
         for arrival in self.arrivals:
             if arrival.at < now - ARRIVALS_MS or arrival.work is work:
                 continue
+            if arrival.work.cell != work.cell:
+                continue
             if arrival.work.priority < work.priority or (late and not arrival.work.late):
                 for stage in arrival.work.present():
                     service = arrival.work.plans[stage].service
@@ -177,13 +182,13 @@
         for stage in work.present():
             service = work.plans[stage].service
             if service not in found:
-                queue = self.queue(service, ahead.get(service, 0.0), now)
+                queue = self.queue(service, work.cell, ahead.get(service, 0.0), now)
                 found[service] = queue._replace(arriving=arriving.get(service, 0.0))
         return found
 
-    def queue(self, service: str, ahead: float, now: float) -> ServiceQueue:
-        """The queue of one service, given the unfinished pieces that go first."""
-        pool = self.pools.pool(service)
+    def queue(self, service: str, cell: Cell, ahead: float, now: float) -> ServiceQueue:
+        """The queue of one service in a cell, given the unfinished pieces that go first."""
+        pool = self.pools.pool(service, cell)
         assert pool is not None
         targets = [self.pools.status(pool, t, now) for t in self.pools.usable(pool, now)]
         started = sum(
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -115,7 +115,15 @@
         """Creates the parts; nothing runs yet."""
         config = self.settings
         incarnation = int(self.clock.wall_ms())
-        own = Member(config.peer_address, config.availability_zone, incarnation, 0, False, True)
+        own = Member(
+            config.peer_address,
+            config.availability_zone,
+            incarnation,
+            0,
+            False,
+            True,
+            config.strength(),
+        )
         self.members = Members(own, config.seed_peers)
         self.metrics = ForwardMetrics()
         self.peers = PeerClient(None, ForwardStub, MessageCodec())
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -22,9 +22,16 @@
 
 READER_DUTY = "store-reader"
 
+# Hosts with less than this part of the strongest one's strength get a duty only if all stronger
+# ones have one: some hosts of the grown sites have a quarter of a core's speed and 5 Mbit/s.
+STRONG_SHARE = 0.5
+
 
 class Member(NamedTuple):
-    """One host as told by itself; `counter` rises with each telling of one incarnation."""
+    """One host as told by itself; `counter` rises with each telling of one incarnation.
+
+    `strength` tells how much work for others it can do, in cores of ordinary speed.
+    """
 
     address: str
     zone: str
@@ -32,6 +39,7 @@
     counter: int
     leaving: bool
     store_ok: bool
+    strength: float = 1.0
 
 
 class Members:
@@ -89,10 +97,28 @@
     def owners(self, duty: str, now: float) -> list[str]:
         """The addresses of the hosts for a duty, in order of preference; every host agrees.
 
-        Hosts that are stopping come last.
+        Weak hosts come after strong ones, hosts that are stopping last.
         """
         alive = {member.address: member for member in self.alive(now)}
-        return sorted(rendezvous.ranked(duty, alive), key=lambda address: alive[address].leaving)
+        enough = STRONG_SHARE * max(member.strength for member in alive.values())
+        return sorted(
+            rendezvous.ranked(duty, alive),
+            key=lambda address: (alive[address].leaving, alive[address].strength < enough),
+        )
+
+    def shared_owners(self, duty: str, count: int, now: float) -> list[str]:
+        """The hosts for the parts of a duty, a different one for each part while there are enough.
+
+        >>> members = Members(Member("h0", "z", 1, 0, False, True), [])
+        >>> members.merge([Member(f"h{n}", "z", 1, 1, False, True) for n in (1, 2)], 0.0)
+        >>> sorted(members.shared_owners("d", 3, 0.0))
+        ['h0', 'h1', 'h2']
+        """
+        chosen: list[str] = []
+        for part in range(count):
+            order = self.owners(f"{duty}-{part}", now)
+            chosen.append(next((host for host in order if host not in chosen), order[0]))
+        return chosen
 
     def readers(self, now: float) -> list[str]:
         """The hosts in order of who reads the store, those that the store refuses last."""
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -10,6 +10,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.encoding.base import CodecBase
 
+from savoryfork.forward.cells import WHOLE, Cell
 from savoryfork.forward.knowledge import Update
 from savoryfork.forward.members import Member
 from savoryfork.forward.model import StagePlan
@@ -48,7 +49,8 @@
     """The stages of one request, for the host that gathers stage work.
 
     Times are those left at the sending; `aim_ms` is when the stages must have ended for the
-    request to be on time. `zone` is where the results are wanted.
+    request to be on time. `zone` is where the results are wanted, `cell` the part of the targets
+    to be used.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     remaining_ms: float
     aim_ms: float
     zone: str | None
+    cell: Cell = WHOLE
 
 
 class StageResult(NamedTuple):
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -8,6 +8,7 @@
 
 from savoryfork.forward.batching import Task
 from savoryfork.forward.budget import RepeatBudget
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import BatchLimits, Target
 from savoryfork.forward.work import StageFailure, Work
@@ -81,10 +82,11 @@
 
 
 class Pool:
-    """The work of one service."""
+    """The work of one service in one cell."""
 
-    def __init__(self, service: str, limits: BatchLimits, budget: RepeatBudget) -> None:
+    def __init__(self, service: str, cell: Cell, limits: BatchLimits, budget: RepeatBudget) -> None:
         self.service = service
+        self.cell = cell
         self.limits = limits
         self.budget = budget
         self.tasks: dict[int, StageTask] = {}
@@ -95,12 +97,16 @@
         """The state of a target's incarnation."""
         return self.targets.setdefault((target.address, target.born), PoolTarget())
 
-    def note_freed(self, address: str, handles: Sequence[str]) -> None:
-        """Counts the room of results that were given up, whatever incarnation made them."""
+    def note_freed(self, address: str, handles: Sequence[str]) -> bool:
+        """Counts the room of results that were given up, whatever incarnation made them.
+
+        Returns whether that left more room.
+        """
+        freed = 0
         for (kept_at, _), state in self.targets.items():
             if kept_at == address:
-                for handle in handles:
-                    state.held.pop(handle, None)
+                freed += sum(state.held.pop(handle, None) is not None for handle in handles)
+        return freed > 0
 
     def forget_gone(self, known: Sequence[Target]) -> None:
         """Drops the states of incarnations that are gone and have no call in progress."""
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -7,9 +7,10 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from savoryfork.forward import batching
+from savoryfork.forward import batching, cells
 from savoryfork.forward.batching import Pick
 from savoryfork.forward.budget import RepeatBudget
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.connection import Connections, TargetError
 from savoryfork.forward.freeing import ResultFreer
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
@@ -72,7 +73,7 @@
         self.clock = clock
         self.limits = limits
         self.budget = budget
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[tuple[str, Cell], Pool] = {}
         self.numbers = itertools.count()
         self.background = background
         self.freer = ResultFreer(connections, wire, clock, background, self.note_freed)
@@ -81,14 +82,15 @@
         """The suspend-aware time in milliseconds."""
         return self.clock.monotonic_ms()
 
-    def pool(self, service: str) -> Pool | None:
-        """The pool of a service; None if it takes no stage work."""
+    def pool(self, service: str, cell: Cell) -> Pool | None:
+        """The pool of a service in a cell; None if it takes no stage work."""
         limits = self.limits(service)
         if limits is None:
             return None
-        pool = self.pools.get(service)
+        pool = self.pools.get((service, cell))
         if pool is None:
-            pool = self.pools[service] = Pool(service, limits, self.budget(service))
+            pool = Pool(service, cell, limits, self.budget(service))
+            self.pools[service, cell] = pool
         pool.limits = limits
         return pool
 
@@ -96,7 +98,7 @@
         """Does the work of one stage; its results are put into `work`, or the failure returned."""
         now = self.now()
         service = work.plans[stage].service
-        pool = self.pool(service)
+        pool = self.pool(service, work.cell)
         if pool is None or not self.registry.usable(service):
             return StageFailure.NO_TARGETS
         task = StageTask(next(self.numbers), work, stage, due_at)
@@ -150,7 +152,8 @@
 
     def usable(self, pool: Pool, now: float) -> list[Target]:
         """The targets that may get work of a pool; those with a stuck call only if all have."""
-        found = self.health.usable(self.registry.usable(pool.service), now)
+        targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
+        found = self.health.usable(targets, now)
         return [target for target in found if not pool.state(target).stuck] or found
 
     def status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
@@ -387,15 +390,15 @@
 
     def note_freed(self, service: str, address: str, handles: Sequence[str]) -> None:
         """Uses the room of results that a target has given up."""
-        pool = self.pools.get(service)
-        if pool is not None:
-            pool.note_freed(address, handles)
-            self.pump(pool)
+        for pool in self.pools.values():
+            if pool.service == service and pool.note_freed(address, handles):
+                self.pump(pool)
 
     def forget_gone(self) -> None:
         """Drops what concerns targets that are gone."""
         for pool in self.pools.values():
             pool.forget_gone(self.registry.known(pool.service))
+        self.pools = {key: p for key, p in self.pools.items() if p.tasks or p.targets}
 
     async def drained(self) -> None:
         """Waits until no work of other hosts is left here."""
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -8,7 +8,11 @@
 from savoryfork import settings
 from savoryfork.settings import ADDRESS
 
-SECONDS = {"type": "number", "exclusiveMinimum": 0}
+# A coordinator that uses a whole core exchanges some 20 Mbit/s with hosts and targets: 100 requests
+# a second with 16 handles of 40 bytes for each of three stages.
+MBPS_PER_CORE = 20.0
+
+POSITIVE = {"type": "number", "exclusiveMinimum": 0}
 PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
 
 SCHEMA: dict[str, Any] = {
@@ -36,11 +40,14 @@
         "internal_ports": {"type": "array", "items": PORT, "minItems": 1},
         "store_address": ADDRESS,
         "seed_peers": {"type": ["array", "null"], "items": ADDRESS},
-        "stop_grace_s": SECONDS,
-        "key_revocation_ms": SECONDS,
+        "stop_grace_s": POSITIVE,
+        "key_revocation_ms": POSITIVE,
         "retry_ratio": {"type": "number", "minimum": 0},
-        "retry_window_s": SECONDS,
+        "retry_window_s": POSITIVE,
         "retry_reserve": {"type": "number", "minimum": 0},
+        "processor_share": POSITIVE,
+        "processor_speed": POSITIVE,
+        "link_mbps": POSITIVE,
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
     },
 }
@@ -53,7 +60,8 @@
     are served on the first. `seed_peers` may be out of date. `stop_grace_s` is the time from
     SIGTERM to SIGKILL, `key_revocation_ms` the time in which a revoked key must stop working.
     Repeated requests of a service may be at most `retry_ratio` of the others and `retry_reserve`
-    more in each `retry_window_s`, over all hosts together.
+    more in each `retry_window_s`, over all hosts together. The host has `processor_share` of a core
+    that is `processor_speed` times as fast as an ordinary one, and a link of `link_mbps`.
     """
 
     host: str
@@ -69,8 +77,16 @@
     retry_window_s: float
     retry_reserve: float
     seed_peers: tuple[str, ...] = ()
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
+    link_mbps: float = 1000.0
     log_level: str = "INFO"
 
+    def strength(self) -> float:
+        """How much work for others this host can do, in ordinary cores."""
+        cores = self.processor_share * self.processor_speed
+        return min(cores, self.link_mbps / MBPS_PER_CORE)
+
 
 def parse(document: Any, file: str = "settings") -> ForwardSettings:
     """Checks a decoded document; raises UserError with file, path and reason.
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -6,6 +6,8 @@
 import logging
 from typing import Any
 
+from savoryfork.forward import cells
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.messages import FreeRequest, StageResult, WorkReply, WorkRequest
@@ -62,6 +64,7 @@
             remaining = work.deadline_at - now
             if remaining <= 0:
                 break
+            cell, owner = self.owner(work.request_id, now)
             request = WorkRequest(
                 work.request_id,
                 work.plans,
@@ -71,8 +74,8 @@
                 remaining,
                 work.aim_at - now,
                 work.zone,
+                cell,
             )
-            owner = self.owner(now)
             if owner == self.follower.members.own.address:
                 reply = await self.coordinator.handle(request)
             else:
@@ -95,9 +98,11 @@
             return
         raise StageError(StageFailure.LATE, -1, 0.0)
 
-    def owner(self, now: float) -> str:
-        """The host that gathers stage work."""
-        return self.follower.members.owners(COORDINATOR_DUTY, now)[0]
+    def owner(self, request_id: str, now: float) -> tuple[Cell, str]:
+        """The cell that does the stages of a request, and the host that gathers its work."""
+        members = self.follower.members
+        cell = cells.cell_of(request_id, cells.cell_count(len(members.alive(now))))
+        return cell, members.shared_owners(COORDINATOR_DUTY, cell.cells, now)[cell.number]
 
     # Calls to owners.
 
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from savoryfork.forward import planning
+from savoryfork.forward.cells import WHOLE, Cell
 from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import StagePlan
 
@@ -35,7 +36,8 @@
 
     `aim_at` is when the stages must have ended for the request to be on time, `zone` where the
     results are wanted. `made_by` is the host that had the results made. `late` says that the
-    request is not expected to be on time, `started` that a call was made for it.
+    request is not expected to be on time, `started` that a call was made for it. `cell` says which
+    of the targets may be used.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         deadline_at: float,
         aim_at: float,
         zone: str | None,
+        cell: Cell = WHOLE,
     ) -> None:
         self.request_id = request_id
         self.plans = tuple(plans)
@@ -57,6 +60,7 @@
         self.deadline_at = deadline_at
         self.aim_at = aim_at
         self.zone = zone
+        self.cell = cell
         self.made_by = ""
         self.late = False
         self.started = False
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -7,6 +7,7 @@
 import pytest
 
 from savoryfork.forward.batching import TargetStatus
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
 from savoryfork.forward.model import BatchLimits, StagePlan
@@ -37,7 +38,7 @@
     def now(self) -> float:
         return self.time
 
-    def pool(self, service: str) -> FakePool:
+    def pool(self, service: str, cell: Cell) -> FakePool:
         return self.fake
 
     def usable(self, *_: object) -> list[int]:
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -8,6 +8,7 @@
 import pytest
 
 from savoryfork.errors import UserError
+from savoryfork.forward import cells
 from savoryfork.forward.follower import CONFIG_WAIT_MS
 from tests.forward.deployment import Deployment, configuration, until
 
@@ -246,11 +247,27 @@
             coordinators = [h for h in hosts if h.pools.pools]
             assert len(coordinators) == 1
 
+    async def test_cells_share_neither_coordinator_nor_target(self, monkeypatch):
+        """With one coordinator for 82 hosts, its decisions took more than a core."""
+        monkeypatch.setattr(cells, "HOSTS_PER_CELL", 1)
+        async with Deployment(hosts=2) as deployment:
+            hosts = deployment.hosts
+            await until(lambda: all(len(h.members.alive(h.follower.now())) == 2 for h in hosts))
+            calls = [
+                deployment.call("/chat/x", host=n % 2, Pieces="1,8", **TOKENS) for n in range(12)
+            ]
+            assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
+            used = [
+                {address for pool in host.pools.pools.values() for address, _ in pool.targets}
+                for host in hosts
+            ]
+            assert used[0] and used[1] and not used[0] & used[1]
+
     async def test_work_goes_on_without_the_coordinator(self):
         async with Deployment(hosts=3) as deployment:
             hosts = deployment.hosts
             await until(lambda: all(len(h.members.alive(h.follower.now())) == 3 for h in hosts))
-            owner = hosts[0].stages.owner(hosts[0].follower.now())
+            owner = hosts[0].stages.owner("r", hosts[0].follower.now())[1]
             gone = next(h for h in hosts if h.settings.peer_address == owner)
             others = [n for n, h in enumerate(hosts) if h is not gone]
             for replica in deployment.replicas["cave"]:
--- a/tests/forward/test_members.py
+++ b/tests/forward/test_members.py
@@ -30,6 +30,19 @@
             members.merge([member(first, 2, leaving=True)], 0.0)
         assert members.owners("duty", 0.0)[-1] == first
 
+    def test_weak_hosts_come_after_strong_ones(self):
+        """A host with a quarter of a core and 5 Mbit/s became coordinator of a grown site."""
+        members = view(NAMES[0], NAMES)
+        members.own = members.own._replace(strength=0.2)
+        members.merge([member(NAMES[1], 2, strength=0.2)], 0.0)
+        assert set(members.owners("duty", 0.0)[-2:]) == {NAMES[0], NAMES[1]}
+
+    def test_the_parts_of_a_duty_go_to_different_hosts(self):
+        members = view(NAMES[0], NAMES)
+        owners = members.shared_owners("duty", 3, 0.0)
+        assert len(set(owners)) == 3
+        assert members.shared_owners("duty", 7, 0.0)[:3] == owners
+
 
 class TestLife:
     def test_a_silent_host_is_gone(self):
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from savoryfork.forward.cells import WHOLE
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.messages import StageResult
 from tests.forward.deployment import Deployment, until
@@ -78,7 +79,7 @@
         counted their room as taken until they would have expired."""
         async with Deployment(hosts=2) as deployment:
             first = deployment.hosts[0]
-            address = first.stages.owner(first.stages.now())
+            address = first.stages.owner("r", first.stages.now())[1]
             maker, other = sorted(
                 deployment.hosts, key=lambda host: host.settings.peer_address != address
             )
@@ -90,7 +91,7 @@
             )
             await until(lambda: any(r.ran for r in deployment.replicas["engine"]))
             for host in deployment.hosts:
-                host.stages.owner = lambda now: other.settings.peer_address
+                host.stages.owner = lambda *_: (WHOLE, other.settings.peer_address)
             assert (await task)[0] == 200
             await until(lambda: not held(maker), 1.0)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -25,6 +25,7 @@
     "internal_ports": [7740, 7755],
     "seed_nodes": ["10.1.0.41:8628"],
     "platform": {"address": "10.200.1.7:8624"},
+    "limits": {"cpu_share": 0.5, "cpu_cores": 3, "link_mbps": 10.0},
     "bounds": {
         "grace_s": 8,
         "revoke_ms": 5000,
@@ -53,6 +54,11 @@
         config = settings.parse(filled())
         assert config.peer_address == "10.1.0.41:8628" and config.stop_grace_s == 8
 
+    def test_strength_is_bounded_by_processor_and_link(self):
+        config = settings.parse(filled())
+        assert config.strength() == 0.5
+        assert config._replace(link_mbps=1000.0).strength() == 1.5
+
     def test_no_seeds_are_allowed(self):
         assert settings.parse({**filled(), "seed_peers": None}).seed_peers == ()
 
