--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -11,6 +11,7 @@
 from savoryfork.forward.batching import call_ms
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.planning import ServiceQueue, Verdict
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -44,8 +45,9 @@
     moment after a change two may do it, which costs only order and fullness of calls.
     """
 
-    def __init__(self, pools: Pools) -> None:
+    def __init__(self, pools: Pools, metrics: ForwardMetrics) -> None:
         self.pools = pools
+        self.metrics = metrics
         self.active: dict[int, Work] = {}
         self.arrivals: deque[Arrival] = deque()
         self.delays = Window(DELAYS)
@@ -99,6 +101,7 @@
             left_ms=round(work.deadline_at - now),
             active=len(self.active),
         )
+        self.metrics.stage_work.inc({"decision": verdict.value})
         if verdict is Verdict.REFUSED:
             retry_ms = planning.retry_ms(late_at, now)
             raise StageError(StageFailure.OVERLOADED, work.present()[0], retry_ms)
@@ -129,6 +132,7 @@
                     expected_ms=round(end - now),
                     left_ms=round(work.deadline_at - now),
                 )
+                self.metrics.stage_work.inc({"decision": "given_up"})
                 self.pools.refuse(work)
 
     def shortest_ms(self, work: Work) -> float:
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -17,6 +17,7 @@
 from savoryfork.forward.knowledge import Entry, Register, Update
 from savoryfork.forward.members import Members
 from savoryfork.forward.messages import SyncReply, SyncRequest
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Catalog
 from savoryfork.forward.placement import EngineLoad
 from savoryfork.forward.registry import OUTAGE_MS, Registry
@@ -99,6 +100,7 @@
         clock: Clock,
         rng: random.Random,
         loads: Callable[[], dict[str, tuple[float, float]]],
+        metrics: ForwardMetrics,
     ) -> None:
         self.store = store
         self.wire = wire
@@ -107,6 +109,7 @@
         self.clock = clock
         self.rng = rng
         self.loads = loads
+        self.metrics = metrics
         self.registers = {topic: Register() for topic in Topic}
         self.registry = Registry(wire.decode_target)
         self.catalog: Catalog | None = None
@@ -171,6 +174,8 @@
 
     def note_store(self, topic: Topic, ok: bool, reason: str) -> None:
         """Notes whether a read got its answer, and tells others when that changes."""
+        result = "answered" if ok else "failed"
+        self.metrics.store_answers.inc({"register": topic.value, "result": result})
         before = self.store_ok.get(topic, True)
         self.store_ok[topic] = ok
         both = all(self.store_ok.values())
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -17,6 +17,7 @@
 from savoryfork.errors import UserError
 from savoryfork.forward.budget import RepeatBudget
 from savoryfork.forward.connection import Connections
+from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.entry import Entry
 from savoryfork.forward.follower import Follower, Store, Topic
 from savoryfork.forward.forwarder import Forwarder
@@ -137,6 +138,7 @@
             self.clock,
             random.Random(config.peer_address),
             lambda: self.selector.own_loads(),
+            self.metrics,
         )
         self.health = HealthTracker()
         self.connections = Connections()
@@ -150,8 +152,10 @@
             self.limits,
             self.budget,
             self.background,
+            self.metrics,
         )
-        self.stages = Stages(self.follower, self.pools, self.peers, self.background)
+        coordinator = Coordinator(self.pools, self.metrics)
+        self.stages = Stages(self.follower, coordinator, self.peers, self.background)
         self.gate = Gate(self.follower, config.key_revocation_ms)
         self.selector = TargetSelector(self.follower, self.health, config.availability_zone)
         self.forwarder = Forwarder(
@@ -245,6 +249,7 @@
         metrics.members.set({}, len(self.members.alive(self.follower.now())))
         metrics.pause.set({}, self.timer.take_pause())
         metrics.log_dropped.set({}, logs.dropped())
+        self.pools.measure()
         body, headers = metrics.render(request.headers.getall("Accept", []))
         return web.Response(body=body, headers=headers)
 
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -27,6 +27,24 @@
         )
         self.config_age = self.gauge("savoryfork_config_age_ms", "Age of the configuration")
         self.members = self.gauge("savoryfork_members", "Hosts that are taken to be alive")
+        self.store_answers = self.counter(
+            "savoryfork_store_reads_total", "Reads of the store by register and result"
+        )
+        self.stage_work = self.counter(
+            "savoryfork_stage_work_total", "Requests with stage work by the decision on them"
+        )
+        self.stage_calls = self.counter(
+            "savoryfork_stage_calls_total", "Calls to stage targets by service and result"
+        )
+        self.stage_call_seconds = self.histogram(
+            "savoryfork_stage_call_seconds", "Duration of calls to stage targets by service"
+        )
+        self.waiting_pieces = self.gauge(
+            "savoryfork_waiting_pieces", "Pieces that wait for a stage target, by service"
+        )
+        self.held_results = self.gauge(
+            "savoryfork_held_results", "Results that are counted as kept by targets, by service"
+        )
         self.log_dropped = self.gauge("savoryfork_log_lines_dropped", "Log lines left out")
 
     def request(self, outcome: str, kind: str, took_ms: float) -> None:
@@ -34,6 +52,11 @@
         self.requests.inc({"outcome": outcome, "kind": kind})
         self.request_seconds.observe({"kind": kind}, took_ms / 1000)
 
+    def stage_call(self, service: str, result: str, took_ms: float) -> None:
+        """Counts a call to a stage target that has ended."""
+        self.stage_calls.inc({"service": service, "result": result})
+        self.stage_call_seconds.observe({"service": service}, took_ms / 1000)
+
     def first_event(self, took_ms: float) -> None:
         """Notes the time to the first event of a stream."""
         self.first_event_seconds.observe({}, took_ms / 1000)
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -97,6 +97,10 @@
         """The state of a target's incarnation."""
         return self.targets.setdefault((target.address, target.born), PoolTarget())
 
+    def waiting(self) -> int:
+        """The pieces that wait for a target."""
+        return sum(len(task.waiting) for task in self.tasks.values())
+
     def note_freed(self, address: str, handles: Sequence[str]) -> bool:
         """Counts the room of results that were given up, whatever incarnation made them.
 
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 from savoryfork.forward import batching, cells
@@ -15,6 +16,7 @@
 from savoryfork.forward.freeing import ResultFreer
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
 from savoryfork.forward.messages import StageResult
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.pool import Pool, PoolTarget, StageTask
 from savoryfork.forward.registry import Registry
@@ -65,6 +67,7 @@
         limits: Callable[[str], BatchLimits | None],
         budget: Callable[[str], RepeatBudget],
         background: Background,
+        metrics: ForwardMetrics,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -76,6 +79,7 @@
         self.pools: dict[tuple[str, Cell], Pool] = {}
         self.numbers = itertools.count()
         self.background = background
+        self.metrics = metrics
         self.freer = ResultFreer(connections, wire, clock, background, self.note_freed)
 
     def now(self) -> float:
@@ -236,10 +240,12 @@
             service=pool.service,
             pieces=len(batch),
             requests=len({task.number for task, _ in batch}),
-            waiting=sum(len(task.waiting) for task in pool.tasks.values()),
+            waiting=pool.waiting(),
+            room_kb=round(state.room(pool.limits, now) / 1000),
             took_ms=round(took),
             error=error.reason if error else None,
         )
+        self.metrics.stage_call(pool.service, error.reason if error else "answered", took)
         if error is None:
             ratio = took / max(1.0, batching.call_ms(pool.limits, len(batch)))
             state.pace += PACE_GAIN * (ratio - state.pace)
@@ -376,6 +382,17 @@
         if len(task.results) == task.pieces:
             task.end(None)
 
+    def measure(self) -> None:
+        """Brings the gauges up to date."""
+        waiting: Counter[str] = Counter()
+        held: Counter[str] = Counter()
+        for pool in self.pools.values():
+            waiting[pool.service] += pool.waiting()
+            held[pool.service] += sum(len(state.held) for state in pool.targets.values())
+        for service, count in waiting.items():
+            self.metrics.waiting_pieces.set({"service": service}, count)
+            self.metrics.held_results.set({"service": service}, held[service])
+
     def refuse(self, work: Work) -> None:
         """Ends the waiting stages of work that was not begun."""
         for pool in self.pools.values():
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -11,7 +11,6 @@
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.messages import FreeRequest, StageResult, WorkReply, WorkRequest
-from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.peers import PeerClient, PeerUnavailable
 from savoryfork.util import logs
@@ -39,11 +38,15 @@
     """Runs stages on behalf of this host's callers."""
 
     def __init__(
-        self, follower: Follower, pools: Pools, peers: PeerClient, background: Background
+        self,
+        follower: Follower,
+        coordinator: Coordinator,
+        peers: PeerClient,
+        background: Background,
     ) -> None:
         self.follower = follower
-        self.pools = pools
-        self.coordinator = Coordinator(pools)
+        self.coordinator = coordinator
+        self.pools = coordinator.pools
         self.peers = peers
         self.background = background
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -10,6 +10,7 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits, StagePlan
 from savoryfork.forward.work import StageFailure, Work
 
@@ -66,7 +67,7 @@
 
 @pytest.fixture
 def coordinator():
-    return Coordinator(FakePools())
+    return Coordinator(FakePools(), ForwardMetrics())
 
 
 def request(number: int, priority: int = 1, aim_ms: float = 1_300.0) -> WorkRequest:
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -202,12 +202,21 @@
 class TestMetrics:
     async def test_what_the_page_for_operators_names_is_served(self, deployment):
         await deployment.call("/book/x")
+        await deployment.call("/chat/x", Pieces="1,8", **TOKENS)
         ip = deployment.hosts[0].settings.caller_address.partition(":")[0]
         port = deployment.hosts[0].settings.internal_ports[0]
         async with deployment.session.get(f"http://{ip}:{port}/metrics") as response:
             text = await response.text()
         for name in ("requests_total", "request_seconds", "config_age_ms", "members"):
             assert f"savoryfork_{name}" in text
+        for line in (
+            'savoryfork_stage_work_total{decision="on_time"} 1',
+            'savoryfork_stage_calls_total{result="answered",service="cave"} 1',
+            'savoryfork_waiting_pieces{service="carri"} 0',
+        ):
+            assert line in text
+        assert 'savoryfork_held_results{service="cave"}' in text
+        assert 'savoryfork_store_reads_total{register="targets",result="answered"}' in text
         calls = next(x for x in text.splitlines() if x.startswith("savoryfork_store_calls"))
         assert float(calls.split()[-1]) > 0
 
