--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -9,7 +9,9 @@
 
 from savoryfork.forward import planning
 from savoryfork.forward.batching import call_ms
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.planning import ServiceQueue, Verdict
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -43,8 +45,9 @@
     moment after a change two may do it, which costs only order and fullness of calls.
     """
 
-    def __init__(self, pools: Pools) -> None:
+    def __init__(self, pools: Pools, metrics: ForwardMetrics) -> None:
         self.pools = pools
+        self.metrics = metrics
         self.active: dict[int, Work] = {}
         self.arrivals: deque[Arrival] = deque()
         self.delays = Window(DELAYS)
@@ -61,6 +64,7 @@
             now + request.remaining_ms,
             now + request.aim_ms,
             request.zone,
+            request.cell,
         )
         try:
             self.admit(work, now)
@@ -75,7 +79,8 @@
         """Decides whether the work is begun; raises StageError if it is refused."""
         for stage in work.present():
             service = work.plans[stage].service
-            if self.pools.pool(service) is None or not self.pools.registry.usable(service):
+            pool = self.pools.pool(service, work.cell)
+            if pool is None or not self.pools.registry.usable(service):
                 raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
         on_time_at = self.expected_end(work, now, late=False)
         late_at = self.expected_end(work, now, late=True)
@@ -96,6 +101,7 @@
             left_ms=round(work.deadline_at - now),
             active=len(self.active),
         )
+        self.metrics.stage_work.inc({"decision": verdict.value})
         if verdict is Verdict.REFUSED:
             retry_ms = planning.retry_ms(late_at, now)
             raise StageError(StageFailure.OVERLOADED, work.present()[0], retry_ms)
@@ -126,6 +132,7 @@
                     expected_ms=round(end - now),
                     left_ms=round(work.deadline_at - now),
                 )
+                self.metrics.stage_work.inc({"decision": "given_up"})
                 self.pools.refuse(work)
 
     def shortest_ms(self, work: Work) -> float:
@@ -140,7 +147,7 @@
 
     def goes_before(self, other: Work, work: Work, late: bool) -> bool:
         """Whether the pieces of `other` are made before those of `work`."""
-        if other is work:
+        if other is work or other.cell != work.cell:
             return False
         if not other.late or other.results:
             return late or other.priority <= work.priority
@@ -155,6 +162,8 @@
         for arrival in self.arrivals:
             if arrival.at < now - ARRIVALS_MS or arrival.work is work:
                 continue
+            if arrival.work.cell != work.cell:
+                continue
             if arrival.work.priority < work.priority or (late and not arrival.work.late):
                 for stage in arrival.work.present():
                     service = arrival.work.plans[stage].service
@@ -177,13 +186,13 @@
         for stage in work.present():
             service = work.plans[stage].service
             if service not in found:
-                queue = self.queue(service, ahead.get(service, 0.0), now)
+                queue = self.queue(service, work.cell, ahead.get(service, 0.0), now)
                 found[service] = queue._replace(arriving=arriving.get(service, 0.0))
         return found
 
-    def queue(self, service: str, ahead: float, now: float) -> ServiceQueue:
-        """The queue of one service, given the unfinished pieces that go first."""
-        pool = self.pools.pool(service)
+    def queue(self, service: str, cell: Cell, ahead: float, now: float) -> ServiceQueue:
+        """The queue of one service in a cell, given the unfinished pieces that go first."""
+        pool = self.pools.pool(service, cell)
         assert pool is not None
         targets = [self.pools.status(pool, t, now) for t in self.pools.usable(pool, now)]
         started = sum(
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -5,15 +5,18 @@
 import asyncio
 import itertools
 import logging
+from collections import Counter
 from collections.abc import Callable, Sequence
 
-from savoryfork.forward import batching
+from savoryfork.forward import batching, cells
 from savoryfork.forward.batching import Pick
 from savoryfork.forward.budget import RepeatBudget
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.connection import Connections, TargetError
 from savoryfork.forward.freeing import ResultFreer
 from savoryfork.forward.health import CERTAIN, LIKELY, HealthTracker
 from savoryfork.forward.messages import StageResult
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.pool import Pool, PoolTarget, StageTask
 from savoryfork.forward.registry import Registry
@@ -64,6 +67,7 @@
         limits: Callable[[str], BatchLimits | None],
         budget: Callable[[str], RepeatBudget],
         background: Background,
+        metrics: ForwardMetrics,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -72,23 +76,25 @@
         self.clock = clock
         self.limits = limits
         self.budget = budget
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[tuple[str, Cell], Pool] = {}
         self.numbers = itertools.count()
         self.background = background
+        self.metrics = metrics
         self.freer = ResultFreer(connections, wire, clock, background, self.note_freed)
 
     def now(self) -> float:
         """The suspend-aware time in milliseconds."""
         return self.clock.monotonic_ms()
 
-    def pool(self, service: str) -> Pool | None:
-        """The pool of a service; None if it takes no stage work."""
+    def pool(self, service: str, cell: Cell) -> Pool | None:
+        """The pool of a service in a cell; None if it takes no stage work."""
         limits = self.limits(service)
         if limits is None:
             return None
-        pool = self.pools.get(service)
+        pool = self.pools.get((service, cell))
         if pool is None:
-            pool = self.pools[service] = Pool(service, limits, self.budget(service))
+            pool = Pool(service, cell, limits, self.budget(service))
+            self.pools[service, cell] = pool
         pool.limits = limits
         return pool
 
@@ -96,7 +102,7 @@
         """Does the work of one stage; its results are put into `work`, or the failure returned."""
         now = self.now()
         service = work.plans[stage].service
-        pool = self.pool(service)
+        pool = self.pool(service, work.cell)
         if pool is None or not self.registry.usable(service):
             return StageFailure.NO_TARGETS
         task = StageTask(next(self.numbers), work, stage, due_at)
@@ -150,7 +156,8 @@
 
     def usable(self, pool: Pool, now: float) -> list[Target]:
         """The targets that may get work of a pool; those with a stuck call only if all have."""
-        found = self.health.usable(self.registry.usable(pool.service), now)
+        targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
+        found = self.health.usable(targets, now)
         return [target for target in found if not pool.state(target).stuck] or found
 
     def status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
@@ -233,10 +240,12 @@
             service=pool.service,
             pieces=len(batch),
             requests=len({task.number for task, _ in batch}),
-            waiting=sum(len(task.waiting) for task in pool.tasks.values()),
+            waiting=pool.waiting(),
+            room_kb=round(state.room(pool.limits, now) / 1000),
             took_ms=round(took),
             error=error.reason if error else None,
         )
+        self.metrics.stage_call(pool.service, error.reason if error else "answered", took)
         if error is None:
             ratio = took / max(1.0, batching.call_ms(pool.limits, len(batch)))
             state.pace += PACE_GAIN * (ratio - state.pace)
@@ -373,6 +382,17 @@
         if len(task.results) == task.pieces:
             task.end(None)
 
+    def measure(self) -> None:
+        """Brings the gauges up to date."""
+        waiting: Counter[str] = Counter()
+        held: Counter[str] = Counter()
+        for pool in self.pools.values():
+            waiting[pool.service] += pool.waiting()
+            held[pool.service] += sum(len(state.held) for state in pool.targets.values())
+        for service, count in waiting.items():
+            self.metrics.waiting_pieces.set({"service": service}, count)
+            self.metrics.held_results.set({"service": service}, held[service])
+
     def refuse(self, work: Work) -> None:
         """Ends the waiting stages of work that was not begun."""
         for pool in self.pools.values():
@@ -387,15 +407,15 @@
 
     def note_freed(self, service: str, address: str, handles: Sequence[str]) -> None:
         """Uses the room of results that a target has given up."""
-        pool = self.pools.get(service)
-        if pool is not None:
-            pool.note_freed(address, handles)
-            self.pump(pool)
+        for pool in self.pools.values():
+            if pool.service == service and pool.note_freed(address, handles):
+                self.pump(pool)
 
     def forget_gone(self) -> None:
         """Drops what concerns targets that are gone."""
         for pool in self.pools.values():
             pool.forget_gone(self.registry.known(pool.service))
+        self.pools = {key: p for key, p in self.pools.items() if p.tasks or p.targets}
 
     async def drained(self) -> None:
         """Waits until no work of other hosts is left here."""
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -7,8 +7,10 @@
 import pytest
 
 from savoryfork.forward.batching import TargetStatus
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
+from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits, StagePlan
 from savoryfork.forward.work import StageFailure, Work
 
@@ -37,7 +39,7 @@
     def now(self) -> float:
         return self.time
 
-    def pool(self, service: str) -> FakePool:
+    def pool(self, service: str, cell: Cell) -> FakePool:
         return self.fake
 
     def usable(self, *_: object) -> list[int]:
@@ -65,7 +67,7 @@
 
 @pytest.fixture
 def coordinator():
-    return Coordinator(FakePools())
+    return Coordinator(FakePools(), ForwardMetrics())
 
 
 def request(number: int, priority: int = 1, aim_ms: float = 1_300.0) -> WorkRequest:
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -8,6 +8,7 @@
 import pytest
 
 from savoryfork.errors import UserError
+from savoryfork.forward import cells
 from savoryfork.forward.follower import CONFIG_WAIT_MS
 from tests.forward.deployment import Deployment, configuration, until
 
@@ -201,12 +202,21 @@
 class TestMetrics:
     async def test_what_the_page_for_operators_names_is_served(self, deployment):
         await deployment.call("/book/x")
+        await deployment.call("/chat/x", Pieces="1,8", **TOKENS)
         ip = deployment.hosts[0].settings.caller_address.partition(":")[0]
         port = deployment.hosts[0].settings.internal_ports[0]
         async with deployment.session.get(f"http://{ip}:{port}/metrics") as response:
             text = await response.text()
         for name in ("requests_total", "request_seconds", "config_age_ms", "members"):
             assert f"savoryfork_{name}" in text
+        for line in (
+            'savoryfork_stage_work_total{decision="on_time"} 1',
+            'savoryfork_stage_calls_total{result="answered",service="cave"} 1',
+            'savoryfork_waiting_pieces{service="carri"} 0',
+        ):
+            assert line in text
+        assert 'savoryfork_held_results{service="cave"}' in text
+        assert 'savoryfork_store_reads_total{register="targets",result="answered"}' in text
         calls = next(x for x in text.splitlines() if x.startswith("savoryfork_store_calls"))
         assert float(calls.split()[-1]) > 0
 
@@ -246,11 +256,27 @@
             coordinators = [h for h in hosts if h.pools.pools]
             assert len(coordinators) == 1
 
+    async def test_cells_share_neither_coordinator_nor_target(self, monkeypatch):
+        """With one coordinator for 82 hosts, its decisions took more than a core."""
+        monkeypatch.setattr(cells, "HOSTS_PER_CELL", 1)
+        async with Deployment(hosts=2) as deployment:
+            hosts = deployment.hosts
+            await until(lambda: all(len(h.members.alive(h.follower.now())) == 2 for h in hosts))
+            calls = [
+                deployment.call("/chat/x", host=n % 2, Pieces="1,8", **TOKENS) for n in range(12)
+            ]
+            assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
+            used = [
+                {address for pool in host.pools.pools.values() for address, _ in pool.targets}
+                for host in hosts
+            ]
+            assert used[0] and used[1] and not used[0] & used[1]
+
     async def test_work_goes_on_without_the_coordinator(self):
         async with Deployment(hosts=3) as deployment:
             hosts = deployment.hosts
             await until(lambda: all(len(h.members.alive(h.follower.now())) == 3 for h in hosts))
-            owner = hosts[0].stages.owner(hosts[0].follower.now())
+            owner = hosts[0].stages.owner("r", hosts[0].follower.now())[1]
             gone = next(h for h in hosts if h.settings.peer_address == owner)
             others = [n for n, h in enumerate(hosts) if h is not gone]
             for replica in deployment.replicas["cave"]:
