Check deploy files, templates and settings in savoryfork validate

A bad settings file was found only when its host refused to start, a bad deploy file only by the platform. validate takes several paths now: directories as before, settings of either kind of host (.json), and deploy files (.toml) with the template that they name. Each fault has file, path and reason; the platform's field names stay in savoryfork/platform/deploy.py.

--- a/savoryfork/files.py
+++ b/savoryfork/files.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import jsonschema
 
@@ -27,6 +27,7 @@
     Stage,
     Workspace,
 )
+from savoryfork.settings import Problem
 
 MAX_PROBLEMS = 20
 MAX_REASON = 200
@@ -128,14 +129,6 @@
 Item = Service | Pipeline | Workspace
 
 
-class Problem(NamedTuple):
-    """One fault of one file; `path` leads to the faulty value, `.` is the whole file."""
-
-    file: str
-    path: str
-    reason: str
-
-
 def name_of(path: str) -> str:
     """The name that a file defines.
 
--- a/savoryfork/settings.py
+++ b/savoryfork/settings.py
@@ -70,14 +70,28 @@
     seed_peers: tuple[str, ...] = ()
 
 
-def check(document: Any, schema: dict[str, Any], file: str) -> None:
-    """Checks a decoded document; raises UserError with file, path and reason of each fault."""
+class Problem(NamedTuple):
+    """One fault of one file; `path` leads to the faulty value, `.` is the whole file."""
+
+    file: str
+    path: str
+    reason: str
+
+
+def problems(document: Any, schema: dict[str, Any], file: str) -> list[Problem]:
+    """The faults of a decoded document, in order of path."""
     errors = sorted(
-        jsonschema.Draft202012Validator(schema).iter_errors(document), key=lambda e: list(e.path)
+        jsonschema.Draft202012Validator(schema).iter_errors(document),
+        key=lambda error: [str(step) for step in error.path],
     )
-    if errors:
-        lines = [f"{file}: {'/'.join(map(str, e.path)) or '.'}: {e.message}" for e in errors]
-        raise UserError("\n".join(lines))
+    return [Problem(file, "/".join(map(str, e.path)) or ".", e.message) for e in errors]
+
+
+def check(document: Any, schema: dict[str, Any], file: str) -> None:
+    """Checks a decoded document; raises UserError with file, path and reason of each fault."""
+    found = problems(document, schema, file)
+    if found:
+        raise UserError("\n".join(": ".join(problem) for problem in found))
 
 
 def parse(document: Any, file: str = "settings") -> Settings:
--- a/tests/ui/test_commands.py
+++ b/tests/ui/test_commands.py
@@ -70,6 +70,16 @@
         )
         assert main(["validate", "examples/nasr"]) == 0
 
+    def test_settings_and_deploy_files_are_checked_too(self, tmp_path, capsys):
+        """A bad settings file was found only when its host refused to start."""
+        path = tmp_path / "host.json"
+        path.write_text('{"host": "", "store_address": "nowhere"}')
+        assert main(["validate", "deploy/system.toml", str(path)]) == 1
+        lines = capsys.readouterr().out.splitlines()
+        assert f"{path}: host: '' should be non-empty" in lines
+        assert any(line.startswith(f"{path}: store_address: ") for line in lines)
+        assert any(line.startswith(f"{path}: .: 'availability_zone'") for line in lines)
+
 
 class TestPublish:
     async def test_publish_show_diff_and_remove(self, tmp_path: Path, capsys: Any) -> None:
