Send callers back later in an outage of the store

Keyed requests got 503 with Retry-After 0.4 s whether one host or all of them had lost the store. Outages last 4 to 9 s on the sites and refusals begin after 3 s of one, so a caller with one more try spent it in the same outage. When no other host reaches the store, Retry-After is 2.5 s now; callers cut it to a third of the time they have left. A host that alone is cut off still says 0.4 s.

The outage test failed before.

Also: a SIGHUP while a host starts no longer ends its process. The entry point ignores SIGHUP before it imports anything; the settings are read later. After the stop SIGHUP is ignored too, as its handler would use a closed loop.

soak/: `make soak SEED=n` runs three real forwarding hosts against stand-ins behind loopback proxies, under kills, stops, freezes, signals in series, store outages, silent, one-way, slow and reset connections, refusing and leaving targets and rotating keys, all from one seed and overlapping. It checks what callers and targets saw: right and whole answers, runs at most as often as allowed, refusals that did not run, revoked keys, deadlines, cuts at planned stops, exits, recovery.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: demo test lint bench format proto
+SEED ?= 1
+
+.PHONY: demo test lint bench soak format proto
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -16,13 +18,16 @@
 	$(PY) -m pytest
 
 lint: $(VENV)/.installed
-	$(VENV)/bin/black --check --quiet savoryfork standins bench tests || $(VENV)/bin/black --check savoryfork standins bench tests
-	$(VENV)/bin/ruff check --no-cache savoryfork standins bench tests
+	$(VENV)/bin/black --check --quiet savoryfork standins bench soak tests || $(VENV)/bin/black --check savoryfork standins bench soak tests
+	$(VENV)/bin/ruff check --no-cache savoryfork standins bench soak tests
 	$(VENV)/bin/mypy
 
 format: $(VENV)/.installed
-	$(VENV)/bin/ruff check --no-cache --fix savoryfork standins bench tests
-	$(VENV)/bin/black --quiet savoryfork standins bench tests
+	$(VENV)/bin/ruff check --no-cache --fix savoryfork standins bench soak tests
+	$(VENV)/bin/black --quiet savoryfork standins bench soak tests
+
+soak: $(VENV)/.installed
+	$(PY) -m soak --seed=$(SEED)
 
 bench: $(VENV)/.installed
 	mkdir -p run
--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -6,7 +6,7 @@
 from savoryfork.forward import catalog as catalogs
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.model import Catalog, Repeat
-from savoryfork.forward.run import Run, patience_ms
+from savoryfork.forward.run import RETRY_MS, Run, patience_ms
 
 # Part of the time for the revocation of keys after which this host no longer trusts what it
 # knows. The age counts from before the store's read, and callers' requests are sent before they
@@ -17,6 +17,24 @@
 RETURN_MS = 5.0
 
 
+# When a caller may come back while no host reaches the store: outages on the sites last 4 to 9 s,
+# of which over 3 s have passed when keyed requests are first refused. Callers cut this to a third
+# of the time that they have left.
+OUTAGE_RETRY_MS = 2_500.0
+
+
+def stale_retry_ms(others_reach_store: bool) -> float:
+    """When a caller may come back whose key can't be judged here.
+
+    Load pattern answered: the store is lost to all hosts for some seconds. Callers with one more
+    try that came back after 0.4 s were refused for good long before the store was back.
+
+    >>> stale_retry_ms(True), stale_retry_ms(False)
+    (400.0, 2500.0)
+    """
+    return RETRY_MS if others_reach_store else OUTAGE_RETRY_MS
+
+
 class Gate:
     """The entrance of this host. Keys are judged again before each sending."""
 
@@ -65,6 +83,8 @@
         """Raises if this host's configuration may be out of date."""
         run.config_age_ms = self.follower.config_age_ms()
         if run.config_age_ms > self.trusted_ms:
+            members = self.follower.members
+            run.retry_ms = stale_retry_ms(members.others_reach_store(self.follower.now()))
             raise ServiceError(
                 ErrorKind.STALE_CONFIGURATION,
                 "this host has lost touch with the configuration; try another host",
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -369,6 +369,6 @@
         catch_signals=(),
     ) as loop:
         loop.run_until_complete(service.stopped.wait())
-        for number in STOP_SIGNALS:
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
             signal.signal(number, signal.SIG_IGN)
     logs.flush()
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -127,6 +127,10 @@
             self.owners(READER_DUTY, now), key=lambda address: not alive[address].store_ok
         )
 
+    def others_reach_store(self, now: float) -> bool:
+        """Whether another host said lately that the store answers it."""
+        return any(member.store_ok for member in self.alive(now) if member is not self.own)
+
     def source(self, now: float) -> str | None:
         """The host to take the store's news from; None if this host reads it itself.
 
--- a/savoryfork/platform/__main__.py
+++ b/savoryfork/platform/__main__.py
@@ -1,51 +1,12 @@
 """`python3 -m savoryfork.platform`: a forwarding host on the users' platform."""
 
-from __future__ import annotations
-
-import os
-import sys
-
-from absl import app, flags
-
-from savoryfork.errors import UserError
-from savoryfork.forward import host, settings
-from savoryfork.platform.store import PlatformStore
-from savoryfork.platform.wire import PlatformWire
-
-# The platform names the settings file in this variable.
-SETTINGS_VARIABLE = "SAVORYFORK_SETTINGS"
-
-FLAGS = flags.FLAGS
-flags.DEFINE_string(
-    "settings", None, f"JSON file with the settings of this host (default: ${SETTINGS_VARIABLE})"
-)
-flags.DEFINE_bool("check", False, "only check the settings file")
-
-
-def start(argv: list[str]) -> int:
-    """Reads the settings and runs the host; returns the exit code."""
-    path = FLAGS.settings or os.environ.get(SETTINGS_VARIABLE)
-    if path is None or len(argv) > 1:
-        print(
-            f"usage: python3 -m savoryfork.platform --settings=FILE (or {SETTINGS_VARIABLE})",
-            file=sys.stderr,
-        )
-        return 2
-    try:
-        config = settings.load(path)
-    except UserError as error:
-        print(error, file=sys.stderr)
-        return 2
-    if not FLAGS.check:
-        host.run_host(
-            config,
-            PlatformWire(),
-            PlatformStore,
-            lambda: settings.load(path),
-            lambda: settings.version(path),
-        )
-    return 0
+import signal
 
+# The imports take most of a second, in which a SIGHUP would end the process by default. The
+# settings are read after them, so a change that the signal tells of is not missed.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 if __name__ == "__main__":
-    app.run(start)
+    from savoryfork.platform import program
+
+    program.main()
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,313 @@
+"""The deployment of a run: stand-ins in this process, forwarding hosts as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from savoryfork.platform.wire import PlatformWire
+from soak.faults import Fault
+from soak.proxy import Proxy
+from standins.keyedstore import KeyedStore
+from standins.replicas import Replica
+
+SERVICES = ("plain", "engine", "cave", "carri")
+REPLICAS = 2
+DEADLINE_MS = 3_000
+
+# A host that was killed is started again after this, as a supervisor would.
+RESTART_S = 0.3
+
+# A host that is asked to stop has this long.
+GRACE_S = 8.0
+
+# An interpreter that has just started can't handle a SIGHUP yet.
+BOOT_S = 0.3
+
+# A host is ready within this, on a machine that runs other things as well.
+READY_S = 30.0
+
+PROBE_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+
+STAGE = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
+ROUTES: list[dict[str, Any]] = [
+    {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
+    {
+        "name": "view",
+        "path_prefix": "/view/",
+        "route_kind": "idempotent",
+        "service": "plain",
+        "max_attempts": 2,
+    },
+    {
+        "name": "chat",
+        "path_prefix": "/chat/",
+        "route_kind": "streaming",
+        "service": "engine",
+        "stream_resume": True,
+        "max_attempts": 2,
+        "target_gap_ms": 150,
+        "stages": [
+            {"service": "cave", "after": [], "payload_bytes": 8_000},
+            {"service": "carri", "after": [0], "payload_bytes": 60_000},
+        ],
+    },
+]
+
+
+def free_port() -> int:
+    """A port that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class HostProcess:
+    """One forwarding host. `disturbed_until` is when it counts as undisturbed again."""
+
+    def __init__(self, number: int, seeds: list[str], store: str, folder: Path) -> None:
+        self.number = number
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.path = folder / f"host-{number}.json"
+        self.log = (folder / f"host-{number}.log").open("ab")
+        self.process: asyncio.subprocess.Process | None = None
+        self.disturbed_until = 0.0
+        self.started_at = 0.0
+        self.asked_to_end = False
+        self.path.write_text(
+            json.dumps(
+                {
+                    "host": f"host-{number}",
+                    "availability_zone": f"z{number}",
+                    "caller_address": self.callers,
+                    "ready_address": self.ready,
+                    "peer_address": seeds[number],
+                    "internal_ports": [free_port(), 65_535],
+                    "store_address": store,
+                    "seed_peers": seeds,
+                    "stop_grace_s": GRACE_S,
+                    "key_revocation_ms": 5_000,
+                    "retry_ratio": 0.2,
+                    "retry_window_s": 10,
+                    "retry_reserve": 50,
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self.asked_to_end = False
+        self.started_at = asyncio.get_running_loop().time()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "savoryfork.platform",
+            f"--settings={self.path}",
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def send(self, number: int) -> None:
+        """Sends a signal to the process that this host started."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        age_s = asyncio.get_running_loop().time() - self.started_at
+        if number == signal.SIGHUP and age_s < BOOT_S:
+            return
+        self.asked_to_end |= number in (signal.SIGTERM, signal.SIGKILL)
+        self.process.send_signal(number)
+
+
+class Site:
+    """Started and stopped by `async with`."""
+
+    def __init__(self, hosts: int, folder: Path) -> None:
+        self.folder = folder
+        self.host_count = hosts
+        self.store = KeyedStore()
+        self.replicas: list[tuple[str, Replica]] = []
+        self.proxies: dict[str, Proxy] = {}
+        self.runners: list[web.AppRunner] = []
+        self.version = 0
+        self.keys = ["key-0"]
+        self.revoked: dict[str, float] = {}
+        self.keepers: list[asyncio.Task[None]] = []
+        self.exits: list[str] = []
+
+    async def __aenter__(self) -> Site:
+        self.session = aiohttp.ClientSession()
+        store = await self.serve(self.store.app())
+        for service in SERVICES:
+            for number in range(REPLICAS):
+                replica = Replica(f"{service}-{number}")
+                replica.address = await self.serve(replica.app())
+                self.replicas.append((service, replica))
+                self.register(service, replica, "ready")
+        self.publish()
+        seeds = [f"127.0.0.1:{free_port()}" for _ in range(self.host_count)]
+        self.hosts = [HostProcess(n, seeds, store, self.folder) for n in range(self.host_count)]
+        self.store_proxy = self.proxies[store]
+        for host in self.hosts:
+            await host.start()
+            self.keepers.append(asyncio.create_task(self.keep(host)))
+        try:
+            async with asyncio.timeout(READY_S):
+                await asyncio.gather(*(self.until_ready(host) for host in self.hosts))
+        except TimeoutError:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for keeper in self.keepers:
+            keeper.cancel()
+        for host in self.hosts:
+            host.send(signal.SIGCONT)
+            host.send(signal.SIGKILL)
+            if host.process is not None:
+                await host.process.wait()
+            host.log.close()
+        await self.session.close()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def serve(self, app: web.Application) -> str:
+        """Serves an application behind a proxy; returns the proxy's address."""
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port()).start()
+        self.runners.append(runner)
+        proxy = Proxy(f"127.0.0.1:{port}")
+        address = await proxy.start()
+        self.proxies[address] = proxy
+        return address
+
+    async def until_ready(self, host: HostProcess) -> None:
+        """Waits until a host takes requests, or its process has ended."""
+        while host.process is not None and host.process.returncode is None:
+            if await self.is_ready(host):
+                return
+            await asyncio.sleep(0.05)
+
+    async def is_ready(self, host: HostProcess) -> bool:
+        """Whether a host takes requests."""
+        url = f"http://{host.ready}{PlatformWire.ready_path}"
+        try:
+            async with self.session.get(url, timeout=PROBE_TIMEOUT) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def keep(self, host: HostProcess) -> None:
+        """Starts a host again whenever its process has ended."""
+        loop = asyncio.get_running_loop()
+        while True:
+            assert host.process is not None
+            code = await host.process.wait()
+            if not host.asked_to_end:
+                self.exits.append(f"host {host.number} ended by itself with {code}")
+            host.disturbed_until = loop.time() + READY_S
+            await asyncio.sleep(RESTART_S)
+            await host.start()
+            await self.until_ready(host)
+            host.disturbed_until = loop.time()
+
+    # The operator.
+
+    def register(self, service: str, replica: Replica, state: str) -> None:
+        """Writes a target's entry."""
+        row = {"service": service, "address": replica.address, "zone": "z0", "state": state}
+        self.store.put("keyed.servers", replica.name, {**row, "slots": 64, "born": 1})
+
+    def publish(self) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 1
+        defaults = {"host": "a.example", "timeout_ms": DEADLINE_MS, "target_latency_ms": 500}
+        pieces = {"cave": {"batch": 4, "headroom_mb": 22}, "carri": {"batch": 18, "headroom_mb": 3}}
+        self.store.put(
+            "keyed.op",
+            "config",
+            {
+                "version": self.version,
+                "routes": [{**defaults, "priority": 1, **route} for route in ROUTES],
+                "services": [
+                    {"name": "plain"},
+                    {"name": "engine", "engine": {"slots": 64, "kv_capacity": 100_000}},
+                    *({"name": n, "pieces": {**STAGE, **more}} for n, more in pieces.items()),
+                ],
+                "tenants": [{"name": "w1", "api_keys": self.keys}],
+            },
+        )
+
+    def rotate_keys(self) -> None:
+        """Adds a key and takes the oldest one away."""
+        self.keys = [*self.keys, f"key-{self.version}"]
+        if len(self.keys) > 2:
+            self.revoked[self.keys.pop(0)] = asyncio.get_running_loop().time()
+        self.publish()
+
+    # Faults.
+
+    async def strike(self, fault: Fault) -> None:
+        """Carries out one fault to its end."""
+        loop = asyncio.get_running_loop()
+        host = self.hosts[fault.victim % len(self.hosts)]
+        service, replica = self.replicas[fault.victim % len(self.replicas)]
+        proxy = self.proxies[replica.address]
+        match fault.kind:
+            case "kill":
+                host.disturbed_until = loop.time() + READY_S
+                host.send(signal.SIGKILL)
+            case "stop":
+                host.send(signal.SIGTERM)
+            case "many_signals":
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    host.send(number)
+            case "reload":
+                host.send(signal.SIGHUP)
+            case "freeze":
+                host.disturbed_until = max(host.disturbed_until, loop.time() + fault.for_s + 0.5)
+                host.send(signal.SIGSTOP)
+                await asyncio.sleep(fault.for_s)
+                host.send(signal.SIGCONT)
+            case "store_down":
+                self.store.down = True
+                await asyncio.sleep(fault.for_s)
+                self.store.down = False
+            case "store_silent":
+                self.store_proxy.silent = True
+                await asyncio.sleep(fault.for_s)
+                self.store_proxy.heal()
+            case "store_reset":
+                self.store_proxy.reset()
+            case "silent" | "deaf":
+                setattr(proxy, fault.kind, True)
+                await asyncio.sleep(fault.for_s)
+                proxy.heal()
+            case "delay":
+                proxy.delay_s = 0.05 + fault.for_s / 10
+                await asyncio.sleep(fault.for_s)
+                proxy.heal()
+            case "reset":
+                proxy.reset()
+            case "refuse":
+                replica.refuse = True
+                await asyncio.sleep(fault.for_s)
+                replica.refuse = False
+            case "leave":
+                self.register(service, replica, "draining")
+                await asyncio.sleep(fault.for_s)
+                self.register(service, replica, "ready")
+            case "rotate_keys":
+                self.rotate_keys()
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -87,8 +87,12 @@
         await until(lambda: follower.config_age_ms() > 1.9 * CONFIG_WAIT_MS)
         deployment.store.down = True
         lost_at = follower.now()
-        while (await deployment.call("/view/x"))[0] == 200:  # noqa: ASYNC110 (paces requests)
+        status, _, headers = await deployment.call("/view/x")
+        while status == 200:
             await asyncio.sleep(0.05)
+            status, _, headers = await deployment.call("/view/x")
+        # One more try after 0.4 s would meet the same outage.
+        assert status == 503 and float(headers["Retry-After"]) == 2.5
         bound_ms = deployment.hosts[0].settings.key_revocation_ms
         assert 0.6 * bound_ms < follower.now() - lost_at
         assert follower.config_age_ms() < bound_ms
--- a/tests/forward/test_members.py
+++ b/tests/forward/test_members.py
@@ -44,6 +44,14 @@
         assert members.shared_owners("duty", 7, 0.0)[:3] == owners
 
 
+class TestStore:
+    def test_one_host_cut_off_sends_callers_elsewhere_and_an_outage_does_not(self):
+        members = view(NAMES[0], NAMES)
+        assert members.others_reach_store(0.0)
+        members.merge([member(name, 2, store_ok=False) for name in NAMES], 0.0)
+        assert not members.others_reach_store(0.0)
+
+
 class TestLife:
     def test_a_silent_host_is_gone(self):
         members = view(NAMES[0], NAMES)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -96,3 +96,14 @@
             if "platform" not in path.relative_to(ROOT / "savoryfork").parts:
                 found += [f"{path}: {m}" for m in re.findall(self.NAMES, path.read_text())]
         assert found == []
+
+
+class TestStart:
+    def test_a_reload_before_the_settings_are_read_does_not_end_the_process(self):
+        """Found by the soak, seed 1: a SIGHUP during the imports ended a host that was starting."""
+        code = (
+            "import signal, sys, savoryfork.platform.__main__\n"
+            "assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN\n"
+            "assert 'aiohttp' not in sys.modules, 'the signal is set too late'\n"
+        )
+        subprocess.run([sys.executable, "-c", code], check=True, cwd=ROOT)
