--- a/soak/site.py
+++ b/soak/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -35,6 +36,9 @@
 # A host is ready within this, on a machine that runs other things as well.
 READY_S = 30.0
 
+# Below the ports that Linux gives to outgoing connections by default (from 32,768).
+LISTEN_PORTS = (15_000, 32_000)
+
 PROBE_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
 STAGE = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
@@ -64,10 +68,18 @@
 
 
 def free_port() -> int:
-    """A port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that nothing listens on, outside the range of outgoing connections.
+
+    A port of that range was taken by a connection while the host that owned it was down (seed 9).
+    """
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # another process listens there
+        return port
 
 
 class HostProcess:
