--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.forward import catalog as catalogs
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.model import Catalog, Repeat
-from savoryfork.forward.run import Run, patience_ms
+from savoryfork.forward.run import RETRY_MS, Run, patience_ms
 
 # Part of the time for the revocation of keys after which this host no longer trusts what it
 # knows. The age counts from before the store's read, and callers' requests are sent before they
@@ -17,6 +19,29 @@
 RETURN_MS = 5.0
 
 
+# A stopping host goes on to take requests for this long, as the balancer learns of the stop late.
+# Later ones, on connections that were kept, are taken only if they will surely end in time: the
+# platform lets a stop cut no request that was sent over 3 s after it began.
+STOP_TAKING_MS = 2_500.0
+
+# When a caller may come back while no host reaches the store: outages on the sites last 4 to 9 s,
+# of which over 3 s have passed when keyed requests are first refused. Callers cut this to a third
+# of the time that they have left.
+OUTAGE_RETRY_MS = 2_500.0
+
+
+def stale_retry_ms(others_reach_store: bool) -> float:
+    """When a caller may come back whose key can't be judged here.
+
+    Load pattern answered: the store is lost to all hosts for some seconds. Callers with one more
+    try that came back after 0.4 s were refused for good long before the store was back.
+
+    >>> stale_retry_ms(True), stale_retry_ms(False)
+    (400.0, 2500.0)
+    """
+    return RETRY_MS if others_reach_store else OUTAGE_RETRY_MS
+
+
 class Gate:
     """The entrance of this host. Keys are judged again before each sending."""
 
@@ -24,6 +49,13 @@
         self.follower = follower
         self.trusted_ms = 0.0
         self.set_revocation(revocation_ms)
+        self.stop_taking_at = math.inf
+        self.cut_at = math.inf
+
+    def begin_stop(self, now: float, cut_at: float) -> None:
+        """Notes that this host stops; requests that have not ended by `cut_at` will be cut."""
+        self.stop_taking_at = now + STOP_TAKING_MS
+        self.cut_at = cut_at
 
     def set_revocation(self, revocation_ms: float) -> None:
         """Sets the time in which a revoked key must stop working."""
@@ -56,6 +88,8 @@
         if route.repeat is Repeat.STREAM:
             run.first_event_by = min(run.deadline_at, run.received_at + patience_ms(route))
         run.priority = route.priority
+        if run.received_at > self.stop_taking_at and run.deadline_at > self.cut_at:
+            raise ServiceError(ErrorKind.NOT_READY, "this host is stopping; try another host")
         self.check_key(run, catalog)
         if not request.id:
             raise ServiceError(ErrorKind.MALFORMED_REQUEST, "the request has no id")
@@ -65,6 +99,8 @@
         """Raises if this host's configuration may be out of date."""
         run.config_age_ms = self.follower.config_age_ms()
         if run.config_age_ms > self.trusted_ms:
+            members = self.follower.members
+            run.retry_ms = stale_retry_ms(members.others_reach_store(self.follower.now()))
             raise ServiceError(
                 ErrorKind.STALE_CONFIGURATION,
                 "this host has lost touch with the configuration; try another host",
