Define the flags of the platform's program for itself

It has a list of its own now and needs no absl.app; a bad flag, a missing file and further arguments end with exit code 2 and a line without a traceback, as before.

--- a/savoryfork/platform/program.py
+++ b/savoryfork/platform/program.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from absl import app, flags
+from absl import flags
 
 from savoryfork.errors import UserError
 from savoryfork.forward import host, settings
@@ -15,17 +15,26 @@
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = "SAVORYFORK_SETTINGS"
 
-FLAGS = flags.FLAGS
+# Flags of this program only: the daemon has some of the same names.
+FLAGS = flags.FlagValues()
 flags.DEFINE_string(
-    "settings", None, f"JSON file with the settings of this host (default: ${SETTINGS_VARIABLE})"
+    "settings",
+    None,
+    f"JSON file with the settings of this host (default: ${SETTINGS_VARIABLE})",
+    flag_values=FLAGS,
 )
-flags.DEFINE_bool("check", False, "only check the settings file")
+flags.DEFINE_bool("check", False, "only check the settings file", flag_values=FLAGS)
 
 
-def start(argv: list[str]) -> int:
-    """Reads the settings and runs the host; returns the exit code."""
+def main(argv: list[str]) -> int:
+    """Reads the settings and runs the host; returns the exit code, 2 for a user's mistake."""
+    try:
+        arguments = FLAGS(argv)
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return 2
     path = FLAGS.settings or os.environ.get(SETTINGS_VARIABLE)
-    if path is None or len(argv) > 1:
+    if path is None or len(arguments) > 1:
         print(
             f"usage: python3 -m savoryfork.platform --settings=FILE (or {SETTINGS_VARIABLE})",
             file=sys.stderr,
@@ -45,8 +54,3 @@
             lambda: settings.version(path),
         )
     return 0
-
-
-def main() -> None:
-    """Parses the flags and runs the host; ends the process."""
-    app.run(start)
