--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,6 @@
 import json
 import random
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -18,6 +17,7 @@
 from soak.faults import Fault
 from soak.proxy import Proxy
 from standins.keyedstore import KeyedStore
+from standins.ports import free_port
 from standins.replicas import Replica
 
 SERVICES = ("plain", "engine", "cave", "carri")
@@ -36,8 +36,8 @@
 # A host is ready within this, on a machine that runs other things as well.
 READY_S = 30.0
 
-# Below the ports that Linux gives to outgoing connections by default (from 32,768).
-LISTEN_PORTS = (15_000, 32_000)
+# Ports need not follow from the seed: those of other runs are left out.
+RNG = random.Random()
 
 PROBE_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
@@ -67,28 +67,13 @@
 ]
 
 
-def free_port() -> int:
-    """A port that nothing listens on, outside the range of outgoing connections.
-
-    A port of that range was taken by a connection while the host that owned it was down (seed 9).
-    """
-    while True:
-        port = random.randrange(*LISTEN_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue  # another process listens there
-        return port
-
-
 class HostProcess:
     """One forwarding host. `disturbed_until` is when it counts as undisturbed again."""
 
     def __init__(self, number: int, seeds: list[str], store: str, folder: Path) -> None:
         self.number = number
-        self.ready = f"127.0.0.1:{free_port()}"
-        self.callers = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port(RNG)}"
+        self.callers = f"127.0.0.1:{free_port(RNG)}"
         self.path = folder / f"host-{number}.json"
         self.log = (folder / f"host-{number}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
@@ -103,7 +88,7 @@
                     "caller_address": self.callers,
                     "ready_address": self.ready,
                     "peer_address": seeds[number],
-                    "internal_ports": [free_port(), 65_535],
+                    "internal_ports": [free_port(RNG), 65_535],
                     "store_address": store,
                     "seed_peers": seeds,
                     "stop_grace_s": GRACE_S,
@@ -165,7 +150,7 @@
                 self.replicas.append((service, replica))
                 self.register(service, replica, "ready")
         self.publish()
-        seeds = [f"127.0.0.1:{free_port()}" for _ in range(self.host_count)]
+        seeds = [f"127.0.0.1:{free_port(RNG)}" for _ in range(self.host_count)]
         self.hosts = [HostProcess(n, seeds, store, self.folder) for n in range(self.host_count)]
         self.store_proxy = self.proxies[store]
         for host in self.hosts:
@@ -198,7 +183,7 @@
         """Serves an application behind a proxy; returns the proxy's address."""
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port()).start()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
         self.runners.append(runner)
         proxy = Proxy(f"127.0.0.1:{port}")
         address = await proxy.start()
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -18,7 +18,6 @@
 import secrets
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -32,13 +31,10 @@
 
 from savoryfork.files import load_directory
 from standins.deployments import DeploymentSpec, ServiceSpec
+from standins.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 
-# Below Linux's range of ephemeral ports: an outgoing connection can't take the port of a process
-# that is being restarted.
-PORTS = range(18_000, 32_000)
-
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None, use_errno=True)
 
@@ -230,17 +226,9 @@
 
     def free_port(self) -> int:
         """A loopback port that nothing listens on."""
-        while True:
-            port = self.random.choice(PORTS)
-            if port in self.ports:
-                continue
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-            self.ports.add(port)
-            return port
+        port = free_port(self.random, self.ports)
+        self.ports.add(port)
+        return port
 
     def launch(self, name: str) -> None:
         """Starts a process; its stderr is appended to a file."""
--- /dev/null
+++ b/standins/ports.py
@@ -0,0 +1,25 @@
+"""Loopback ports for processes that may be restarted."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Container
+
+# Below Linux's range of ephemeral ports: an outgoing connection can't take the port of a process
+# that is being restarted.
+PORTS = range(18_000, 32_000)
+
+
+def free_port(rng: random.Random, taken: Container[int] = ()) -> int:
+    """A port that nothing listens on and that is not in `taken`."""
+    while True:
+        port = rng.choice(PORTS)
+        if port in taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # another process listens there
+        return port
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+import random
 import uuid
 from typing import Any
 
@@ -15,8 +15,11 @@
 from savoryfork.platform.store import PlatformStore
 from savoryfork.platform.wire import PlatformWire
 from standins.keyedstore import KeyedStore
+from standins.ports import free_port
 from standins.replicas import Replica
 
+RNG = random.Random()
+
 STAGES = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
 ROUTES: list[dict[str, Any]] = [
     {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
@@ -31,13 +34,6 @@
 ]  # fmt: skip
 
 
-def free_port() -> int:
-    """A port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def configuration(version: int = 1, keys: tuple[str, ...] = ("k1",)) -> dict[str, Any]:
     """A configuration with one route of each kind."""
     routes = [
@@ -75,7 +71,7 @@
             self.replicas[service] = []
             for number in range(self.replica_count):
                 await self.add_replica(service, f"{service}-{number}")
-        seeds = tuple(f"127.0.0.1:{free_port()}" for _ in range(self.host_count))
+        seeds = tuple(f"127.0.0.1:{free_port(RNG)}" for _ in range(self.host_count))
         for number in range(self.host_count):
             await self.start_host(number, seeds)
         for host in self.hosts:
@@ -98,7 +94,7 @@
         """Serves an application on a free port and returns its address."""
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port()).start()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
         self.runners.append(runner)
         return f"127.0.0.1:{port}"
 
@@ -120,10 +116,10 @@
         settings = ForwardSettings(
             host=f"host-{number}",
             availability_zone="z",
-            caller_address=f"127.0.0.1:{free_port()}",
-            ready_address=f"127.0.0.1:{free_port()}",
+            caller_address=f"127.0.0.1:{free_port(RNG)}",
+            ready_address=f"127.0.0.1:{free_port(RNG)}",
             peer_address=seeds[number],
-            internal_ports=(free_port(), 65535),
+            internal_ports=(free_port(RNG), 65535),
             store_address=self.store_address,
             stop_grace_s=8.0,
             key_revocation_ms=5_000.0,
