Refuse requests between the last answer of a stop and the end of the process

Cause, by reading: once no request is in progress the host ends, but until its loop is closed it went on to take requests.

Change: when the last request has ended, the gate closes and every later request is refused with 503 and not begun.

--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -57,6 +57,10 @@
         self.stop_taking_at = now + STOP_TAKING_MS
         self.cut_at = cut_at
 
+    def close(self) -> None:
+        """Refuses every request from now on: this host is about to end."""
+        self.stop_taking_at = self.cut_at = -math.inf
+
     def set_revocation(self, revocation_ms: float) -> None:
         """Sets the time in which a revoked key must stop working."""
         self.trusted_ms = TRUSTED_SHARE * revocation_ms
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -330,7 +330,11 @@
         await self.caller_site.stop()
         try:
             async with asyncio.timeout((limit_ms - (self.follower.now() - started)) / 1000):
-                await self.entry.idle.wait()
+                while self.entry.inflight:
+                    await self.entry.idle.wait()
+                # A request that comes on a kept connection from now on would be cut by the end of
+                # the process.
+                self.gate.close()
                 await self.pools.drained()
         except TimeoutError:
             logs.event(log, "stop_cut", logging.WARNING, inflight=self.entry.inflight)
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -214,6 +214,15 @@
         assert not any(replica.calls for replica in deployment.replicas["cave"])
         assert (await deployment.call("/book/x", Deadline_Ms="600"))[0] == 200
 
+    async def test_a_request_that_comes_at_the_end_of_a_stop_is_not_begun(self, deployment):
+        """Soak, seed 1: an action on a kept connection was sent to its target between the last
+        answer and the end of the process, and its caller got no answer."""
+        host = deployment.hosts[0]
+        assert (await deployment.call("/view/x"))[0] == 200
+        host.gate.close()
+        assert (await deployment.call("/book/x"))[0] == 503
+        assert sum(sum(r.ran.values()) for r in deployment.replicas["plain"]) == 1
+
 
 class TestMetrics:
     async def test_what_the_page_for_operators_names_is_served(self, deployment):
