--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,8 @@
 from savoryfork.platform.store import PlatformStore, decode_records
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
-from tests.forward.deployment import free_port
+from standins.ports import free_port
+from tests.forward.deployment import RNG
 
 
 @pytest.fixture
@@ -18,7 +19,7 @@
     fake = KeyedStore()
     runner = web.AppRunner(fake.app(), access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    port = free_port()
+    port = free_port(RNG)
     await web.TCPSite(runner, "127.0.0.1", port).start()
     client = PlatformStore(f"127.0.0.1:{port}")
     yield fake, client
