--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -9,7 +9,8 @@
 from savoryfork.settings import ADDRESS
 
 # Calculated, not measured: a request with three stages brings its coordinator some 10 KB of pieces,
-# handles and answers, and a core carries some 100 of them a second, 8 Mbit/s; the rest is for bursts.
+# handles and answers, and a core carries some 100 of them a second, 8 Mbit/s; the rest is for
+# bursts.
 MBPS_PER_CORE = 20.0
 
 POSITIVE = {"type": "number", "exclusiveMinimum": 0}
