Count a renewal that lands after the release of its lease

Cause: a reader of the whole lease log ignored such a renewal, one whose log starts at the release or later took it as proof of the lease, so two hosts could believe in different holders.

Ruled out: a mark for released leases.

Change: the renewal of the current lease withdraws its release for all readers. It is safe: the next holder then waits for the end of the renewed lease, and an acquire record that names the lease wins as before.

--- a/savoryfork/leasefold.py
+++ b/savoryfork/leasefold.py
@@ -59,6 +59,10 @@
 
     A holder renews only a lease that it has read as its own. So a renewal of a lease newer than the
     current one proves that lease to a reader for which the acquire record is past retention.
+
+    A renewal that lands after the release of its lease withdraws the release. A reader that starts
+    after the release can't tell such a renewal from any other, so all readers must count it, and
+    the next holder waits for the end of the renewed lease.
     """
 
     def __init__(self) -> None:
@@ -107,7 +111,7 @@
             case "renew":
                 offset = int(value["lease"])
                 if current is not None and offset == current.offset:
-                    if value["holder"] == current.holder and not current.released:
+                    if value["holder"] == current.holder:
                         self.leases[service] = renewed(current, record)
                 elif (current is None or offset > current.offset) and offset < record.offset:
                     self.leases[service] = lease_from(record, offset, current)
@@ -152,9 +156,10 @@
 
 
 def renewed(lease: Lease, record: Record) -> Lease:
-    """Returns the lease extended by a renewal."""
+    """Returns the lease extended by a renewal, and no longer released."""
     value = record.value
     return lease._replace(
+        released=False,
         ttl_ms=max(lease.ttl_ms, parse_ttl_ms(value)),
         config=max(lease.config, int(value["config"])),
         record_id=value["id"],
