Bound what a host reads from targets, callers and the store

Cause: a Connection handed all received bytes to the parser as they came, and read answers to their end whatever their length. Informational responses without end were read until the caller's time was up. Callers' bodies and responses of the store had no bound either, and an answer cut off for a caller that does not read kept its connection.

Ruled out: a larger limit with a budget shared by all answers; small answers would wait for the large ones of targets in trouble.

A request that ends while its caller does not read is not charged to its target. EventSplitter no longer copies the rest of a chunk for each event.

Not bounded yet: the length of a message between hosts, which grpclib reads.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -3,6 +3,8 @@
 h11 parses; this module decides whether a response is complete. aiohttp's client accepts a body
 without a length as complete when its connection is reset, and retries idempotent requests by
 itself, so it is not used for targets.
+
+What a target sends is read only as fast as it is used, and `ReadLimits` bounds what is kept of it.
 """
 
 from __future__ import annotations
@@ -10,14 +12,21 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from typing import NamedTuple, cast
 
 import h11
 
+from savoryfork.forward.limits import DEFAULT_LIMITS, MIN_CHUNK_BYTES, ReadLimits
 from savoryfork.forward.model import Headers
 
-# Larger than any response head that targets send.
-MAX_HEAD_BYTES = 65_536
+# Bytes that are handed to the parser at a time. It keeps what it has not parsed, so received data
+# of hundreds of kilobytes must not be handed over at once.
+PARSE_BYTES = 16_384
+
+# Events after which a reader lets other tasks run, if it did not have to wait in between: a body of
+# tiny chunks would otherwise occupy the event loop.
+EVENTS_PER_TURN = 64
 
 # A connection between zones takes about 10 ms; a powered-off target never answers.
 CONNECT_TIMEOUT_MS = 350.0
@@ -53,9 +62,14 @@
 class Connection(asyncio.Protocol):
     """A connection that carries one call at a time."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limits: ReadLimits = DEFAULT_LIMITS) -> None:
         self.address = address
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.limits = limits
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
+        self.received: deque[bytes] = deque()
+        self.received_bytes = 0
+        self.reading_paused = False
+        self.events_in_turn = 0
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.busy = False
@@ -78,12 +92,18 @@
             # Bytes without a request to answer.
             self.abort()
             return
-        self.http.receive_data(data)
+        self.received.append(data)
+        self.received_bytes += len(data)
+        if self.received_bytes > self.limits.buffer_bytes and not self.reading_paused:
+            self.reading_paused = True
+            assert self.transport is not None
+            self.transport.pause_reading()
         self.wake()
 
     def eof_received(self) -> bool:
         if self.busy and not self.peer_closed:
-            self.http.receive_data(b"")
+            # h11 takes empty data as the end of the connection.
+            self.received.append(b"")
         self.peer_closed = True
         self.wake()
         return False
@@ -98,9 +118,27 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def parse_received(self) -> bool:
+        """Hands the next received bytes to the parser; returns False if there are none."""
+        if not self.received:
+            return False
+        data = self.received.popleft()
+        if len(data) > PARSE_BYTES:
+            self.received.appendleft(data[PARSE_BYTES:])
+            data = data[:PARSE_BYTES]
+        self.received_bytes -= len(data)
+        self.http.receive_data(data)
+        if self.reading_paused and self.received_bytes <= self.limits.buffer_bytes // 2:
+            self.reading_paused = False
+            if not self.closed and self.transport is not None:
+                self.transport.resume_reading()
+        return True
+
     def abort(self) -> None:
-        """Closes the connection immediately."""
+        """Closes the connection immediately and drops what was received."""
         self.closed = True
+        self.received.clear()
+        self.received_bytes = 0
         if self.transport is not None:
             self.transport.abort()
         self.wake()
@@ -128,18 +166,30 @@
                 self.abort()
                 raise TargetError(f"protocol: {error}"[:120], sent=True) from error
             if event is not h11.NEED_DATA:
+                await self.yield_turn()
                 return event
+            if self.parse_received():
+                continue
             if self.closed:
                 reason = type(self.error).__name__ if self.error is not None else "closed"
                 raise TargetError(reason, sent=True)
             self.waiter = asyncio.get_running_loop().create_future()
+            self.events_in_turn = 0
             try:
                 await self.waiter
             finally:
                 self.waiter = None
 
+    async def yield_turn(self) -> None:
+        """Lets other tasks run after EVENTS_PER_TURN events that needed no wait."""
+        self.events_in_turn += 1
+        if self.events_in_turn >= EVENTS_PER_TURN:
+            self.events_in_turn = 0
+            await asyncio.sleep(0)
+
     async def read_head(self) -> Head:
-        """Returns the head of the response; skips informational responses."""
+        """Returns the head of the response; skips a bounded number of informational responses."""
+        interim_responses = 0
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Response):
@@ -150,6 +200,10 @@
             if not isinstance(event, h11.InformationalResponse):
                 self.abort()
                 raise TargetError("closed before the response head", sent=True)
+            interim_responses += 1
+            if interim_responses > self.limits.interim_responses:
+                self.abort()
+                raise TargetError("too many informational responses", sent=True)
 
     async def read_chunk(self) -> bytes | None:
         """Returns the next chunk of the body, or None at its end."""
@@ -162,17 +216,24 @@
         raise TargetError("closed", sent=True)
 
     async def read_body(self) -> bytes:
-        """Returns the remaining body."""
-        parts = []
+        """Returns the remaining body; raises TargetError if it exceeds the limit of an answer."""
+        body = bytearray()
+        counted_bytes = 0
         while (part := await self.read_chunk()) is not None:
-            parts.append(part)
-        return b"".join(parts)
+            body += part
+            counted_bytes += max(len(part), MIN_CHUNK_BYTES)
+            if counted_bytes > self.limits.answer_bytes:
+                self.abort()
+                raise TargetError("answer too large", sent=True)
+        return bytes(body)
 
     def prepare_reuse(self) -> bool:
         """Resets the connection for another call; returns False if it can't be reused."""
         http = self.http
-        if self.closed or self.peer_closed or self.answered_early or http.trailing_data[0]:
+        if self.closed or self.peer_closed or self.answered_early:
             return False
+        if self.received or http.trailing_data[0]:
+            return False  # bytes after the response
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
         http.start_next_cycle()
@@ -183,7 +244,8 @@
 class Connections:
     """Connection pool for all targets; counts `opened` and `reused` connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: ReadLimits = DEFAULT_LIMITS) -> None:
+        self.limits = limits
         self.idle: dict[str, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -219,7 +281,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(address), ip, int(port)
+                    lambda: Connection(address, self.limits), ip, int(port)
                 )
         except (TimeoutError, OSError) as error:
             raise TargetError(f"connect: {type(error).__name__}", sent=False) from error
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward.forwarder import Forwarder
+from savoryfork.forward.limits import ReadLimits
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Headers
 from savoryfork.forward.run import NOT_EXECUTED_STATUSES, Run
@@ -30,6 +32,32 @@
 # Lower bound of the Retry-After header.
 MIN_RETRY_AFTER_S = 0.05
 
+# How long the rest of a refused body is read and discarded, so that its caller sees the refusal
+# instead of a reset.
+LINGERING_S = 1.0
+
+# Time for an interrupted answer to reach its caller. A caller that does not read would otherwise
+# keep the connection and its buffer for good.
+ABORT_FLUSH_MS = 1_000.0
+
+
+async def read_body(content: aiohttp.StreamReader, max_bytes: int, timeout_ms: float) -> bytes:
+    """Reads a caller's body; raises ServiceError if it is too large or takes too long."""
+    body = bytearray()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            while part := await content.readany():
+                body += part
+                if len(body) > max_bytes:
+                    raise ServiceError(
+                        ErrorKind.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes"
+                    )
+    except TimeoutError:
+        raise ServiceError(
+            ErrorKind.BODY_TOO_SLOW, f"no complete body within {timeout_ms:.0f} ms"
+        ) from None
+    return bytes(body)
+
 
 class CallerResponse:
     """Writes the answer to one request; implements `run.Delivery`."""
@@ -74,17 +102,22 @@
 
     def abort(self) -> None:
         """Closes the connection, which marks the answer as incomplete."""
-        if self.request.transport is not None:
-            self.request.transport.close()
+        transport = self.request.transport
+        if transport is not None:
+            transport.close()
+            asyncio.get_running_loop().call_later(ABORT_FLUSH_MS / 1000, transport.abort)
 
 
 class EntryServer:
     """Handles the requests of callers on this host."""
 
-    def __init__(self, forwarder: Forwarder, wire: Wire, metrics: ForwardMetrics) -> None:
+    def __init__(
+        self, forwarder: Forwarder, wire: Wire, metrics: ForwardMetrics, limits: ReadLimits
+    ) -> None:
         self.forwarder = forwarder
         self.wire = wire
         self.metrics = metrics
+        self.limits = limits
         self.inflight = 0
         self.stopping = False
         self.idle = asyncio.Event()
@@ -96,6 +129,7 @@
             self.handle,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_S,
+            lingering_time=LINGERING_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             access_log=None,
@@ -115,16 +149,18 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Reads and forwards a request, and answers errors itself."""
         received_at = self.forwarder.now()
-        body: bytes | None = await request.content.read()
-        if not body and not request.body_exists:
-            body = None
         headers = [(bytes(name), bytes(value)) for name, value in request.raw_headers]
         decoded = self.wire.decode_request(request.method, request.raw_path, headers)
         reply = CallerResponse(request, self.stopping)
-        run = Run(decoded, body, reply, received_at)
+        run = Run(decoded, None, reply, received_at)
         error: ServiceError | None = None
         abandoned = False
         try:
+            if request.body_exists:
+                body_ms = self.limits.request_body_ms
+                if decoded.allowed_ms is not None:
+                    body_ms = min(body_ms, decoded.allowed_ms)
+                run.body = await read_body(request.content, self.limits.request_bytes, body_ms)
             await self.forwarder.forward(run)
         except ServiceError as failure:
             error = failure
@@ -163,7 +199,7 @@
             response.headers[self.wire.request_id_header] = run.id
         if status in NOT_EXECUTED_STATUSES:
             response.headers["Retry-After"] = f"{max(MIN_RETRY_AFTER_S, run.retry_ms / 1000):.2f}"
-        if self.stopping:
+        if self.stopping or error.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TOO_SLOW):
             response.force_close()
         return response
 
--- a/savoryfork/forward/events.py
+++ b/savoryfork/forward/events.py
@@ -4,8 +4,9 @@
 
 from typing import NamedTuple
 
-# An event larger than this ends the stream; targets' events have some hundred bytes.
-MAX_EVENT_BYTES = 1_048_576
+from savoryfork.forward.limits import DEFAULT_LIMITS, MIN_CHUNK_BYTES
+
+TERMINATORS = (b"\n\n", b"\r\n\r\n")
 
 
 class Event(NamedTuple):
@@ -20,7 +21,7 @@
 
 
 class EventSplitter:
-    r"""Assembles complete events from chunks of a stream.
+    r"""Assembles complete events of up to `max_bytes` from chunks of a stream.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -29,28 +30,42 @@
     (b'2', b'')
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = DEFAULT_LIMITS.event_bytes) -> None:
+        self.max_bytes = max_bytes
         self.buffer = b""
+        self.counted_bytes = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds a chunk and returns the events that it completes; raises EventTooLarge."""
-        self.buffer += data
+        received = self.buffer + data
         events = []
-        while (end := self.first_event_end()) > 0:
-            complete, self.buffer = self.buffer[:end], self.buffer[end:]
+        start = 0
+        while (end := first_event_end(received, start)) > 0:
+            complete = received[start:end]
             events.append(Event(complete, event_id(complete)))
-        if len(self.buffer) > MAX_EVENT_BYTES:
+            start = end
+        self.buffer = received[start:]
+        if events:
+            self.counted_bytes = len(self.buffer)
+        else:
+            self.counted_bytes += max(len(data), MIN_CHUNK_BYTES)
+        if self.counted_bytes > self.max_bytes:
             raise EventTooLarge
         return events
 
-    def first_event_end(self) -> int:
-        """Returns the end position of the first complete event; 0 if there is none."""
-        ends = [
-            self.buffer.find(terminator) + len(terminator)
-            for terminator in (b"\n\n", b"\r\n\r\n")
-            if terminator in self.buffer
-        ]
-        return min(ends, default=0)
+
+def first_event_end(data: bytes, start: int) -> int:
+    r"""Returns the end position of the first complete event from `start` on; 0 if there is none.
+
+    >>> first_event_end(b"a\r\n\r\nb\n\n", 0), first_event_end(b"a\n\nb", 3)
+    (5, 0)
+    """
+    ends = [
+        position + len(terminator)
+        for terminator in TERMINATORS
+        if (position := data.find(terminator, start)) >= 0
+    ]
+    return min(ends, default=0)
 
 
 def event_id(event: bytes) -> bytes | None:
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -182,8 +182,9 @@
             self.record_attempt_failure(run, target, error)
             return await self.after_failure(run, error)
         except TimeoutError:
-            run.offers.append(Offer(target.name, "timeout"))
-            if run.repeatable():
+            outcome = "caller not reading" if run.waiting_for_caller else "timeout"
+            run.offers.append(Offer(target.name, outcome))
+            if run.repeatable() and not run.waiting_for_caller:
                 peers = self.registry.usable(run.service)
                 self.health.record_failure(target, peers, LIKELY_FAULT, "timeout", self.now())
             raise self.deadline_error(run) from None
@@ -323,7 +324,9 @@
 
     def deadline_error(self, run: Run) -> ServiceError:
         """Returns the error for a request that has passed its deadline."""
-        if run.possible_executions or any(offer.outcome == "timeout" for offer in run.offers):
+        if run.possible_executions or any(
+            offer.outcome in ("timeout", "caller not reading") for offer in run.offers
+        ):
             return ServiceError(
                 ErrorKind.DEADLINE_EXCEEDED, "no answer before the deadline", ran=Ran.UNKNOWN
             )
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -23,6 +23,7 @@
 from savoryfork.forward.forwarder import Forwarder
 from savoryfork.forward.gate import Gate
 from savoryfork.forward.health import HealthTracker
+from savoryfork.forward.limits import ReadLimits
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import (
     Done,
@@ -69,7 +70,7 @@
 
     settings: ForwardSettings
     wire: Wire
-    open_store: Callable[[str], Store]
+    open_store: Callable[[str, ReadLimits], Store]
     reload: Callable[[], ForwardSettings]
     settings_version: Callable[[], int]
     install_signal_handlers: bool = True
@@ -117,6 +118,7 @@
     def build(self) -> None:
         """Creates the components without starting them."""
         config = self.settings
+        limits = config.read_limits()
         incarnation = int(self.clock.wall_ms())
         local = Member(
             config.peer_address,
@@ -130,7 +132,7 @@
         self.members = Members(local, config.seed_peers)
         self.metrics = ForwardMetrics()
         self.peers = PeerClient(None, ForwardStub, MessageCodec())
-        self.store = self.open_store(config.store_address)
+        self.store = self.open_store(config.store_address, limits)
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.follower = Follower(
             self.store,
@@ -143,7 +145,7 @@
             self.metrics,
         )
         self.health = HealthTracker()
-        self.connections = Connections()
+        self.connections = Connections(limits)
         self.background = BackgroundTasks()
         self.pools = Pools(
             self.follower.registry,
@@ -169,7 +171,7 @@
             self.wire,
             self.retry_budget,
         )
-        self.entry = EntryServer(self.forwarder, self.wire, self.metrics)
+        self.entry = EntryServer(self.forwarder, self.wire, self.metrics, limits)
 
     def batch_limits(self, service: str) -> BatchLimits | None:
         """Returns the batch limits of a stage service; None for other services."""
@@ -355,7 +357,7 @@
 def run_host(
     config: ForwardSettings,
     wire: Wire,
-    open_store: Callable[[str], Store],
+    open_store: Callable[[str, ReadLimits], Store],
     reload: Callable[[], ForwardSettings],
     settings_version: Callable[[], int],
 ) -> None:
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -60,7 +60,7 @@
     arrival of events. Raises TargetError if the stream ends prematurely.
     """
     assert run.route is not None
-    splitter = EventSplitter()
+    splitter = EventSplitter(connection.limits.event_bytes)
     timeout_ms = first_event_timeout_ms(run)
     gap_timeout_ms = max(MIN_EVENT_GAP_MS, EVENT_GAP_FACTOR * run.route.gap_ms)
     while True:
@@ -80,10 +80,13 @@
             timeout_ms = gap_timeout_ms
         new_events = [event for event in events if not is_duplicate(run, event.id)]
         if new_events:
+            # A caller that reads slowly delays the next read, and so holds back the target.
+            run.waiting_for_caller = True
             if not run.response_started:
                 await run.response_writer.start_stream(answer.status, answer.headers)
                 run.response_started = True
             await run.response_writer.write(b"".join(event.data for event in new_events))
+            run.waiting_for_caller = False
             run.events += len(new_events)
             run.last_event = next(
                 (event.id for event in reversed(new_events) if event.id is not None), run.last_event
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -69,6 +69,7 @@
 
     `possible_executions` counts the targets that may have executed it. `response_started` is True
     once response headers were sent to the caller. `last_event` is the id of the last event sent.
+    `waiting_for_caller` is True while events wait for the caller to read.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self.tried_targets: set[str] = set()
         self.possible_executions = 0
         self.response_started = False
+        self.waiting_for_caller = False
         self.last_event: bytes | None = None
         self.events = 0
         self.work: Work | None = None
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from savoryfork import settings
+from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.settings import ADDRESS_SCHEMA
 
 # A request with three stages costs its coordinator some 10 KB of pieces, handles and answers, and
@@ -14,6 +15,7 @@
 
 POSITIVE = {"type": "number", "exclusiveMinimum": 0}
 PORT = {"type": "integer", "minimum": 1, "maximum": 65535}
+SIZE = {"type": "integer", "minimum": 1}
 
 SCHEMA: dict[str, Any] = {
     "type": "object",
@@ -48,6 +50,10 @@
         "processor_share": POSITIVE,
         "processor_speed": POSITIVE,
         "link_mbps": POSITIVE,
+        "max_request_bytes": SIZE,
+        "max_answer_bytes": SIZE,
+        "max_event_bytes": SIZE,
+        "max_store_bytes": SIZE,
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
     },
 }
@@ -62,6 +68,8 @@
     Retries of a service's requests are limited, over all hosts together, to `retry_ratio` of its
     other requests plus `retry_reserve` in each `retry_window_s`. The host has `processor_share` of
     a core that is `processor_speed` times as fast as an ordinary one, and a link of `link_mbps`.
+    The `max_` fields bound what the host reads of one caller's body, one target's answer, one event
+    of a stream and one response of the store; see `limits.ReadLimits`.
     """
 
     host: str
@@ -80,8 +88,21 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     link_mbps: float = 1000.0
+    max_request_bytes: int = DEFAULT_LIMITS.request_bytes
+    max_answer_bytes: int = DEFAULT_LIMITS.answer_bytes
+    max_event_bytes: int = DEFAULT_LIMITS.event_bytes
+    max_store_bytes: int = DEFAULT_LIMITS.store_bytes
     log_level: str = "INFO"
 
+    def read_limits(self) -> ReadLimits:
+        """Returns the bounds of what the host reads from others."""
+        return DEFAULT_LIMITS._replace(
+            request_bytes=self.max_request_bytes,
+            answer_bytes=self.max_answer_bytes,
+            event_bytes=self.max_event_bytes,
+            store_bytes=self.max_store_bytes,
+        )
+
     def capacity_cores(self) -> float:
         """Returns the capacity for work on behalf of other hosts, in cores of ordinary speed."""
         cores = self.processor_share * self.processor_speed
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -11,6 +11,7 @@
 
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry
+from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 
 TOPIC_NAMES = {Topic.CONFIGURATION: "keyed.op", Topic.TARGETS: "keyed.servers"}
@@ -79,8 +80,9 @@
 class PlatformStore:
     """Reads keyed topics over HTTP; `calls` counts the requests."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, limits: ReadLimits = DEFAULT_LIMITS) -> None:
         self.url = f"http://{address}/api"
+        self.limits = limits
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -96,13 +98,18 @@
         """Returns the newest value of each key, and the offset at which to continue reading.
 
         The pages are not a consistent snapshot. The end offset of the first page is returned, so
-        that changes between pages are read again. Raises LogUnavailable.
+        that changes between pages are read again. Raises LogUnavailable, also if the pages exceed
+        the limit of a snapshot.
         """
         changes: list[Entry] = []
+        total_bytes = 0
         start_offset: int | None = None
         params = {"topic": TOPIC_NAMES[topic], "part": "0"}
         while True:
             body = await self.call("log-newest", params, 0.0)
+            total_bytes += len(body)
+            if total_bytes > self.limits.snapshot_bytes:
+                raise LogUnavailable(f"{TOPIC_NAMES[topic]}: the snapshot is too large")
             try:
                 page = msgspec.json.decode(body)
                 for row in page["entries"]:
@@ -135,6 +142,16 @@
         changes, next_offset, end = decode_records(body, offset)
         return normalize_entries(topic, changes), next_offset, end
 
+    async def read_body(self, name: str, response: aiohttp.ClientResponse) -> bytes:
+        """Reads the body of a response; raises LogUnavailable if it exceeds the limit."""
+        body = bytearray()
+        while part := await response.content.readany():
+            body += part
+            if len(body) > self.limits.store_bytes:
+                response.close()
+                raise LogUnavailable(f"{name}: the answer is too large")
+        return bytes(body)
+
     async def call(self, name: str, params: dict[str, str], wait_ms: float) -> bytes:
         """Calls the store; every failure except an expired offset raises LogUnavailable.
 
@@ -144,7 +161,7 @@
         try:
             async with asyncio.timeout((READ_TIMEOUT_MS + wait_ms) / 1000):
                 async with self.session.get(f"{self.url}/{name}", params=params) as response:
-                    body = await response.read()
+                    body = await self.read_body(name, response)
                     status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise LogUnavailable(f"{name}: {type(error).__name__}") from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from savoryfork.forward.follower import Topic
+from savoryfork.forward.limits import ReadLimits
 from savoryfork.platform.store import PlatformStore, decode_records
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
@@ -64,3 +65,41 @@
     def test_truncated_response_is_an_error(self, body):
         with pytest.raises(LogUnavailable):
             decode_records(body, 0)
+
+
+class TestEndlessAnswers:
+    @pytest.fixture
+    async def endless(self):
+        """A client of a store whose answers do not end; `limits` are small."""
+
+        async def endless_body(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            while True:
+                await response.write(b"x" * 65_536)
+
+        async def endless_pages(request: web.Request) -> web.Response:
+            entries = [{"offset": 0, "key": "k", "value": "x" * 10_000}]
+            return web.json_response({"end": 1, "entries": entries, "has_more": True})
+
+        app = web.Application()
+        app.router.add_get("/api/log-newest", endless_pages)
+        app.router.add_get("/api/log-read", endless_body)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        limits = ReadLimits(store_bytes=500_000, snapshot_bytes=200_000)
+        client = PlatformStore(f"127.0.0.1:{port}", limits)
+        yield client
+        await client.close()
+        await runner.cleanup()
+
+    async def test_endless_body_is_an_outage(self, endless):
+        """Guards against a host that collects a response of the store until its time-out."""
+        with pytest.raises(LogUnavailable, match="too large"):
+            await endless.read(Topic.CONFIGURATION, 0, 0.0)
+
+    async def test_endless_pages_are_an_outage(self, endless):
+        """Guards against a snapshot whose pages never end."""
+        with pytest.raises(LogUnavailable, match="too large"):
+            await endless.newest(Topic.CONFIGURATION)
--- a/tests/test_leasefold.py
+++ b/tests/test_leasefold.py
@@ -55,9 +55,9 @@
             held = records[winners[-1]]
             last_ms = held.time_ms
             for x in records[held.offset + 1 : r.offset]:
-                if (x.value["lease"], x.value["holder"]) == (held.offset, held.value["holder"]):
-                    if x.value["type"] == "renew":
-                        last_ms = x.time_ms
+                named = (x.value["type"], x.value["lease"], x.value["holder"])
+                if named == ("renew", held.offset, held.value["holder"]):
+                    last_ms = x.time_ms
             if r.time_ms - last_ms <= STALE_LEASE_MS:
                 continue
         winners.append(r.offset)
