Learn the speed of engines instead of assuming that of one site

Ruled out: probes of idle engines, which callers would pay for; a fit of all answers, which queues and cached parts bias.

Change: SpeedEstimator by service, with stated start values; what placement weighs against latency (ms a megabyte from another zone, ms a thousand repeated tokens) are settings, in ms like the rest.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
-from savoryfork.forward import placement, relay
+from savoryfork.forward import relay
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.connection import Connection, Connections, TargetError
 from savoryfork.forward.gate import Gate
@@ -117,7 +117,7 @@
             run.request.piece_key,
             run.priority,
             run.first_event_by if not run.response_started else run.deadline_at,
-            run.aim_at - placement.expected_first_event_ms(run.request.prompt),
+            run.aim_at - self.selector.expected_first_event_ms(run),
             self.selector.preferred_zone(run),
         )
         try:
@@ -215,6 +215,7 @@
             last_event_id=run.last_event,
         )
         connection.send(*self.wire.request_call(run.request, routing, run.body))
+        run.sent_at = self.now()
         if run.work is not None and self.selector.has_free_slot(target):
             run.input_release_timer = asyncio.get_running_loop().call_later(
                 INPUT_FETCH_MS / 1000, self.release_inputs, run
@@ -345,6 +346,10 @@
         """Relays a stream to its end; raises TargetError if it breaks off."""
 
         def on_events() -> None:
+            if run.events == 0 and run.request.prompt is not None:
+                self.selector.speed(run.service).record(
+                    run.request.prompt, self.now() - run.sent_at
+                )
             # The engine has processed the prompt and therefore fetched the inputs.
             mark_prefilled()
             self.release_inputs(run)
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -162,7 +162,9 @@
         coordinator = Coordinator(self.pools, self.metrics)
         self.stages = Stages(self.follower, coordinator, self.peers, self.background)
         self.gate = Gate(self.follower, config.key_revocation_ms)
-        self.selector = TargetSelector(self.follower, self.health, config.availability_zone)
+        self.selector = TargetSelector(
+            self.follower, self.health, config.availability_zone, config.preferences()
+        )
         self.forwarder = Forwarder(
             self.gate,
             self.selector,
--- a/savoryfork/forward/placement.py
+++ b/savoryfork/forward/placement.py
@@ -14,27 +14,20 @@
 from typing import NamedTuple
 
 from savoryfork.forward.model import Prompt, Target
+from savoryfork.forward.speeds import EngineSpeed
 from savoryfork.util import rendezvous
 
-# Prefill throughput of an engine, from the deployment sheets.
-PREFILL_TOKENS_PER_MS = 51.1
-
-# Added latency of a request of ordinary length for each other running request.
-MS_PER_RUNNING_REQUEST = 4.0
-
-# Cost weights, as fractions of the value of an ordinary request: a millisecond of latency, a
-# megabyte of inputs from another zone, and a thousand shared tokens that another engine has
-# prefilled recently. The last two are the prices on the users' sites; the factor 0.3 is the share
-# of requests whose prefix is still in the window in which prefilling it again is charged.
-COST_PER_MS = 0.001
-COST_PER_CROSS_ZONE_MB = 0.048
-PREFIX_MISS_COST_PER_1000_TOKENS = 0.26 * 0.3
-
 # Added latency of a target in another zone, so that of equal targets the local one is chosen.
 CROSS_ZONE_MS = 2.0
 
-# Time to the first event of an ordinary request, without prefill.
-BASE_FIRST_EVENT_MS = 70.0
+
+class Preferences(NamedTuple):
+    """How much latency is accepted to avoid other costs: ms for each megabyte of inputs from
+    another zone, and for each thousand shared prompt tokens that another engine has read already.
+    """
+
+    cross_zone_ms_per_mb: float = 48.0
+    repeated_ms_per_1000_tokens: float = 78.0
 
 
 class EngineLoad(NamedTuple):
@@ -65,11 +58,12 @@
     return max(0.0, prompt.input_tokens - sum(part.tokens for part in cached))
 
 
-def expected_first_event_ms(prompt: Prompt | None) -> float:
+def expected_first_event_ms(prompt: Prompt | None, speed: EngineSpeed) -> float:
     """Returns the expected time to the first event of a generation request."""
     if prompt is None:
         return 0.0
-    return BASE_FIRST_EVENT_MS + uncached_tokens(prompt, on_preferred=True) / PREFILL_TOKENS_PER_MS
+    tokens = uncached_tokens(prompt, on_preferred=True)
+    return speed.first_event_ms + tokens / speed.prefill_tokens_per_ms
 
 
 def engine_costs(
@@ -78,8 +72,10 @@
     loads: Mapping[str, EngineLoad],
     input_bytes: Mapping[str, float],
     zone: str,
+    speed: EngineSpeed,
+    preferences: Preferences,
 ) -> dict[str, float]:
-    """Returns the expected cost of a generation on each engine.
+    """Returns the expected cost of a generation on each engine, in ms of latency.
 
     `input_bytes` maps the zone that produced inputs to their size.
     """
@@ -96,14 +92,14 @@
             prefix_miss = uncached - uncached_tokens(prompt, True)
         cross_zone_mb = (total_bytes - input_bytes.get(target.zone, 0.0)) / 1e6
         time_ms = (
-            (load.prompt_tokens + uncached) / PREFILL_TOKENS_PER_MS
-            + MS_PER_RUNNING_REQUEST * load.requests
+            (load.prompt_tokens + uncached) / speed.prefill_tokens_per_ms
+            + speed.running_request_ms * load.requests
             + (CROSS_ZONE_MS if target.zone != zone else 0.0)
         )
         costs[target.name] = (
-            COST_PER_MS * time_ms
-            + COST_PER_CROSS_ZONE_MB * cross_zone_mb
-            + PREFIX_MISS_COST_PER_1000_TOKENS * prefix_miss / 1000
+            time_ms
+            + preferences.cross_zone_ms_per_mb * cross_zone_mb
+            + preferences.repeated_ms_per_1000_tokens * prefix_miss / 1000
         )
     return costs
 
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -69,7 +69,8 @@
 
     `possible_executions` counts the targets that may have executed it. `response_started` is True
     once response headers were sent to the caller. `last_event` is the id of the last event sent.
-    `waiting_for_caller` is True while events wait for the caller to read.
+    `sent_at` is when it was last sent to a target. `waiting_for_caller` is True while events wait
+    for the caller to read.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         self.work: Work | None = None
         self.input_release_timer: asyncio.TimerHandle | None = None
         self.stages_done_at: float | None = None
+        self.sent_at = 0.0
         self.first_event_at: float | None = None
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
         self.retry_ms = DEFAULT_RETRY_MS
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -8,8 +8,9 @@
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.health import HealthTracker
 from savoryfork.forward.model import Target
-from savoryfork.forward.placement import EngineLoad
+from savoryfork.forward.placement import EngineLoad, Preferences
 from savoryfork.forward.run import Run
+from savoryfork.forward.speeds import SpeedEstimator
 
 # An engine counts as having a free slot below this share of its slots. The margin covers load
 # counts that are some hundred milliseconds old.
@@ -19,11 +20,15 @@
 class TargetSelector:
     """Selects targets by shared and local load, cached prompt prefixes and zone distance."""
 
-    def __init__(self, follower: Follower, health: HealthTracker, zone: str) -> None:
+    def __init__(
+        self, follower: Follower, health: HealthTracker, zone: str, preferences: Preferences
+    ) -> None:
         self.follower = follower
         self.registry = follower.registry
         self.health = health
         self.zone = zone
+        self.preferences = preferences
+        self.speeds: dict[str, SpeedEstimator] = {}
         self.outstanding: dict[str, int] = {}
         self.pending_prefill: dict[str, float] = {}
 
@@ -45,7 +50,25 @@
                 shared.prompt_tokens + self.pending_prefill.get(target.name, 0.0),
                 shared.requests + self.outstanding.get(target.name, 0),
             )
-        return placement.engine_costs(targets, run.request.prompt, loads, input_bytes, self.zone)
+        return placement.engine_costs(
+            targets,
+            run.request.prompt,
+            loads,
+            input_bytes,
+            self.zone,
+            self.speed(run.service).speed(),
+            self.preferences,
+        )
+
+    def speed(self, service: str) -> SpeedEstimator:
+        """Returns the estimator of the speed of a service's engines."""
+        return self.speeds.setdefault(service, SpeedEstimator())
+
+    def expected_first_event_ms(self, run: Run) -> float:
+        """Returns the expected time from sending a request to its first event."""
+        return placement.expected_first_event_ms(
+            run.request.prompt, self.speed(run.service).speed()
+        )
 
     def choose(self, run: Run) -> Target | None:
         """Returns the cheapest target for the next attempt, or None if there are no candidates."""
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -7,6 +7,7 @@
 
 from savoryfork import settings
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
+from savoryfork.forward.placement import Preferences
 from savoryfork.settings import ADDRESS_SCHEMA
 
 # A request with three stages costs its coordinator some 10 KB of pieces, handles and answers, and
@@ -50,6 +51,8 @@
         "processor_share": POSITIVE,
         "processor_speed": POSITIVE,
         "link_mbps": POSITIVE,
+        "cross_zone_ms_per_mb": {"type": "number", "minimum": 0},
+        "repeated_ms_per_1000_tokens": {"type": "number", "minimum": 0},
         "max_request_bytes": SIZE,
         "max_answer_bytes": SIZE,
         "max_event_bytes": SIZE,
@@ -69,7 +72,9 @@
     other requests plus `retry_reserve` in each `retry_window_s`. The host has `processor_share` of
     a core that is `processor_speed` times as fast as an ordinary one, and a link of `link_mbps`.
     The `max_` fields bound what the host reads of one caller's body, one target's answer, one event
-    of a stream and one response of the store; see `limits.ReadLimits`.
+    of a stream and one response of the store; see `limits.ReadLimits`. `cross_zone_ms_per_mb` and
+    `repeated_ms_per_1000_tokens` are what placement weighs against latency; see
+    `placement.Preferences`.
     """
 
     host: str
@@ -92,8 +97,14 @@
     max_answer_bytes: int = DEFAULT_LIMITS.answer_bytes
     max_event_bytes: int = DEFAULT_LIMITS.event_bytes
     max_store_bytes: int = DEFAULT_LIMITS.store_bytes
+    cross_zone_ms_per_mb: float = Preferences().cross_zone_ms_per_mb
+    repeated_ms_per_1000_tokens: float = Preferences().repeated_ms_per_1000_tokens
     log_level: str = "INFO"
 
+    def preferences(self) -> Preferences:
+        """Returns what placement weighs against latency."""
+        return Preferences(self.cross_zone_ms_per_mb, self.repeated_ms_per_1000_tokens)
+
     def read_limits(self) -> ReadLimits:
         """Returns the bounds of what the host reads from others."""
         return DEFAULT_LIMITS._replace(
