--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -13,9 +13,6 @@
 from savoryfork.forward.model import BatchLimits, Target
 from savoryfork.forward.work import StageFailure, Work
 
-# Time after which a target that had no space for a result is tried with one of that size again.
-FOREIGN_ROOM_MS = 300.0
-
 
 class StageTask:
     """One stage of a request: its waiting pieces, and its results so far.
@@ -69,9 +66,7 @@
     """The coordinator's view of one target.
 
     `calls` counts the calls in progress. `held` maps the handle of each result that the target
-    keeps to its size and expiry time. `foreign_bytes` is space that the target says is taken by
-    results that this host does not know, such as those of an earlier coordinator; the estimate is
-    dropped at `foreign_until`.
+    keeps to its size and expiry time.
     """
 
     def __init__(self) -> None:
@@ -82,26 +77,12 @@
         self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
         self.reserved_bytes = 0.0
-        self.foreign_bytes = 0.0
-        self.foreign_until = 0.0
-
-    def record_no_room(self, size: int, limits: BatchLimits, now: float) -> None:
-        """Records that the target had no space for a result of `size` bytes."""
-        self.foreign_bytes += max(0.0, self.free_result_bytes(limits, now) - (size - 1))
-        self.foreign_until = now + FOREIGN_ROOM_MS
 
     def free_result_bytes(self, limits: BatchLimits, now: float) -> float:
         """Returns the bytes neither held by results nor reserved; drops expired results."""
         for handle in [h for h, (_, expires_at) in self.held.items() if expires_at <= now]:
             del self.held[handle]
-        if self.foreign_until <= now:
-            self.foreign_bytes = 0.0
-        return (
-            limits.room_bytes
-            - self.reserved_bytes
-            - self.foreign_bytes
-            - sum(size for size, _ in self.held.values())
-        )
+        return limits.room_bytes - self.reserved_bytes - sum(size for size, _ in self.held.values())
 
 
 class Pool:
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -45,6 +45,9 @@
 # Minimum expected remaining time of a call without an answer.
 MIN_REMAINING_MS = 1.0
 
+# Backoff for a target that had no space for results.
+NO_ROOM_BACKOFF_MS = 150.0
+
 # Maximum attempts for one piece.
 MAX_ATTEMPTS = 4
 
@@ -401,7 +404,7 @@
                 task.finish(StageFailure.INPUT_GONE)
             elif result is PieceFailure.NO_ROOM:
                 # The target has not run the piece.
-                state.record_no_room(task.plan.result_bytes, pool.limits, now)
+                state.blocked_until = now + NO_ROOM_BACKOFF_MS
                 task.attempts[number] -= 1
                 task.waiting.appendleft(number)
             else:
