--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import signal
 from collections.abc import Callable
@@ -131,7 +132,8 @@
         )
         self.members = Members(local, config.seed_peers)
         self.metrics = ForwardMetrics()
-        self.peers = PeerClient(None, ForwardStub, MessageCodec())
+        self.codec = MessageCodec()
+        self.peers = PeerClient(None, ForwardStub, self.codec)
         self.store = self.open_store(config.store_address, limits)
         self.background = BackgroundTasks()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -200,9 +202,7 @@
             "RunStages": self.stages.coordinator.handle,
             "Free": self.handle_free,
         }
-        self.peer_server = PeerServer(
-            config.peer_address, (), ForwardService(handlers), MessageCodec()
-        )
+        self.peer_server = PeerServer(config.peer_address, (), ForwardService(handlers), self.codec)
         await self.peer_server.start()
         await self.serve(web.Server(self.handle_ready, access_log=None), config.ready_address)
         ip, _ = split_address(config.caller_address)
@@ -253,6 +253,11 @@
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
         metrics.config_age.set({}, age_ms if self.follower.catalog is not None else -1)
+        targets_age_ms = self.follower.tables[Topic.TARGETS].age_ms(self.follower.now())
+        metrics.targets_age.set({}, targets_age_ms if math.isfinite(targets_age_ms) else -1)
+        metrics.loads_age.set({}, self.follower.load_tree.total_age_ms)
+        for (kind, direction), size in self.codec.bytes.items():
+            metrics.control_bytes.set({"kind": kind, "direction": direction}, size)
         metrics.members.set({}, len(self.members.alive(self.follower.now())))
         metrics.loop_pause_ms.set({}, self.timer.pop_longest_pause())
         metrics.log_dropped.set({}, logs.dropped())
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -141,17 +142,25 @@
     >>> encoded = codec.encode(request, FreeRequest)
     >>> len(encoded) < 200, codec.decode(encoded, FreeRequest) == request
     (True, True)
+    >>> codec.bytes["FreeRequest", "sent"] == len(encoded)
+    True
     """
 
     __content_subtype__ = "msgpack"
 
+    def __init__(self) -> None:
+        # Bytes by name of the message's type and by direction.
+        self.bytes: Counter[tuple[str, str]] = Counter()
+
     def encode(self, message: Any, message_type: Any) -> bytes:
-        data = msgspec.msgpack.encode(message)
-        if len(data) <= COMPRESS_ABOVE_BYTES:
-            return PLAIN + data
-        return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
+        data = PLAIN + msgspec.msgpack.encode(message)
+        if len(data) > COMPRESS_ABOVE_BYTES:
+            data = COMPRESSED + zlib.compress(data[1:], COMPRESSION_LEVEL)
+        self.bytes[message_type.__name__, "sent"] += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
+        self.bytes[message_type.__name__, "received"] += len(data)
         body = data[1:]
         if data[:1] == COMPRESSED:
             decompressor = zlib.decompressobj()
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -26,6 +26,13 @@
             "savoryfork_store_calls", "Calls to the store since the start"
         )
         self.config_age = self.gauge("savoryfork_config_age_ms", "Age of the configuration")
+        self.targets_age = self.gauge("savoryfork_targets_age_ms", "Age of the list of targets")
+        self.loads_age = self.gauge(
+            "savoryfork_loads_age_ms", "Age of the oldest known load of another host"
+        )
+        self.control_bytes = self.gauge(
+            "savoryfork_control_bytes", "Bytes of messages between hosts, by kind and direction"
+        )
         self.members = self.gauge("savoryfork_members", "Hosts that are taken to be alive")
         self.store_reads = self.counter(
             "savoryfork_store_reads_total", "Reads of the store by register and result"
