Derive the shape of stage work once, and share queues between decisions of one moment

Cause: admission computes the queues of a request twice, and the review of waiting work once for each, every time with the state of all targets; the stages of each active request were listed and their dependencies computed anew in every loop.

Change: Work keeps its stages, dependencies and final stages; the state of a service's targets is read once for all decisions of the same moment. Decisions are the same. Hashes of engine names are kept.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -43,6 +43,17 @@
     work: Work
 
 
+class StartedQueue(NamedTuple):
+    """A service's queue without the pieces ahead, as of `at`; `started` pieces are in calls.
+
+    Decisions on several requests at the same time share it.
+    """
+
+    at: float
+    queue: ServiceQueue
+    started: int
+
+
 class Outlook(NamedTuple):
     """The expected wait of a new piece of a service behind all waiting ones, and the free share of
     its targets' result space, as of `at`.
@@ -67,6 +78,7 @@
         self.arrivals: deque[Arrival] = deque()
         self.delays = Window(DELAY_SAMPLES)
         self.outlooks: dict[tuple[str, Cell], Outlook] = {}
+        self.started_queues: dict[tuple[str, Cell], StartedQueue] = {}
 
     async def handle(self, request: WorkRequest) -> WorkReply:
         """Runs the stages of a request for another host or for this one."""
@@ -211,6 +223,13 @@
 
     def queue(self, service: str, cell: Cell, pieces_ahead: float, now: float) -> ServiceQueue:
         """Returns the queue of one service in a cell, given the unfinished pieces ahead."""
+        known = self.started_queues.get((service, cell))
+        if known is None or known.at != now:
+            known = self.started_queues[service, cell] = self.started_queue(service, cell, now)
+        return known.queue._replace(pieces_ahead=max(0.0, pieces_ahead - known.started))
+
+    def started_queue(self, service: str, cell: Cell, now: float) -> StartedQueue:
+        """Returns the queue of one service without the pieces ahead."""
         pool = self.pools.pool(service, cell)
         assert pool is not None
         targets = [self.pools.target_status(pool, t, now) for t in self.pools.usable(pool, now)]
@@ -218,13 +237,14 @@
             task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
         )
         slowdowns = sorted(target.slowdown for target in targets) or [1.0]
-        return ServiceQueue(
+        queue = ServiceQueue(
             pool.limits,
             len(targets),
             min((target.free_at for target in targets), default=now),
-            max(0.0, pieces_ahead - started),
+            0.0,
             slowdowns[len(slowdowns) // 2],
         )
+        return StartedQueue(now, queue, started)
 
     # Stage execution.
 
--- a/savoryfork/forward/loads.py
+++ b/savoryfork/forward/loads.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -18,6 +19,9 @@
 # work is already counted. Three long polls.
 REPORT_TTL_MS = 1_200.0
 
+# Names of engines whose hashes are kept.
+MAX_CACHED_IDS = 8_192
+
 # Prompt tokens are reported in units of this size.
 TOKEN_UNIT = 64
 
@@ -33,6 +37,7 @@
     age_ms: float
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_IDS)
 def engine_id(name: str) -> int:
     """Returns the 32-bit hash by which an engine is named in reports."""
     return xxhash.xxh32_intdigest(name.encode())
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -55,6 +55,12 @@
         self.request_id = request_id
         self.plans = tuple(plans)
         self.pieces = tuple([*pieces, *[0] * len(plans)][: len(plans)])
+        self.stages = [stage for stage, count in enumerate(self.pieces) if count]
+        self.needed = {
+            stage: planning.stage_dependencies(self.plans, self.pieces, stage)
+            for stage in self.stages
+        }
+        self.last_stages = [stage for stage in self.stages if not self.dependents(stage)]
         self.key = key
         self.priority = priority
         self.deadline_at = deadline_at
@@ -71,20 +77,19 @@
 
     def nonempty_stages(self) -> list[int]:
         """Returns the stages that have pieces."""
-        return [stage for stage, count in enumerate(self.pieces) if count]
+        return self.stages
 
     def dependencies(self, stage: int) -> list[int]:
         """Returns the nonempty stages whose results a stage needs."""
-        return planning.stage_dependencies(self.plans, self.pieces, stage)
+        return self.needed[stage]
 
     def dependents(self, stage: int) -> list[int]:
         """Returns the nonempty stages that need the results of a stage."""
-        return [later for later in self.nonempty_stages() if stage in self.dependencies(later)]
+        return [later for later in self.stages if stage in self.needed[later]]
 
     def final_stages(self) -> list[int]:
         """Returns the nonempty stages whose results the target of the request needs."""
-        needed = {s for stage in self.nonempty_stages() for s in self.dependencies(stage)}
-        return [stage for stage in self.nonempty_stages() if stage not in needed]
+        return self.last_stages
 
     def input_handles(self) -> tuple[str, ...]:
         """Returns the result handles that the target of the request needs."""
