Keep a stage whose service was removed from ending in an internal error

Cause: a stage that waits for other branches of its request looks at its service's pool, which a new configuration may have removed. Found by reading the change; the new test fails without the guard.

The outcomes of offers that end at the deadline have names now.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -318,10 +318,13 @@
         now = self.pools.now()
         known = self.outlooks.get((service, cell))
         if known is None or now - known.at >= START_CHECK_MS:
+            known = Outlook(now, 0.0, 1.0)
             pool = self.pools.pool(service, cell)
-            waiting = pool.waiting_count() if pool is not None else 0
-            wait_ms = planning.expected_start_at(self.queue(service, cell, waiting, now), now) - now
-            known = Outlook(now, wait_ms, self.pools.free_result_share(service, cell))
+            # A new configuration may no longer have the service; its stages fail when they start.
+            if pool is not None:
+                queue = self.queue(service, cell, pool.waiting_count(), now)
+                wait_ms = planning.expected_start_at(queue, now) - now
+                known = Outlook(now, wait_ms, self.pools.free_result_share(service, cell))
             self.outlooks[service, cell] = known
         return known
 
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -47,6 +47,11 @@
 # Minimum remaining time for which an attempt is started.
 MIN_ATTEMPT_MS = 20.0
 
+# Outcomes of an offer without a complete answer by the deadline: the target was too slow, or the
+# caller did not read the answer.
+TIMEOUT = "timeout"
+CALLER_NOT_READING = "caller not reading"
+
 # Urgency sent to engines for priority 0; their scale is 0 to 9 with 5 as the default.
 TOP_URGENCY = 3
 
@@ -182,7 +187,7 @@
             self.record_attempt_failure(run, target, error)
             return await self.after_failure(run, error)
         except TimeoutError:
-            outcome = "caller not reading" if run.waiting_for_caller else "timeout"
+            outcome = CALLER_NOT_READING if run.waiting_for_caller else TIMEOUT
             run.offers.append(Offer(target.name, outcome))
             if run.repeatable() and not run.waiting_for_caller:
                 peers = self.registry.usable(run.service)
@@ -326,7 +331,7 @@
     def deadline_error(self, run: Run) -> ServiceError:
         """Returns the error for a request that has passed its deadline."""
         if run.possible_executions or any(
-            offer.outcome in ("timeout", "caller not reading") for offer in run.offers
+            offer.outcome in (TIMEOUT, CALLER_NOT_READING) for offer in run.offers
         ):
             return ServiceError(
                 ErrorKind.DEADLINE_EXCEEDED, "no answer before the deadline", ran=Ran.UNKNOWN
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -7,7 +7,7 @@
 import pytest
 
 from savoryfork.forward.batching import TargetStatus
-from savoryfork.forward.cells import Cell
+from savoryfork.forward.cells import UNDIVIDED, Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
 from savoryfork.forward.metrics import ForwardMetrics
@@ -204,3 +204,21 @@
         """Guards against inputs that are kept until unrelated stages have ended."""
         _, freed = await self.order(free_share=0.2)
         assert freed == ["small", "middle"]
+
+    async def test_service_that_leaves_the_configuration_fails_its_stage(self):
+        """Guards against an internal error for a stage whose service was removed meanwhile."""
+        pools = FakePools()
+        pools.free_share = 0.2
+        coordinator = Coordinator(pools, ForwardMetrics())
+
+        async def run(work: Work, stage: int, due_at: float) -> StageFailure | None:
+            pools.pool = lambda *_: None
+            return StageFailure.NO_TARGETS
+
+        pools.run = run
+        reply = await coordinator.handle(
+            WorkRequest("r", self.PLANS, (1, 1, 8, 16), "k", 1, 6_000.0, 3_000.0, None)
+        )
+        assert reply.failure == "no_targets"
+        pools.time = 100.0
+        assert coordinator.outlook("large", UNDIVIDED).free_share == 1.0
