Log how far a broken attempt had come, and the shared parts of its prompt

The logs of engines that crash one after the other name the engines of a request, but a request that crashes its engine looks like its company: neither the parts of the prompt nor the progress of an attempt are logged. attempt_broken and request_done now name them, a counter has them by service. No decision changes.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -14,7 +14,7 @@
 from savoryfork.forward.limits import ReadLimits
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Headers
-from savoryfork.forward.run import NOT_EXECUTED_STATUSES, Run
+from savoryfork.forward.run import NOT_EXECUTED_STATUSES, Run, shared_parts_label
 from savoryfork.forward.wire import Wire
 from savoryfork.util import logs
 
@@ -221,6 +221,7 @@
             route=route.name if route else None,
             service=run.service or None,
             workspace=run.workspace.name if run.workspace else None,
+            parts=shared_parts_label(run.request),
             priority=run.priority,
             config_version=run.version,
             config_age_ms=round(run.config_age_ms),
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -19,11 +19,19 @@
     Routing,
     Target,
 )
-from savoryfork.forward.run import DEFAULT_RETRY_MS, NOT_EXECUTED_STATUSES, Offer, Run
+from savoryfork.forward.run import (
+    DEFAULT_RETRY_MS,
+    NOT_EXECUTED_STATUSES,
+    Attempt,
+    Offer,
+    Run,
+    shared_parts_label,
+)
 from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageError, StageFailure, Work
+from savoryfork.util import logs
 
 log = logging.getLogger(__name__)
 
@@ -172,6 +180,7 @@
         if run.deadline_at - now < MIN_ATTEMPT_MS:
             raise self.deadline_error(run)
         run.tried_targets.add(target.name)
+        run.attempt = Attempt(target)
         self.health.begin_probe(target, now)
         self.selector.add_outstanding(target, 1)
         mark_prefilled = self.selector.add_pending_prefill(run, target)
@@ -220,7 +229,8 @@
             last_event_id=run.last_event,
         )
         connection.send(*self.wire.request_call(run.request, routing, run.body))
-        run.sent_at = self.now()
+        assert run.attempt is not None
+        run.attempt.sent_at = self.now()
         if run.work is not None and self.selector.has_free_slot(target):
             run.input_release_timer = asyncio.get_running_loop().call_later(
                 INPUT_FETCH_MS / 1000, self.release_inputs, run
@@ -232,6 +242,8 @@
         """Reads the target's answer and relays it to the caller; raises TargetError."""
         assert run.route is not None
         head = await relay.with_timeout(connection.read_head, relay.first_event_timeout_ms(run))
+        assert run.attempt is not None
+        run.attempt.head_at = self.now()
         answer = self.wire.decode_answer(head.status, head.headers)
         if answer.request_id is not None and answer.request_id != run.request.id:
             raise TargetError("answer to another request", sent=True)
@@ -313,6 +325,7 @@
     def record_attempt_failure(self, run: Run, target: Target, error: TargetError) -> None:
         """Records an attempt without a complete answer."""
         run.offers.append(Offer(target.name, error.reason))
+        self.log_broken_attempt(run, error)
         if error.reason != "left":
             peers = self.registry.usable(run.service)
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
@@ -320,6 +333,27 @@
         if error.sent:
             run.possible_executions += 1
 
+    def log_broken_attempt(self, run: Run, error: TargetError) -> None:
+        """Logs and counts how far an attempt had come that ended without a complete answer."""
+        attempt = run.attempt
+        if attempt is None or attempt.sent_at is None:
+            return
+        self.follower.metrics.broken_attempts.inc(
+            {"service": run.service, "progress": attempt.progress().value}
+        )
+        logs.event(
+            log,
+            "attempt_broken",
+            request=run.id,
+            target=attempt.target.name,
+            service=run.service,
+            reason=error.reason,
+            after_ms=round(self.now() - attempt.sent_at),
+            progress=attempt.progress().value,
+            events=attempt.events,
+            parts=shared_parts_label(run.request),
+        )
+
     async def after_failure(self, run: Run, error: TargetError) -> bool:
         """Returns False if a failed attempt may be retried; raises ServiceError otherwise."""
         if not error.sent or self.may_repeat(run):
@@ -352,8 +386,9 @@
 
         def on_events() -> None:
             if run.events == 0 and run.request.prompt is not None:
+                assert run.attempt is not None and run.attempt.sent_at is not None
                 self.selector.speed(run.service).record(
-                    run.request.prompt, self.now() - run.sent_at
+                    run.request.prompt, self.now() - run.attempt.sent_at
                 )
             # The engine has processed the prompt and therefore fetched the inputs.
             mark_prefilled()
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -19,6 +19,10 @@
         self.first_event_seconds = self.histogram(
             "savoryfork_first_event_seconds", "From the request to the first event of its stream"
         )
+        self.broken_attempts = self.counter(
+            "savoryfork_broken_attempts_total",
+            "Attempts that ended without a complete answer, by service and progress",
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -119,6 +119,14 @@
     input_tokens: int
     parts: tuple[PromptPart, ...]
 
+    def shared_parts(self) -> tuple[str, ...]:
+        """Returns the ids of the parts that other requests may have too: all but the last.
+
+        >>> Prompt(10, (PromptPart("a", 6), PromptPart("b", 4))).shared_parts()
+        ('a',)
+        """
+        return tuple(part.id for part in self.parts[:-1])
+
 
 class CallerRequest(NamedTuple):
     """A request as a caller sent it. `headers` are those to forward.
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -75,6 +75,8 @@
             continue
         if run.first_event_at is None:
             run.first_event_at = now()
+        if run.attempt is not None:
+            run.attempt.events += len(events)
         on_events()
         if timeout_ms is not None:
             timeout_ms = gap_timeout_ms
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import NamedTuple, Protocol
 
 from savoryfork.forward.model import (
@@ -11,6 +12,7 @@
     Headers,
     Repeat,
     Route,
+    Target,
     Workspace,
 )
 from savoryfork.forward.work import Work
@@ -31,6 +33,17 @@
     )
 
 
+# Parts of a prompt that a log line names at most.
+MAX_LOGGED_PARTS = 12
+
+
+def shared_parts_label(request: CallerRequest) -> str | None:
+    """Returns the shared parts of a request's prompt for its log lines; None without any."""
+    if request.prompt is None:
+        return None
+    return ",".join(request.prompt.shared_parts()[:MAX_LOGGED_PARTS]) or None
+
+
 # Default retry-after of refused requests.
 DEFAULT_RETRY_MS = 400.0
 
@@ -64,13 +77,37 @@
     outcome: str
 
 
+class Progress(enum.Enum):
+    """How far the answer of an attempt has come."""
+
+    NO_HEAD = "no_head"
+    NO_EVENT = "no_event"
+    EVENTS = "events"
+
+
+class Attempt:
+    """The progress of a request at one target; `events` counts the events that it sent."""
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.sent_at: float | None = None
+        self.head_at: float | None = None
+        self.events = 0
+
+    def progress(self) -> Progress:
+        """Returns how far the answer has come."""
+        if self.events:
+            return Progress.EVENTS
+        return Progress.NO_EVENT if self.head_at is not None else Progress.NO_HEAD
+
+
 class Run:
     """The state of one request.
 
     `possible_executions` counts the targets that may have executed it. `response_started` is True
     once response headers were sent to the caller. `last_event` is the id of the last event sent.
-    `sent_at` is when it was last sent to a target. `waiting_for_caller` is True while events wait
-    for the caller to read.
+    `attempt` is the latest attempt. `waiting_for_caller` is True while events wait for the caller
+    to read.
     """
 
     def __init__(
@@ -104,7 +141,7 @@
         self.work: Work | None = None
         self.input_release_timer: asyncio.TimerHandle | None = None
         self.stages_done_at: float | None = None
-        self.sent_at = 0.0
+        self.attempt: Attempt | None = None
         self.first_event_at: float | None = None
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
         self.retry_ms = DEFAULT_RETRY_MS
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -156,6 +156,17 @@
         ids = [line for line in body.splitlines() if line.startswith(b"id: ")]
         assert status == 200 and ids == [b"id: %d" % n for n in range(1, 7)]
 
+    async def test_log_tells_how_far_a_broken_attempt_came(self, deployment, caplog):
+        """Guards against logs that can't tell the request that crashes an engine from others."""
+        caplog.set_level("INFO")
+        for replica in deployment.replicas["engine"]:
+            replica.break_after = 3
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await deployment.call("/ask/x", Request_Id="cut", **TOKENS)
+        (line,) = [r.msg for r in caplog.records if r.msg["event"] == "attempt_broken"]
+        assert (line["request"], line["progress"], line["events"]) == ("cut", "events", 3)
+        assert line["parts"] == "aa,bb"
+
     async def test_non_resumable_stream_ends_incomplete(self, deployment):
         for replica in deployment.replicas["engine"]:
             replica.break_after = 3
