--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -14,8 +15,17 @@
 CALL_S = 0.01
 
 
+def prompt_parts(request: web.Request) -> list[str]:
+    """Returns the ids of the parts of a request's prompt."""
+    entries = request.headers.get("Prefix-Hash", "").split(",")
+    return [entry.partition(":")[0] for entry in entries]
+
+
 class Replica:
-    """One replica. `run_counts` is by request id; `received` lists the requests and pieces."""
+    """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
+
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `deadly_parts`.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -31,6 +41,10 @@
         self.status = 200
         self.batch_sizes: list[int] = []
         self.no_room = False
+        self.deadly_parts: set[str] = set()
+        self.on_crash: Callable[[], None] = lambda: None
+        self.born = 1
+        self.crashes = 0
 
     def app(self) -> web.Application:
         """Returns the web application."""
@@ -66,6 +80,10 @@
         count = int(request.headers["Token-Usage"].split(",")[1])
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
+        if self.deadly_parts.intersection(prompt_parts(request)):
+            self.crashes += 1
+            self.on_crash()
+            return response
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, count + 1):
             if self.break_after is not None and number > self.break_after:
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -20,6 +20,9 @@
 
 RNG = random.Random()
 
+# Time for which a crashed replica is down.
+RESTART_S = 0.4
+
 STAGES = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
 ROUTES: list[dict[str, Any]] = [
     {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
@@ -62,6 +65,7 @@
         self.runners: list[web.AppRunner] = []
         self.reloaded: ForwardSettings | None = None
         self.settings_version = 1
+        self.restarts: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> Deployment:
         self.session = aiohttp.ClientSession()
@@ -81,6 +85,8 @@
 
     async def __aexit__(self, *details: object) -> None:
         await self.session.close()
+        for task in self.restarts:
+            task.cancel()
         for host in self.hosts:
             await host.stop()
             await host.peer_server.stop()
@@ -102,14 +108,35 @@
         """Starts a replica and registers it."""
         replica = Replica(name)
         replica.address = await self.serve(replica.app())
+        runner = self.runners[-1]
+        replica.on_crash = lambda: self.crash(service, replica, runner)
         self.replicas[service].append(replica)
         self.register(service, replica)
         return replica
 
+    def crash(self, service: str, replica: Replica, runner: web.AppRunner) -> None:
+        """Resets all connections of a replica and starts it again after RESTART_S."""
+        task = asyncio.create_task(self.restart(service, replica, runner))
+        self.restarts.append(task)
+        assert runner.server is not None
+        for connection in runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def restart(self, service: str, replica: Replica, runner: web.AppRunner) -> None:
+        """Listens again after RESTART_S, as another incarnation."""
+        for site in list(runner.sites):
+            await site.stop()
+        await asyncio.sleep(RESTART_S)
+        ip, _, port = replica.address.rpartition(":")
+        await web.TCPSite(runner, ip, int(port)).start()
+        replica.born += 1
+        self.register(service, replica)
+
     def register(self, service: str, replica: Replica, state: str = "ready") -> None:
         """Writes a replica's entry to the store."""
         row = {"service": service, "address": replica.address, "zone": "z", "state": state}
-        self.store.put("keyed.servers", replica.name, {**row, "slots": 4, "born": 1})
+        self.store.put("keyed.servers", replica.name, {**row, "slots": 4, "born": replica.born})
 
     async def start_host(self, number: int, seeds: tuple[str, ...]) -> ForwardHost:
         """Starts a forwarding host."""
