Test what callers see of cut heads and of errors after a broken stream

Two reports of other operators of systems like this one: an error's text in a stream that had broken off, or its end as if complete; and a 200 with an empty or short body after a head that was cut off. Scripted targets cut an answer at seven places, by close and by reset, on each kind of route: callers get 502 without the target's seal.

--- /dev/null
+++ b/tests/forward/test_forwarder.py
@@ -0,0 +1,203 @@
+"""What callers observe when targets repeat, cut off or replace their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from tests.forward.deployment import Deployment, until
+from tests.forward.test_connection import reset
+
+EVENT = b"id: %d\ndata: x\n\n"
+TOKENS = {"Token_Usage": "100,6", "Prefix_Hash": "aa:60,cc:10", "Model": "m"}
+
+
+class Received:
+    """A request as a target received it: headers, body, and its number on its connection.
+
+    `earlier` are the answers that the script has kept of the connection.
+    """
+
+    def __init__(self, number: int, head: bytes, earlier: list[bytes]) -> None:
+        self.number = number
+        self.earlier = earlier
+        lines = head.decode().split("\r\n")[1:]
+        self.headers = {
+            name.lower(): value
+            for name, separator, value in (line.partition(": ") for line in lines)
+            if separator
+        }
+        self.body = b""
+        self.id = self.headers.get("request-id", "")
+
+
+Script = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
+
+
+class ScriptedTarget:
+    """A target that answers by a script; the requests of a connection are numbered from 0."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.runs: Counter[str] = Counter()
+        self.received: list[Received] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = 0
+        earlier: list[bytes] = []
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                request = Received(number, head, earlier)
+                request.body = await reader.readexactly(
+                    int(request.headers.get("content-length", 0))
+                )
+                self.received.append(request)
+                await self.script(request, writer)
+                number += 1
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def answer(status: str, request_id: str | None, body: bytes = b"", *headers: str) -> bytes:
+    """Returns a framed answer."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers]
+    if request_id is not None:
+        lines.append(f"Request-Id: {request_id}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(request: Received, *headers: str) -> bytes:
+    lines = ["HTTP/1.1 200 OK", "Response-Seal: s", f"Request-Id: {request.id}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Scripted:
+    """A deployment whose targets of one service are replaced by scripted ones."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.servers: list[asyncio.Server] = []
+
+    async def replace(self, service: str, *scripts: Script) -> list[ScriptedTarget]:
+        deployment = self.deployment
+        registry = deployment.hosts[0].follower.registry
+        for replica in deployment.replicas[service]:
+            deployment.store.put("keyed.servers", replica.name, None)
+        targets = []
+        for number, script in enumerate(scripts):
+            target = ScriptedTarget(f"scripted-{number}", script)
+            server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
+            self.servers.append(server)
+            ip, port = server.sockets[0].getsockname()
+            row = {"service": service, "address": f"{ip}:{port}", "zone": "z", "state": "ready"}
+            deployment.store.put("keyed.servers", target.name, {**row, "slots": 4, "born": 1})
+            targets.append(target)
+        names = {target.name for target in targets}
+        await until(lambda: {t.name for t in registry.usable(service)} == names)
+        return targets
+
+    async def raw_call(self, path: str) -> bytes:
+        """Sends a stream request; returns all bytes up to the close of the connection or 2 s."""
+        ip, _, port = self.deployment.hosts[0].settings.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        fields = {"Host": "a.example", "Request-Id": "raw", "Key": "k1", "Deadline-Ms": "3000"}
+        fields |= {name.replace("_", "-"): value for name, value in TOKENS.items()}
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        writer.write(f"POST {path} HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n".encode())
+        data = bytearray()
+        try:
+            async with asyncio.timeout(2.0):
+                while part := await reader.read(65_536):
+                    data += part
+                    if data.endswith(b"0\r\n\r\n"):
+                        break
+        except (TimeoutError, ConnectionError):
+            pass  # the test checks what has arrived
+        writer.close()
+        return bytes(data)
+
+
+@pytest.fixture
+async def scripted():
+    """One host, whose targets can be replaced by scripted ones."""
+    async with Deployment() as deployment:
+        found = Scripted(deployment)
+        yield found
+        for server in found.servers:
+            server.close()
+
+
+ERRORS = {
+    "error": ("500 Internal Server Error", ()),
+    "refusal": ("503 Full", ("Not-Executed: 1",)),
+    "bad request": ("400 Bad Request", ()),
+    "other success": ("202 Accepted", ()),
+}
+
+
+class TestBrokenStreams:
+    @pytest.mark.parametrize("kind", ERRORS)
+    async def test_error_after_a_broken_stream_does_not_reach_its_caller(self, scripted, kind):
+        """Guards against an error's text or head in a stream, and against a stream that seems
+        complete because its continuation failed."""
+        status, headers = ERRORS[kind]
+
+        async def break_then_fail(request, writer):
+            if "last-event-id" in request.headers:
+                writer.write(answer(status, request.id, b"SECRET", *headers))
+                return
+            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
+            writer.write(chunk(EVENT % 1) + chunk(EVENT % 2 + b"id: 3\nda"))
+            await writer.drain()
+            reset(writer)
+
+        await scripted.replace("engine", break_then_fail, break_then_fail, break_then_fail)
+        data = await scripted.raw_call("/chat/x")
+        head, _, body = data.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"id: 2" in body and b"id: 3" not in body
+        assert b"SECRET" not in body and b"HTTP/1.1" not in body
+        assert not body.endswith(b"0\r\n\r\n")
+
+
+CUT_HEADS = [
+    b"HTTP/1.1 200",
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Le",
+    b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 4",
+    b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 0\r\n",
+    b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r",
+    b"HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\ndo",
+]
+
+
+class TestCutAnswers:
+    @pytest.mark.parametrize("path", ["/book/x", "/view/x", "/ask/x", "/chat/x"])
+    @pytest.mark.parametrize("head", CUT_HEADS)
+    @pytest.mark.parametrize("how", ["close", "reset"])
+    async def test_answer_cut_in_its_head_is_not_a_success(self, scripted, path, head, how):
+        """Guards against a 200 with an empty or short body that is framed as complete."""
+
+        async def cut(request, writer):
+            writer.write(head)
+            await writer.drain()
+            if how == "reset":
+                await asyncio.sleep(0.02)
+                reset(writer)
+            else:
+                writer.close()
+
+        service = "engine" if path in ("/ask/x", "/chat/x") else "plain"
+        await scripted.replace(service, cut, cut)
+        headers = TOKENS if service == "engine" else {}
+        status, _, answer_headers = await scripted.deployment.call(path, **headers)
+        assert status == 502 and "Response-Seal" not in answer_headers
