Do not reuse a connection after a refusal or an answer without an id

What callers saw: 503, which promises that a request did not run, for a request that its target ran; and a resumable stream that ran twice.

Cause: a faulty target writes an earlier refusal once more on a kept connection, as the answer of the next request. An id tells answers apart, but the refusal may have none, or it may be an earlier one of the same request, which is offered there again after a missing input. Ruled out: bytes on an idle connection and answers with another id, both of which close the connection already.

Change: the connection of a refusal, or of an answer without an id, is closed instead of pooled, so no connection can carry an earlier one. Both tests failed before (503 for a request that ran; two runs).

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -268,9 +268,20 @@
             await self.stream(run, target, connection, answer, mark_prefilled)
             return True
         body = await connection.read_body()
-        self.connections.release_connection(connection, self.now(), answer.idle_s)
+        self.return_connection(connection, answer)
         return await self.buffered(run, target, answer, body)
 
+    def return_connection(self, connection: Connection, answer: AnswerHead) -> None:
+        """Pools a connection for other calls, or closes it.
+
+        A faulty target may write an answer once more, as that of the next call. The id tells them
+        apart, but not for an answer without one, nor for a refusal, whose request may come again.
+        """
+        if answer.not_run or answer.request_id is None:
+            connection.abort()
+        else:
+            self.connections.release_connection(connection, self.now(), answer.idle_s)
+
     async def buffered(self, run: Run, target: Target, answer: AnswerHead, body: bytes) -> bool:
         """Relays an answer that has been read in full, or returns False for another attempt."""
         now = self.now()
@@ -414,9 +425,8 @@
             self.crashes.record_events(run)
 
         await relay.relay_events(run, connection, answer, self.now, on_events)
-        now = self.now()
-        self.connections.release_connection(connection, now, answer.idle_s)
-        self.health.record_success(target, now)
+        self.return_connection(connection, answer)
+        self.health.record_success(target, self.now())
         self.crashes.record_answer(run)
         run.offers.append(Offer(target.name, "200"))
         if not run.response_started:
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from savoryfork.forward.run import NOT_EXECUTED_STATUSES
 from tests.forward.deployment import Deployment, until
 from tests.forward.test_connection import reset
 
@@ -136,6 +137,54 @@
             server.close()
 
 
+class TestRepeatedRefusals:
+    async def test_refusal_written_again_is_not_taken_for_the_next_answer(self, scripted):
+        """Guards against "not run" for a request that runs: an old refusal without an id."""
+
+        async def refuse_then_repeat(request, writer):
+            refusal = answer("503 Full", None, b"", "Not-Executed: 1", "Keep-Alive: timeout=5")
+            if len(target.received) == 1:
+                writer.write(refusal)
+                return
+            target.runs[request.id] += 1
+            if request.number:
+                writer.write(refusal)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            writer.write(answer("200 OK", request.id, b"done", "Response-Seal: s"))
+
+        (target,) = await scripted.replace("plain", refuse_then_repeat)
+        call = scripted.deployment.call
+        assert (await call("/book/x", Request_Id="first"))[0] in NOT_EXECUTED_STATUSES
+        status, body, _ = await call("/book/x", Request_Id="second")
+        assert target.runs["second"] == 1 and (status, body) == (200, b"done")
+
+    async def test_refusal_of_the_same_request_written_again_is_not_taken_for_a_new_one(
+        self, scripted
+    ):
+        """Guards against a second run: a request with a missing input is offered there again."""
+
+        async def miss_input_then_repeat(request, writer):
+            kept = ("Not-Executed: 1", "Keep-Alive: timeout=5")
+            refusal = answer("409 Gone", request.id, b"", *kept)
+            if len(target.received) == 1:
+                writer.write(refusal)
+                return
+            target.runs[request.id] += 1
+            if request.number:
+                writer.write(refusal)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
+            writer.write(chunk(EVENT % 1) + chunk(b""))
+
+        (target,) = await scripted.replace("engine", miss_input_then_repeat)
+        status, body, _ = await scripted.deployment.call(
+            "/chat/x", Request_Id="r", Pieces="1,0", Piece_Key="k", **TOKENS
+        )
+        assert (status, body) == (200, EVENT % 1) and target.runs["r"] == 1
+
+
 ERRORS = {
     "error": ("500 Internal Server Error", ()),
     "refusal": ("503 Full", ("Not-Executed: 1",)),
