Detect results of stages that a target writes once more

What callers saw: nothing; a request could run with the stage results of another one.

Calls to stage targets carry no id. A target that repeats an answer on a kept connection gives the results of one batch for the next, and from then on the answers of the connection are off by one.

Change: the coordinator remembers the last handles that each target returned and rejects an answer with one of them; a connection is reused only after an answer with a new handle for each piece. Both tests failed before: an engine got the results of the request before.

--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Sequence
 
 from savoryfork.forward.batching import Task
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import StageResult
-from savoryfork.forward.model import BatchLimits, Target
+from savoryfork.forward.model import BatchLimits, PieceResult, Target
 from savoryfork.forward.work import StageFailure, Work
 
+# Handles that are remembered of each target, some ten calls of the largest batches.
+MAX_RETURNED_HANDLES = 1_024
+
 
 class StageTask:
     """One stage of a request: its waiting pieces, and its results so far.
@@ -66,7 +69,7 @@
     """The coordinator's view of one target.
 
     `calls` counts the calls in progress. `held` maps the handle of each result that the target
-    keeps to its size and expiry time.
+    keeps to its size and expiry time. `returned` are the handles that it returned last.
     """
 
     def __init__(self) -> None:
@@ -76,8 +79,19 @@
         self.slowdown = 1.0
         self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
+        self.returned: OrderedDict[str, None] = OrderedDict()
         self.reserved_bytes = 0.0
 
+    def add_handles(self, results: Sequence[PieceResult]) -> bool:
+        """Records the handles of an answer; returns False if the target returned one before."""
+        handles = [result for result in results if isinstance(result, str)]
+        if any(handle in self.returned for handle in handles) or len(set(handles)) < len(handles):
+            return False
+        self.returned.update(dict.fromkeys(handles))
+        while len(self.returned) > MAX_RETURNED_HANDLES:
+            self.returned.popitem(last=False)
+        return True
+
     def free_result_bytes(self, limits: BatchLimits, now: float) -> float:
         """Returns the bytes neither held by results nor reserved; drops expired results."""
         for handle in [h for h, (_, expires_at) in self.held.items() if expires_at <= now]:
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -304,8 +304,14 @@
             head = await connection.read_head()
             answer = self.wire.decode_answer(head.status, head.headers)
             body = await connection.read_body()
-            self.connections.release_connection(connection, self.now(), answer.idle_s)
-            reusable = True
+            results = self.wire.decode_results(body, len(batch)) if answer.status == 200 else None
+            if results is not None and not state.add_handles(results):
+                raise TargetError("results of another call", sent=True)
+            # The answer of a call carries no id: only new handles show that it is not an earlier
+            # one, written once more.
+            if results is not None and all(isinstance(result, str) for result in results):
+                self.connections.release_connection(connection, self.now(), answer.idle_s)
+                reusable = True
         finally:
             if not reusable:
                 connection.abort()
@@ -315,7 +321,6 @@
         if answer.not_run:
             state.blocked_until = self.now() + FULL_BACKOFF_MS
             raise TargetError("full", sent=False)
-        results = self.wire.decode_results(body, len(batch)) if answer.status == 200 else None
         if results is None:
             raise TargetError(f"status {answer.status}", sent=True)
         return results
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -185,6 +186,43 @@
         assert (status, body) == (200, EVENT % 1) and target.runs["r"] == 1
 
 
+class TestRepeatedResults:
+    @pytest.mark.parametrize("earlier", ["results", "failure"])
+    async def test_results_written_again_are_not_taken_for_another_request(self, scripted, earlier):
+        """Guards against inputs of another request: stage calls carry no id of their own."""
+
+        async def repeat(request, writer):
+            (entry,) = json.loads(request.body).get("entries", [{}])
+            if "id" not in entry:
+                writer.write(answer("200 OK", None))
+                return
+            made = [{"handle": f"127.0.0.1:1/{len(target.received)}"}]
+            target.runs[entry["id"]] += 1
+            handles[made[0]["handle"]] = entry["id"]
+            first = len(target.runs) == 1 and target.runs[entry["id"]] == 1
+            if first and earlier == "failure":
+                made = [{"reason": "error"}]
+            body = json.dumps({"entries": made}).encode()
+            if request.earlier:
+                writer.write(request.earlier[-1])
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            request.earlier.append(answer("200 OK", None, body, "Keep-Alive: timeout=5"))
+            writer.write(request.earlier[-1])
+
+        handles: dict[str, str] = {}
+        (target,) = await scripted.replace("cave", repeat)
+        engines = scripted.deployment.replicas["engine"]
+        for number in range(4):
+            await scripted.deployment.call(
+                "/chat/x", Request_Id=f"r{number}", Pieces="1,0", Piece_Key="k", **TOKENS
+            )
+        served = [request["headers"] for engine in engines for request in engine.received]
+        assert len(served) >= 3
+        for headers in served:
+            assert handles[headers["Inputs"]] == headers["Request-Id"]
+
+
 ERRORS = {
     "error": ("500 Internal Server Error", ()),
     "refusal": ("503 Full", ("Not-Executed: 1",)),
