Treat a stream without framing and without events as broken off

What callers saw: an empty 200 as a complete answer from an engine that crashed as it began to write.

Cause: a stream may come without a length and without chunks and end with its connection; the close by a crash right after the head looks like the end of an empty stream. Ruled out: a stream that ends inside an event or is reset, both of which count as broken off already (tests added). Change: without framing, a stream must have an event. The test failed before with an empty 200.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -44,6 +44,10 @@
 MAX_IDLE_PER_ADDRESS = 64
 
 
+# Headers of which a response has one if its end shows without the close of its connection.
+FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+
+
 class TargetError(Exception):
     """A call without a complete response. `sent` is False if no byte of it was written."""
 
@@ -61,7 +65,10 @@
 
 
 class Connection(asyncio.Protocol):
-    """A connection that carries one call at a time."""
+    """A connection that carries one call at a time.
+
+    `framed` is False if the body of the current response ends with the connection.
+    """
 
     def __init__(self, address: str, limits: ReadLimits = DEFAULT_LIMITS) -> None:
         self.address = address
@@ -78,6 +85,7 @@
         self.peer_closed = False
         self.error: Exception | None = None
         self.answered_early = False
+        self.framed = True
         self.idle_since = 0.0
         self.max_idle_ms = DEFAULT_MAX_IDLE_MS
 
@@ -202,6 +210,8 @@
                 if self.transport is not None and self.transport.get_write_buffer_size():
                     # The target answered before it had read the entire request body.
                     self.answered_early = True
+                names = {bytes(name).lower() for name, _ in event.headers}
+                self.framed = bool(names & FRAMING_HEADERS)
                 return Head(event.status_code, list(event.headers.raw_items()))
             if not isinstance(event, h11.InformationalResponse):
                 self.abort()
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -95,3 +95,6 @@
             )
     if splitter.buffer:
         raise TargetError("stream ended within an event", sent=True)
+    if not connection.framed and run.attempt is not None and not run.attempt.events:
+        # A target that crashes as it begins to write closes its connection like one that has ended.
+        raise TargetError("closed before the first event", sent=True)
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -288,3 +288,38 @@
         headers = TOKENS if service == "engine" else {}
         status, _, answer_headers = await scripted.deployment.call(path, **headers)
         assert status == 502 and "Response-Seal" not in answer_headers
+
+
+class TestUnframedStreams:
+    """A stream without a length or chunks ends with its connection."""
+
+    async def call(self, scripted: Scripted, data: bytes, how: str = "close") -> bytes:
+        async def write_unframed(request, writer):
+            writer.write(stream_head(request) + data)
+            await writer.drain()
+            if how == "reset":
+                await asyncio.sleep(0.05)
+                reset(writer)
+            else:
+                writer.close()
+
+        await scripted.replace("engine", write_unframed)
+        return await scripted.raw_call("/ask/x")
+
+    async def test_stream_that_ends_with_its_connection_is_complete(self, scripted):
+        data = await self.call(scripted, EVENT % 1 + EVENT % 2)
+        assert b"id: 2" in data and data.endswith(b"0\r\n\r\n")
+
+    @pytest.mark.parametrize("rest", [b"id: 3\nda", b"id: 3\ndata: x\n", b"\n"])
+    async def test_stream_that_ends_inside_an_event_is_broken_off(self, scripted, rest):
+        data = await self.call(scripted, EVENT % 1 + EVENT % 2 + rest)
+        assert b"id: 2" in data and not data.endswith(b"0\r\n\r\n")
+
+    async def test_stream_that_is_reset_is_broken_off(self, scripted):
+        data = await self.call(scripted, EVENT % 1 + EVENT % 2, how="reset")
+        assert b"id: 2" in data and not data.endswith(b"0\r\n\r\n")
+
+    async def test_stream_that_ends_before_its_first_event_is_broken_off(self, scripted):
+        """Guards against an empty success from an engine that crashed as it began to write."""
+        data = await self.call(scripted, b"")
+        assert data.startswith(b"HTTP/1.1 502")
