Draw each port of a deployment once

Its settings file gave the callers' address and the readiness address the same port, so the process could not bind. Cause: the soak and the in-process deployment draw each port by itself with nothing taken, and a port that is drawn but not yet in use looks free. Not load: the file shows it. Change: Ports draws each port of a deployment once; the launcher of the stand-ins used such a set already and shares it now.

--- a/soak/site.py
+++ b/soak/site.py
@@ -17,7 +17,7 @@
 from soak.faults import Fault
 from soak.proxy import Proxy
 from standins.keyedstore import KeyedStore
-from standins.ports import free_port
+from standins.ports import Ports
 from standins.replicas import Replica
 
 SERVICES = ("plain", "engine", "cave", "carri")
@@ -70,10 +70,12 @@
 class HostProcess:
     """One forwarding host. Requests sent before `disturbed_until` count as disturbed."""
 
-    def __init__(self, number: int, seeds: list[str], store: str, folder: Path) -> None:
+    def __init__(
+        self, number: int, seeds: list[str], store: str, folder: Path, ports: Ports
+    ) -> None:
         self.number = number
-        self.ready = f"127.0.0.1:{free_port(RNG)}"
-        self.callers = f"127.0.0.1:{free_port(RNG)}"
+        self.ready = ports.address()
+        self.callers = ports.address()
         self.path = folder / f"host-{number}.json"
         self.log = (folder / f"host-{number}.log").open("ab")
         self.process: asyncio.subprocess.Process | None = None
@@ -88,7 +90,7 @@
                     "caller_address": self.callers,
                     "ready_address": self.ready,
                     "peer_address": seeds[number],
-                    "internal_ports": [free_port(RNG), 65_535],
+                    "internal_ports": [ports.draw(), 65_535],
                     "store_address": store,
                     "seed_peers": seeds,
                     "stop_grace_s": STOP_GRACE_S,
@@ -130,6 +132,7 @@
     def __init__(self, hosts: int, folder: Path) -> None:
         self.folder = folder
         self.host_count = hosts
+        self.ports = Ports(RNG)
         self.store = KeyedStore()
         self.replicas: list[tuple[str, Replica]] = []
         self.proxies: dict[str, Proxy] = {}
@@ -150,8 +153,10 @@
                 self.replicas.append((service, replica))
                 self.register(service, replica, "ready")
         self.publish()
-        seeds = [f"127.0.0.1:{free_port(RNG)}" for _ in range(self.host_count)]
-        self.hosts = [HostProcess(n, seeds, store, self.folder) for n in range(self.host_count)]
+        seeds = [self.ports.address() for _ in range(self.host_count)]
+        self.hosts = [
+            HostProcess(n, seeds, store, self.folder, self.ports) for n in range(self.host_count)
+        ]
         self.store_proxy = self.proxies[store]
         for host in self.hosts:
             await host.start()
@@ -183,7 +188,7 @@
         """Serves an application behind a proxy and returns the proxy's address."""
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        await web.TCPSite(runner, "127.0.0.1", port := self.ports.draw()).start()
         self.runners.append(runner)
         proxy = Proxy(f"127.0.0.1:{port}")
         address = await proxy.start()
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -31,7 +31,7 @@
 
 from savoryfork.files import load_directory
 from standins.deployments import DeploymentSpec, ServiceSpec
-from standins.ports import free_port
+from standins.ports import Ports
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -119,8 +119,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.incarnations: dict[str, str] = {}
         self.states: dict[str, str] = {}
-        self.ports: set[int] = set()
-        self.random = random.SystemRandom()
+        self.ports = Ports(random.SystemRandom())
 
     async def __aenter__(self) -> Deployment:
         self.directory = Path(tempfile.mkdtemp(prefix=f"{self.spec.name}-"))
@@ -226,9 +225,7 @@
 
     def free_port(self) -> int:
         """Reserves a loopback port that nothing listens on."""
-        port = free_port(self.random, self.ports)
-        self.ports.add(port)
-        return port
+        return self.ports.draw()
 
     def launch(self, name: str) -> None:
         """Starts a process; its stderr is appended to a file."""
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -23,3 +23,24 @@
             except OSError:
                 continue  # another process listens there
         return port
+
+
+class Ports:
+    """The ports of one deployment, each drawn once.
+
+    A drawn port may not be in use yet, or not at the moment, so that a probe would find it free.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.drawn: set[int] = set()
+
+    def draw(self) -> int:
+        """Returns a port that nothing listens on and that was not drawn before."""
+        port = free_port(self.rng, self.drawn)
+        self.drawn.add(port)
+        return port
+
+    def address(self) -> str:
+        """Returns a loopback address with such a port."""
+        return f"127.0.0.1:{self.draw()}"
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -15,7 +15,7 @@
 from savoryfork.platform.store import PlatformStore
 from savoryfork.platform.wire import PlatformWire
 from standins.keyedstore import KeyedStore
-from standins.ports import free_port
+from standins.ports import Ports
 from standins.replicas import Replica
 
 RNG = random.Random()
@@ -58,6 +58,7 @@
 
     def __init__(self, hosts: int = 1, replicas: int = 2) -> None:
         self.host_count = hosts
+        self.ports = Ports(RNG)
         self.replica_count = replicas
         self.store = KeyedStore()
         self.replicas: dict[str, list[Replica]] = {}
@@ -75,7 +76,7 @@
             self.replicas[service] = []
             for number in range(self.replica_count):
                 await self.add_replica(service, f"{service}-{number}")
-        seeds = tuple(f"127.0.0.1:{free_port(RNG)}" for _ in range(self.host_count))
+        seeds = tuple(self.ports.address() for _ in range(self.host_count))
         for number in range(self.host_count):
             await self.start_host(number, seeds)
         for host in self.hosts:
@@ -100,7 +101,7 @@
         """Serves an application on a free port; returns its address."""
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        await web.TCPSite(runner, "127.0.0.1", port := self.ports.draw()).start()
         self.runners.append(runner)
         return f"127.0.0.1:{port}"
 
@@ -142,10 +143,10 @@
         settings = ForwardSettings(
             host=f"host-{number}",
             availability_zone="z",
-            caller_address=f"127.0.0.1:{free_port(RNG)}",
-            ready_address=f"127.0.0.1:{free_port(RNG)}",
+            caller_address=self.ports.address(),
+            ready_address=self.ports.address(),
             peer_address=seeds[number],
-            internal_ports=(free_port(RNG), 65535),
+            internal_ports=(self.ports.draw(), 65535),
             store_address=self.store_address,
             stop_grace_s=8.0,
             key_revocation_ms=5_000.0,
