Name the quarantine in usual terms, and give up a connection before its answer is delivered

Names: quarantined, suspect, bystander, probe and cooldown replace words of a court. Part ids are hashed without a cache: it would have kept up to 8,192 names of a caller's choice, each as long as a header. A clearance is dropped with the last report that it refers to.

One fault: while an answer that was read in full is delivered, its connection may serve another request, and a report that quarantines the first request's part would have closed it. Found by reading; the attempt now gives the connection up when it is pooled. Its test fails without that.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -24,12 +24,12 @@
 
 log = logging.getLogger(__name__)
 
-# Retry-after of a request with a convicted part, and of one that waits for a trial of its parts.
-CONVICTED_RETRY_MS = 30_000.0
-TRIAL_RETRY_MS = 400.0
+# Retry-after of a request with a quarantined part, and of one whose parts are being probed.
+QUARANTINE_RETRY_MS = 30_000.0
+PROBE_RETRY_MS = 400.0
 
-# Company of a crash is reported only if no host has reported a likelier cause within this time.
-COMPANY_DELAY_MS = 250.0
+# Bystanders of a crash are reported only if no likelier cause is reported within this time.
+BYSTANDER_DELAY_MS = 250.0
 
 # Entries are collected for this long before an append, and appended again after a failure.
 APPEND_DELAY_MS = 5.0
@@ -49,12 +49,12 @@
         self.background = background
         self.metrics = follower.metrics
         self.runs: set[Run] = set()
-        self.trials: dict[int, Run] = {}
+        self.probes: dict[int, Run] = {}
         self.crashed: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self.waiting: dict[str, bytes] = {}
         self.appending = False
         self.closed = False
-        self.convicted: set[int] = set()
+        self.quarantined: set[int] = set()
         follower.on_crash_reports = self.handle_reports
 
     # Admission.
@@ -72,22 +72,22 @@
         if verdict is Verdict.ALLOWED:
             return
         watched = self.quarantine.watched(run.parts)
-        holders = {self.trials[part] for part in watched if part in self.trials}
-        if verdict is Verdict.SINGLE and holders <= {run}:
-            self.trials.update(dict.fromkeys(watched, run))
+        holders = {self.probes[part] for part in watched if part in self.probes}
+        if verdict is Verdict.PROBE and holders <= {run}:
+            self.probes.update(dict.fromkeys(watched, run))
             return
         raise self.refusal(run, verdict)
 
     def refusal(self, run: Run, verdict: Verdict) -> ServiceError:
         """Returns the refusal of a request by the parts of its prompt."""
         refused = verdict is Verdict.REFUSED
-        run.retry_ms = CONVICTED_RETRY_MS if refused else TRIAL_RETRY_MS
+        run.retry_ms = QUARANTINE_RETRY_MS if refused else PROBE_RETRY_MS
         return ServiceError(
             ErrorKind.PROMPT_QUARANTINED,
             (
                 "engines crash on a part of this prompt"
                 if refused
-                else "engines may crash on a part of this prompt, which is being tried"
+                else "engines may crash on a part of this prompt, which is being probed"
             ),
             ran=Ran.UNKNOWN if run.possible_executions else Ran.NO,
         )
@@ -95,11 +95,11 @@
     def forget(self, run: Run) -> None:
         """Ends the watch of a request that has ended."""
         self.runs.discard(run)
-        self.end_trial(run)
+        self.end_probe(run)
 
-    def end_trial(self, run: Run) -> None:
-        """Lets another request try the parts that a request was tried for."""
-        self.trials = {part: holder for part, holder in self.trials.items() if holder is not run}
+    def end_probe(self, run: Run) -> None:
+        """Lets another request probe the parts that a request was a probe for."""
+        self.probes = {part: holder for part, holder in self.probes.items() if holder is not run}
 
     # Observations.
 
@@ -113,7 +113,7 @@
         if not run.parts or run.attempt is None or run.attempt.answered:
             return
         run.attempt.answered = True
-        self.end_trial(run)
+        self.end_probe(run)
         for part in self.quarantine.record_answer(run.parts, self.follower.now()):
             clearance = self.quarantine.clear(part)
             logs.event(log, "part_cleared", request=run.id, part=f"{part:x}")
@@ -149,7 +149,7 @@
         if began:
             self.report(report, run.id)
         elif not proven:
-            self.background.spawn(self.report_company(report, run.id))
+            self.background.spawn(self.report_bystander(report, run.id))
         suspected = self.quarantine.verdict(run.parts, now) is not Verdict.ALLOWED
         return (began and not proven) or suspected
 
@@ -176,28 +176,28 @@
         self.handle_reports()
         self.append(key, value)
 
-    async def report_company(self, report: Report, request_id: str) -> None:
-        """Reports a request that shared its engine, if no likelier cause becomes known."""
-        await asyncio.sleep(COMPANY_DELAY_MS / 1000)
+    async def report_bystander(self, report: Report, request_id: str) -> None:
+        """Reports a bystander of a crash after a delay, if no likelier cause is known by then."""
+        await asyncio.sleep(BYSTANDER_DELAY_MS / 1000)
         if not self.quarantine.is_explained(report):
             self.report(report, request_id)
 
     def handle_reports(self) -> None:
-        """Logs changes of the verdicts and withdraws convicted requests from engines."""
-        convicted = self.quarantine.convicted_parts()
-        for part in convicted - self.convicted:
-            logs.event(log, "part_convicted", logging.WARNING, part=f"{part:x}")
-        for part in self.convicted - convicted:
+        """Logs changes of the verdicts and cancels quarantined requests on engines."""
+        quarantined = self.quarantine.quarantined_parts()
+        for part in quarantined - self.quarantined:
+            logs.event(log, "part_quarantined", logging.WARNING, part=f"{part:x}")
+        for part in self.quarantined - quarantined:
             logs.event(log, "part_released", part=f"{part:x}")
-        self.convicted = convicted
-        self.metrics.convicted_parts.set({}, len(convicted))
+        self.quarantined = quarantined
+        self.metrics.quarantined_parts.set({}, len(quarantined))
         now = self.follower.now()
         for run in list(self.runs):
             attempt = run.attempt
             if attempt is None or attempt.connection is None or attempt.events:
                 continue
             if self.quarantine.verdict(run.parts, now) is Verdict.REFUSED:
-                attempt.withdrawn = True
+                attempt.cancelled = True
                 attempt.connection.abort()
 
     def append(self, key: str, value: bytes) -> None:
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -200,8 +200,8 @@
                 self.send(run, target, connection)
                 return await self.answer(run, target, connection, mark_prefilled)
         except TargetError as error:
-            if run.attempt.withdrawn:
-                run.offers.append(Offer(target.name, "withdrawn"))
+            if run.attempt.cancelled:
+                run.offers.append(Offer(target.name, "cancelled"))
                 run.possible_executions += 1
                 raise self.crashes.refusal(run, Verdict.REFUSED) from error
             self.record_attempt_failure(run, target, error)
@@ -268,15 +268,17 @@
             await self.stream(run, target, connection, answer, mark_prefilled)
             return True
         body = await connection.read_body()
-        self.return_connection(connection, answer)
+        self.return_connection(run, connection, answer)
         return await self.buffered(run, target, answer, body)
 
-    def return_connection(self, connection: Connection, answer: AnswerHead) -> None:
+    def return_connection(self, run: Run, connection: Connection, answer: AnswerHead) -> None:
         """Pools a connection for other calls, or closes it.
 
         A faulty target may write an answer once more, as that of the next call. The id tells them
         apart, but not for an answer without one, nor for a refusal, whose request may come again.
         """
+        if run.attempt is not None:
+            run.attempt.connection = None
         if answer.not_run or answer.request_id is None:
             connection.abort()
         else:
@@ -425,7 +427,7 @@
             self.crashes.record_events(run)
 
         await relay.relay_events(run, connection, answer, self.now, on_events)
-        self.return_connection(connection, answer)
+        self.return_connection(run, connection, answer)
         self.health.record_success(target, self.now())
         self.crashes.record_answer(run)
         run.offers.append(Offer(target.name, "200"))
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -27,8 +27,8 @@
             "savoryfork_crash_losses_total",
             "Requests lost when an engine crashed, by service and whether their answer had begun",
         )
-        self.convicted_parts = self.gauge(
-            "savoryfork_convicted_parts", "Prompt parts that are kept from engines"
+        self.quarantined_parts = self.gauge(
+            "savoryfork_quarantined_parts", "Prompt parts that are kept from engines"
         )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -2,7 +2,7 @@
 
 A crash of an engine ends all requests on it, and only one of them caused it. Hosts report the lost
 requests to a topic that all hosts follow; each host folds the reports and its own observations into
-a verdict. A part that every crash has in common, and that no answered request has, is convicted:
+a verdict. A part that every crash has in common, and that no answered request has, is quarantined:
 requests with it are refused. A part on which an engine has answered since is cleared.
 
 Nothing here does I/O; `crashes` reports, clears and enforces.
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import enum
-import functools
 import logging
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -29,24 +28,24 @@
 # Weight of a report in the score of a part. An engine crashes as it begins to write, so a request
 # whose answer had begun, without an event, is the likely cause; the others only shared the engine.
 BEGAN_WEIGHT = 1.0
-COMPANY_WEIGHT = 0.4
+BYSTANDER_WEIGHT = 0.4
 
 # Factor for a part on which this host has seen an answer shortly before the crash: either the part
 # is sound, or engines crash on it only since a change.
 ANSWERED_FACTOR = 0.5
 ANSWERED_WINDOW_MS = 60_000.0
 
-# Score from which requests with a part are sent one at a time, and from which it is convicted.
-SUSPICION = 1.0
-CONVICTION = 2.0
+# Score from which requests with a part are sent one at a time, and from which it is quarantined.
+SUSPECT_SCORE = 1.0
+QUARANTINE_SCORE = 2.0
 
-# A convicted part is tried again with single requests after this long without a crash: it may have
-# been convicted wrongly, by too few crashes, or a new version of the engines may bear it. Each host
-# adds a share of its own, up to the same time again, so that not all hosts try at once.
-FIRST_PROBATION_MS = 60_000.0
-PROBATION_MS = 1_800_000.0
+# A quarantined part is probed with single requests after this long without a crash: too few crashes
+# may have quarantined it wrongly, or a new version of the engines may bear it. Each host adds a
+# share of its own, up to the same time again, so that not all hosts probe at once.
+FIRST_COOLDOWN_MS = 60_000.0
+COOLDOWN_MS = 1_800_000.0
 
-# Number of crashes below which the first probation applies.
+# Number of crashes below which the first cooldown applies.
 CERTAIN_CRASHES = 3
 
 # Events after which an answer proves the parts of its prompt sound; an engine may send the first
@@ -57,10 +56,9 @@
 MAX_PROMPT_PARTS = 64
 MAX_ANSWERED_PARTS = 4_096
 MAX_REPORTS = 256
-MAX_CACHED_IDS = 8_192
 
-# Retention of reports without effect. Those of the company of a crash convict only together.
-COMPANY_RETENTION_MS = 600_000.0
+# Retention of reports. Those of bystanders matter only while several come together.
+BYSTANDER_RETENTION_MS = 600_000.0
 REPORT_RETENTION_MS = 86_400_000.0
 
 REPORT_PREFIX = "report/"
@@ -74,10 +72,13 @@
 
 
 class Verdict(enum.Enum):
-    """What may happen to a request by the parts of its prompt."""
+    """What may happen to a request by the parts of its prompt.
+
+    A request that is a probe is sent while no other one with the same parts is in flight.
+    """
 
     ALLOWED = "allowed"
-    SINGLE = "single"
+    PROBE = "probe"
     REFUSED = "refused"
 
 
@@ -101,14 +102,13 @@
     through: int
 
 
-class Conviction(NamedTuple):
+class QuarantinedGroup(NamedTuple):
     """Parts that explain the same crashes and can't be told apart; refused until `until`."""
 
     parts: frozenset[int]
     until: float
 
 
-@functools.lru_cache(maxsize=MAX_CACHED_IDS)
 def part_id(name: str) -> int:
     """Returns the 63-bit hash by which a part is named in reports; names have no bound."""
     return xxhash.xxh3_64_intdigest(name.encode()) >> 1
@@ -133,14 +133,14 @@
 
 
 class Judgement(NamedTuple):
-    """Groups of convicted parts, and the crashes that these do not explain."""
+    """Groups of quarantined parts, and the crashes that these do not explain."""
 
     groups: list[frozenset[int]]
     unexplained: Crashes
 
 
 def judge(crashes: Crashes) -> Judgement:
-    """Convicts the parts that explain crashes, given the weights of the parts in each crash.
+    """Quarantines the parts that explain crashes, given the weights of the parts in each crash.
 
     The part with the highest score explains the crashes that it was the likeliest cause of; the
     parts that shared only these with it are not held against any longer. Parts that explain the
@@ -158,7 +158,7 @@
     while True:
         totals = scores(unexplained)
         best = max(totals.values(), default=0.0)
-        if best < CONVICTION:
+        if best < QUARANTINE_SCORE:
             return Judgement(groups, unexplained)
         first = min(part for part, total in totals.items() if total == best)
         common = {crash for crash, weights in unexplained.items() if first in weights}
@@ -203,27 +203,27 @@
 class Quarantine:
     """The reports and clearances that a host knows, its own observations, and the verdicts.
 
-    `probation_share`, from 0 to 1, is what this host adds to probations.
+    `cooldown_share`, from 0 to 1, is what this host adds to cooldowns.
 
     >>> quarantine = Quarantine()
     >>> for engine in ("e1", "e2"):
     ...     quarantine.add_local("k" + engine, Report(engine, 1, (7, 8), True), 0.0)
     >>> quarantine.verdict((7, 8, 9), 0.0), quarantine.verdict((8, 9), 0.0)
-    (<Verdict.REFUSED: 'refused'>, <Verdict.SINGLE: 'single'>)
+    (<Verdict.REFUSED: 'refused'>, <Verdict.PROBE: 'probe'>)
     >>> quarantine.record_answer((8, 9), 0.0)
     [8]
     """
 
-    def __init__(self, probation_share: float = 0.0) -> None:
-        self.probation_share = probation_share
+    def __init__(self, cooldown_share: float = 0.0) -> None:
+        self.cooldown_share = cooldown_share
         self.reports: dict[str, StoredReport] = {}
         self.cleared_through: dict[int, int] = {}
         self.clearance_keys: dict[str, int] = {}
         self.answered_at: OrderedDict[int, float] = OrderedDict()
         self.answered_before: dict[CrashId, frozenset[int]] = {}
-        self.convictions: list[Conviction] = []
+        self.groups: list[QuarantinedGroup] = []
         self.suspects: set[int] = set()
-        self.accused: dict[int, int] = {}
+        self.reported: dict[int, int] = {}
 
     # Reports and clearances.
 
@@ -273,7 +273,7 @@
         for stored in self.reports.values():
             report = stored.report
             crash = (report.target, report.born)
-            weight = BEGAN_WEIGHT if report.began else COMPANY_WEIGHT
+            weight = BEGAN_WEIGHT if report.began else BYSTANDER_WEIGHT
             for part in report.parts:
                 if stored.offset <= self.cleared_through.get(part, -1):
                     continue
@@ -283,27 +283,29 @@
         return crashes
 
     def review(self) -> None:
-        """Derives the convictions and suspects from all reports."""
+        """Derives the groups and suspects from all reports; drops clearances without a report."""
+        parts = {part for stored in self.reports.values() for part in stored.report.parts}
+        self.cleared_through = {p: o for p, o in self.cleared_through.items() if p in parts}
         judgement = judge(self.crash_weights())
         totals = scores(judgement.unexplained)
-        self.suspects = {part for part, total in totals.items() if total >= SUSPICION}
-        self.accused = {}
+        self.suspects = {part for part, total in totals.items() if total >= SUSPECT_SCORE}
+        self.reported = {}
         for stored in self.reports.values():
             for part in stored.report.parts:
                 if self.cleared_through.get(part, -1) < stored.offset:
                     offset = stored.offset if stored.offset < UNCONFIRMED else -1
-                    self.accused[part] = max(self.accused.get(part, -1), offset)
-        self.convictions = [Conviction(g, self.refused_until(g)) for g in judgement.groups]
+                    self.reported[part] = max(self.reported.get(part, -1), offset)
+        self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in judgement.groups]
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
 
     def refused_until(self, parts: frozenset[int]) -> float:
-        """Returns the end of the probation of convicted parts."""
+        """Returns the end of the cooldown of quarantined parts."""
         stored = [s for s in self.reports.values() if parts.intersection(s.report.parts)]
         crashes = {(s.report.target, s.report.born) for s in stored}
         certain = len(crashes) >= CERTAIN_CRASHES
-        probation_ms = PROBATION_MS if certain else FIRST_PROBATION_MS
-        return max(s.learned_at for s in stored) + probation_ms * (1 + self.probation_share)
+        cooldown_ms = COOLDOWN_MS if certain else FIRST_COOLDOWN_MS
+        return max(s.learned_at for s in stored) + cooldown_ms * (1 + self.cooldown_share)
 
     # Answers.
 
@@ -323,15 +325,15 @@
             self.answered_at.move_to_end(part)
         while len(self.answered_at) > MAX_ANSWERED_PARTS:
             self.answered_at.popitem(last=False)
-        return [part for part in parts if part in self.accused]
+        return [part for part in parts if part in self.reported]
 
     def clear(self, part: int) -> Clearance:
         """Clears a part of all reports so far; returns the clearance for other hosts.
 
         Reports that were not read back have no offset yet, so the part is taken out of them.
         """
-        clearance = Clearance(part, self.accused.get(part, -1))
-        self.cleared_through[part] = max(self.cleared_through.get(part, -1), clearance.through)
+        clearance = Clearance(part, self.reported.get(part, -1))
+        self.cleared_through[part] = clearance.through
         for key, stored in self.reports.items():
             if stored.offset == UNCONFIRMED and part in stored.report.parts:
                 parts = tuple(p for p in stored.report.parts if p != part)
@@ -355,23 +357,23 @@
         tell the parts apart.
         """
         found = Verdict.ALLOWED
-        for conviction in self.convictions:
-            common = conviction.parts.intersection(parts)
-            if common == conviction.parts and now < conviction.until:
+        for group in self.groups:
+            common = group.parts.intersection(parts)
+            if common == group.parts and now < group.until:
                 return Verdict.REFUSED
             if common:
-                found = Verdict.SINGLE
+                found = Verdict.PROBE
         if any(part in self.suspects for part in parts):
-            found = Verdict.SINGLE
+            found = Verdict.PROBE
         return found
 
-    def convicted_parts(self) -> set[int]:
-        """Returns all convicted parts."""
-        return {part for conviction in self.convictions for part in conviction.parts}
+    def quarantined_parts(self) -> set[int]:
+        """Returns all quarantined parts."""
+        return {part for group in self.groups for part in group.parts}
 
     def watched(self, parts: Sequence[int]) -> set[int]:
-        """Returns those of the parts that are convicted or suspected."""
-        return (self.convicted_parts() | self.suspects).intersection(parts)
+        """Returns those of the parts that are quarantined or suspected."""
+        return (self.quarantined_parts() | self.suspects).intersection(parts)
 
     # Retention.
 
@@ -381,7 +383,7 @@
         kept: dict[str, StoredReport] = {}
         for key, stored in self.reports.items():
             report, age_ms = stored.report, now - stored.learned_at
-            retention_ms = REPORT_RETENTION_MS if report.began else COMPANY_RETENTION_MS
+            retention_ms = REPORT_RETENTION_MS if report.began else BYSTANDER_RETENTION_MS
             counts = any(
                 self.cleared_through.get(part, -1) < stored.offset for part in report.parts
             )
@@ -391,7 +393,7 @@
                 keys.append(key)
         excess = len(kept) - MAX_REPORTS
         if excess > 0:
-            # Company goes first, then the oldest.
+            # Bystanders go first, then the oldest.
             order = sorted(kept, key=lambda k: (kept[k].report.began, kept[k].offset))
             keys += order[:excess]
         reported = {part for k, s in kept.items() if k not in keys for part in s.report.parts}
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -89,15 +89,16 @@
 class Attempt:
     """The progress of a request at one target; `events` counts the events that it sent.
 
-    `answered` is True once the target has surely written on the prompt; `withdrawn` once this host
-    has closed the connection because engines crash on the prompt.
+    `connection` is set until the answer was read. `answered` is True once the target has surely
+    written on the prompt; `cancelled` once this host has closed the connection because engines
+    crash on the prompt.
     """
 
     def __init__(self, target: Target) -> None:
         self.target = target
         self.connection: Connection | None = None
         self.answered = False
-        self.withdrawn = False
+        self.cancelled = False
         self.sent_at: float | None = None
         self.head_at: float | None = None
         self.events = 0
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -28,7 +28,7 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `deadly_parts`.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`.
     """
 
     def __init__(self, name: str) -> None:
@@ -45,7 +45,7 @@
         self.status = 200
         self.batch_sizes: list[int] = []
         self.no_room = False
-        self.deadly_parts: set[str] = set()
+        self.crash_parts: set[str] = set()
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
@@ -84,7 +84,7 @@
         count = int(request.headers["Token-Usage"].split(",")[1])
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
-        if self.deadly_parts.intersection(prompt_parts(request)):
+        if self.crash_parts.intersection(prompt_parts(request)):
             self.crashes += 1
             await self.on_crash()
             return response
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -138,6 +138,29 @@
             server.close()
 
 
+class TestQuarantinedRequests:
+    async def test_connection_is_given_up_before_its_answer_is_delivered(
+        self, scripted, monkeypatch
+    ):
+        """Guards against aborting a pooled connection that carries another request by now."""
+
+        async def fail(request, writer):
+            writer.write(answer("500 Error", request.id, b"", "Keep-Alive: timeout=5"))
+
+        held = []
+        forwarder = scripted.deployment.hosts[0].forwarder
+        deliver = forwarder.deliver
+
+        async def record_and_deliver(run, *details):
+            held.append(run.attempt.connection)
+            await deliver(run, *details)
+
+        monkeypatch.setattr(forwarder, "deliver", record_and_deliver)
+        await scripted.replace("engine", fail)
+        assert (await scripted.deployment.call("/ask/x", **TOKENS))[0] == 500
+        assert held == [None]
+
+
 class TestRepeatedRefusals:
     async def test_refusal_written_again_is_not_taken_for_the_next_answer(self, scripted):
         """Guards against "not run" for a request that runs: an old refusal without an id."""
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -13,10 +13,10 @@
 from savoryfork.forward import quarantine as quarantines
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.quarantine import (
-    CONVICTION,
-    FIRST_PROBATION_MS,
+    COOLDOWN_MS,
+    FIRST_COOLDOWN_MS,
     MAX_REPORTS,
-    PROBATION_MS,
+    QUARANTINE_SCORE,
     UNCONFIRMED,
     Quarantine,
     Report,
@@ -35,7 +35,7 @@
 REQUEST_GAP_S = 0.1
 
 
-FIRST, DEADLY, OTHER_DEADLY = 1, 2, 3
+FIRST, CRASHING, OTHER_CRASHING = 1, 2, 3
 
 PARTS = st.dictionaries(st.integers(1, 6), st.sampled_from([0.2, 0.4, 0.5, 1.0]), max_size=4)
 
@@ -70,102 +70,102 @@
 class TestJudge:
     @given(st.dictionaries(st.tuples(st.sampled_from("abcdef"), st.just(1)), PARTS, max_size=6))
     @settings(derandomize=True)
-    def test_convictions_explain_crashes_until_no_score_convicts(self, crashes):
+    def test_groups_explain_crashes_until_no_score_suffices(self, crashes):
         judgement = judge(crashes)
         totals = scores(crashes)
-        assert all(totals[p] >= CONVICTION for group in judgement.groups for p in group)
-        assert max(scores(judgement.unexplained).values(), default=0.0) < CONVICTION
-        convicted = [part for group in judgement.groups for part in group]
-        assert len(convicted) == len(set(convicted))
-        assert bool(judgement.groups) == any(t >= CONVICTION for t in totals.values())
+        assert all(totals[p] >= QUARANTINE_SCORE for group in judgement.groups for p in group)
+        assert max(scores(judgement.unexplained).values(), default=0.0) < QUARANTINE_SCORE
+        quarantined = [part for group in judgement.groups for part in group]
+        assert len(quarantined) == len(set(quarantined))
+        assert bool(judgement.groups) == any(t >= QUARANTINE_SCORE for t in totals.values())
 
-    def test_company_of_a_convicted_part_is_not_held_against(self):
+    def test_bystanders_of_a_quarantined_part_are_not_held_against(self):
         """Guards against refusing a part that shared several engines with the one that crashes."""
-        crashes = {(f"e{n}", 1): {DEADLY: 1.0, 7: 0.8, n + 10: 1.0} for n in range(3)}
-        assert judge(crashes).groups == [frozenset({DEADLY})]
+        crashes = {(f"e{n}", 1): {CRASHING: 1.0, 7: 0.8, n + 10: 1.0} for n in range(3)}
+        assert judge(crashes).groups == [frozenset({CRASHING})]
 
 
 class TestVerdicts:
     def test_request_that_crashed_an_engine_is_sent_one_at_a_time_then_refused(self):
         topic = Topic()
         (host,) = topic.hosts
-        topic.crash(((FIRST, DEADLY), True))
-        assert host.verdict((FIRST, DEADLY), 0.0) is Verdict.SINGLE
-        topic.crash(((FIRST, DEADLY), True))
-        assert host.verdict((FIRST, DEADLY), 0.0) is Verdict.REFUSED
+        topic.crash(((FIRST, CRASHING), True))
+        assert host.verdict((FIRST, CRASHING), 0.0) is Verdict.PROBE
+        topic.crash(((FIRST, CRASHING), True))
+        assert host.verdict((FIRST, CRASHING), 0.0) is Verdict.REFUSED
 
     def test_parts_that_crashed_together_are_told_apart_by_single_requests(self):
         """Guards against refusing a sound part for good because it came with one that crashes."""
         topic = Topic()
         (host,) = topic.hosts
         for _ in range(2):
-            topic.crash(((FIRST, DEADLY), True))
-        assert host.verdict((FIRST, 9), 0.0) is Verdict.SINGLE
+            topic.crash(((FIRST, CRASHING), True))
+        assert host.verdict((FIRST, 9), 0.0) is Verdict.PROBE
         topic.answer(host, (FIRST, 9))
         assert host.verdict((FIRST, 9), 0.0) is Verdict.ALLOWED
-        assert host.verdict((DEADLY,), 0.0) is Verdict.REFUSED
+        assert host.verdict((CRASHING,), 0.0) is Verdict.REFUSED
 
-    def test_two_parts_with_a_common_first_part_are_both_convicted(self):
-        """Guards against convicting the first part that requests with both parts share."""
+    def test_two_parts_with_a_common_first_part_are_both_quarantined(self):
+        """Guards against quarantining the first part that requests with both parts share."""
         topic = Topic()
         (host,) = topic.hosts
         topic.answer(host, (FIRST, 8))
-        for part in (DEADLY, OTHER_DEADLY, DEADLY, OTHER_DEADLY):
+        for part in (CRASHING, OTHER_CRASHING, CRASHING, OTHER_CRASHING):
             topic.crash(((FIRST, part), True))
             topic.answer(host, (FIRST, 8))
-        assert host.convicted_parts() == {DEADLY, OTHER_DEADLY}
+        assert host.quarantined_parts() == {CRASHING, OTHER_CRASHING}
         assert host.verdict((FIRST, 8), 0.0) is Verdict.ALLOWED
 
-    def test_engine_without_an_early_head_convicts_within_five_crashes(self):
+    def test_engine_that_sends_no_early_head_needs_five_crashes_at_most(self):
         """Guards against relying on a response head that some engines send with the first event."""
         topic = Topic()
         (host,) = topic.hosts
         for number in range(5):
-            assert host.verdict((DEADLY,), 0.0) is not Verdict.REFUSED
-            topic.crash(((DEADLY,), False), ((number + 10,), False))
-        assert host.convicted_parts() == {DEADLY}
+            assert host.verdict((CRASHING,), 0.0) is not Verdict.REFUSED
+            topic.crash(((CRASHING,), False), ((number + 10,), False))
+        assert host.quarantined_parts() == {CRASHING}
 
-    def test_part_that_was_answered_before_is_convicted_within_five_crashes(self):
+    def test_part_that_was_answered_before_is_quarantined_within_five_crashes(self):
         """Guards against taking an old answer for proof once engines crash on a part."""
         topic = Topic()
         (host,) = topic.hosts
-        topic.answer(host, (FIRST, DEADLY))
+        topic.answer(host, (FIRST, CRASHING))
         for _ in range(4):
-            topic.crash(((FIRST, DEADLY), True))
+            topic.crash(((FIRST, CRASHING), True))
             topic.answer(host, (FIRST, 8))
-        assert host.convicted_parts() == {DEADLY}
+        assert host.quarantined_parts() == {CRASHING}
 
-    def test_convicted_part_is_tried_again_after_its_probation(self):
+    def test_quarantined_part_is_probed_after_its_cooldown(self):
         """Guards against shutting a part out for good, wrongly or after the engines were mended."""
         topic = Topic()
         (host,) = topic.hosts
         for _ in range(2):
-            topic.crash(((DEADLY,), True))
-        assert host.verdict((DEADLY,), FIRST_PROBATION_MS - 1) is Verdict.REFUSED
-        assert host.verdict((DEADLY,), FIRST_PROBATION_MS) is Verdict.SINGLE
-        topic.crash(((DEADLY,), True), now=FIRST_PROBATION_MS)
-        assert host.verdict((DEADLY,), PROBATION_MS) is Verdict.REFUSED
-        assert host.verdict((DEADLY,), FIRST_PROBATION_MS + PROBATION_MS) is Verdict.SINGLE
-        topic.answer(host, (DEADLY,))
-        assert host.verdict((DEADLY,), 0.0) is Verdict.ALLOWED
-
-    def test_hosts_do_not_try_a_convicted_part_at_the_same_time(self):
-        """Guards against a crash by every host at the end of a probation."""
+            topic.crash(((CRASHING,), True))
+        assert host.verdict((CRASHING,), FIRST_COOLDOWN_MS - 1) is Verdict.REFUSED
+        assert host.verdict((CRASHING,), FIRST_COOLDOWN_MS) is Verdict.PROBE
+        topic.crash(((CRASHING,), True), now=FIRST_COOLDOWN_MS)
+        assert host.verdict((CRASHING,), COOLDOWN_MS) is Verdict.REFUSED
+        assert host.verdict((CRASHING,), FIRST_COOLDOWN_MS + COOLDOWN_MS) is Verdict.PROBE
+        topic.answer(host, (CRASHING,))
+        assert host.verdict((CRASHING,), 0.0) is Verdict.ALLOWED
+
+    def test_hosts_do_not_probe_a_part_at_the_same_time(self):
+        """Guards against a crash by every host at the end of a cooldown."""
         hosts = [Quarantine(share) for share in (0.0, 0.5)]
         for host in hosts:
             for name in ("e1", "e2"):
-                host.add_local(name, Report(name, 1, (DEADLY,), True), 0.0)
-        verdicts = [host.verdict((DEADLY,), FIRST_PROBATION_MS) for host in hosts]
-        assert verdicts == [Verdict.SINGLE, Verdict.REFUSED]
+                host.add_local(name, Report(name, 1, (CRASHING,), True), 0.0)
+        verdicts = [host.verdict((CRASHING,), FIRST_COOLDOWN_MS) for host in hosts]
+        assert verdicts == [Verdict.PROBE, Verdict.REFUSED]
 
     def test_answer_clears_a_report_that_was_not_read_back(self):
         """Guards against a suspicion that lasts as long as an outage of the store."""
         host = Quarantine()
-        host.add_local("k", Report("e1", 1, (DEADLY, 8), True), 0.0)
+        host.add_local("k", Report("e1", 1, (CRASHING, 8), True), 0.0)
         for part in host.record_answer((8,), 0.0):
             host.clear(part)
-        assert host.suspects == {DEADLY}
-        assert host.reports["k"].offset == UNCONFIRMED
+        assert host.suspects == {CRASHING}
+        assert host.reports["k"].offset == UNCONFIRMED and not host.cleared_through.get(8)
 
 
 class TestReplay:
@@ -183,14 +183,14 @@
             host = rng.choice(topic.hosts)
             now = number * 100.0
             # Before, each first part is answered; an unknown one could be taken for the cause.
-            deadly = bool(crashing) and number >= 60 and rng.random() < 0.05
-            middle = rng.choice(sorted(crashing)) if deadly else rng.randrange(100, 120)
+            crashing = bool(crashing) and number >= 60 and rng.random() < 0.05
+            middle = rng.choice(sorted(crashing)) if crashing else rng.randrange(100, 120)
             parts = (rng.randrange(10, 13), middle)
             if host.verdict(parts, now) is Verdict.REFUSED:
-                refused += not deadly
-            elif deadly or rng.random() < self_crashes:
-                company = [(lost, False) for lost in recent[-4:]]
-                topic.crash((parts, deadly), *company, now=now)
+                refused += not crashing
+            elif crashing or rng.random() < self_crashes:
+                bystanders = [(lost, False) for lost in recent[-4:]]
+                topic.crash((parts, crashing), *bystanders, now=now)
             else:
                 topic.answer(host, parts, now)
                 recent.append(parts)
@@ -199,23 +199,23 @@
     def test_crashing_parts_cause_few_crashes_and_no_wrong_refusal(self):
         """Guards against many crashes, and against refusing what only shared an engine."""
         for seed in range(30):
-            topic, refused = self.replay(seed, {DEADLY}, 0.0)
+            topic, refused = self.replay(seed, {CRASHING}, 0.0)
             assert topic.crashes <= CRASHES_BEFORE_BOUND and refused == 0, seed
-            topic, refused = self.replay(seed, {DEADLY, OTHER_DEADLY}, 0.0)
+            topic, refused = self.replay(seed, {CRASHING, OTHER_CRASHING}, 0.0)
             assert topic.crashes <= 2 * CRASHES_BEFORE_BOUND and refused == 0, seed
 
     def test_engines_that_crash_by_themselves_lead_to_no_refusal(self):
         """Guards against shutting sound parts out while engines crash for another reason."""
         for seed in range(30):
             topic, refused = self.replay(seed, set(), 0.03)
-            assert refused == 0 and not topic.hosts[0].convicted_parts(), seed
+            assert refused == 0 and not topic.hosts[0].quarantined_parts(), seed
 
 
 class TestRetention:
-    def test_reports_are_bounded_and_company_goes_first(self):
+    def test_reports_are_bounded_and_bystanders_go_first(self):
         topic = Topic()
         (host,) = topic.hosts
-        topic.crash(((DEADLY,), True))
+        topic.crash(((CRASHING,), True))
         for number in range(MAX_REPORTS + 20):
             topic.crash(((number + 100,), False))
         first_key = next(iter(host.reports))
@@ -268,10 +268,10 @@
     def engines(self) -> list[Replica]:
         return self.deployment.replicas["engine"]
 
-    def make_deadly(self, part: str) -> None:
+    def crash_on(self, part: str) -> None:
         """Makes every engine crash on a part."""
         for engine in self.engines():
-            engine.deadly_parts.add(part)
+            engine.crash_parts.add(part)
 
     def arrivals(self, part: str) -> int:
         """Returns how many requests with a part have reached engines."""
@@ -284,16 +284,16 @@
         """Guards against engines that crash one after the other under requests of one kind."""
         async with Deployment(hosts=3, replicas=4) as deployment:
             traffic = Traffic(deployment)
-            traffic.make_deadly("deadly")
+            traffic.crash_on("bad")
             sound: list[asyncio.Task[int]] = []
-            deadly: list[asyncio.Task[int]] = []
+            crashing: list[asyncio.Task[int]] = []
             for number in range(25):
                 sound.append(asyncio.create_task(traffic.send("first", f"m{number % 3}")))
-                deadly.append(asyncio.create_task(traffic.send("first", "deadly")))
+                crashing.append(asyncio.create_task(traffic.send("first", "bad")))
                 await asyncio.sleep(REQUEST_GAP_S)
             statuses = await asyncio.gather(*sound)
-            assert 200 not in await asyncio.gather(*deadly)
-            assert traffic.arrivals("deadly") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
+            assert 200 not in await asyncio.gather(*crashing)
+            assert traffic.arrivals("bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
             # The requests share their first part and their caller with the ones that crash engines.
             assert statuses[-10:] == [200] * 10
 
@@ -301,31 +301,31 @@
         """Guards against a host that starts from nothing and lets engines crash again."""
         async with Deployment(hosts=2, replicas=4) as deployment:
             traffic = Traffic(deployment)
-            traffic.make_deadly("deadly")
+            traffic.crash_on("bad")
             for _ in range(6):
-                await traffic.send("first", "deadly")
+                await traffic.send("first", "bad")
             for host in deployment.hosts:
-                await until(lambda host=host: host.follower.quarantine.convictions)
-            arrivals = traffic.arrivals("deadly")
+                await until(lambda host=host: host.follower.quarantine.groups)
+            arrivals = traffic.arrivals("bad")
             seeds = deployment.hosts[0].settings.seed_peers
             port = deployment.hosts[0].settings.peer_address.rpartition(":")[2]
             started = await deployment.start_host(0, (f"127.0.0.2:{port}", *seeds))
             await until(lambda: started.unready_reason() is None)
-            assert await deployment.call_at(2, "first:1,deadly:1,own:1") == 503
-            assert traffic.arrivals("deadly") == arrivals
+            assert await deployment.call_at(2, "first:1,bad:1,own:1") == 503
+            assert traffic.arrivals("bad") == arrivals
 
     async def test_reports_reach_other_hosts_after_an_outage_of_the_store(self):
         """Guards against reports that are lost because the store does not answer."""
         async with Deployment(hosts=2, replicas=4) as deployment:
             traffic = Traffic(deployment)
-            traffic.make_deadly("deadly")
+            traffic.crash_on("bad")
             deployment.store.down = True
             for _ in range(6):
-                await deployment.call_at(0, "first:1,deadly:1,own:1")
-            assert traffic.arrivals("deadly") == 2
-            assert not deployment.hosts[1].follower.quarantine.convictions
+                await deployment.call_at(0, "first:1,bad:1,own:1")
+            assert traffic.arrivals("bad") == 2
+            assert not deployment.hosts[1].follower.quarantine.groups
             deployment.store.down = False
-            await until(lambda: deployment.hosts[1].follower.quarantine.convictions, 3.0)
+            await until(lambda: deployment.hosts[1].follower.quarantine.groups, 3.0)
 
     async def test_sound_requests_are_served_while_engines_crash_by_themselves(self):
         """Guards against taking engines that crash for another reason for a crashing part."""
@@ -340,18 +340,18 @@
                 await asyncio.sleep(REQUEST_GAP_S)
             statuses = await asyncio.gather(*sound)
             assert statuses.count(200) >= 25
-            assert not any(host.follower.quarantine.convictions for host in deployment.hosts)
+            assert not any(host.follower.quarantine.groups for host in deployment.hosts)
 
-    async def test_request_on_an_engine_is_withdrawn_once_its_part_is_convicted(self):
+    async def test_request_on_an_engine_is_cancelled_once_its_part_is_quarantined(self):
         """Guards against a crash by a request that was sent before the part was known."""
         async with Deployment(hosts=2, replicas=4) as deployment:
             traffic = Traffic(deployment)
             for engine in traffic.engines():
                 engine.delay_s = 1.0
-            task = asyncio.create_task(traffic.send("first", "deadly"))
-            await until(lambda: traffic.arrivals("deadly"))
+            task = asyncio.create_task(traffic.send("first", "bad"))
+            await until(lambda: traffic.arrivals("bad"))
             for name in ("e1", "e2"):
-                report = Report(name, 1, (quarantines.part_id("deadly"),), True)
+                report = Report(name, 1, (quarantines.part_id("bad"),), True)
                 deployment.hosts[1].crashes.report(report, "r")
             async with asyncio.timeout(0.5):
                 assert await task == 502
