Clear a part by a success only, and put the handling of a failed attempt in one place

Found by reading: an engine that rejects a request with a 4xx has not written on its prompt, but the answer counted as proof that the parts of the prompt are sound. The test fails before for 400. The handling of a failed attempt moves into after_failure.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -200,17 +200,8 @@
                 self.send(run, target, connection)
                 return await self.answer(run, target, connection, mark_prefilled)
         except TargetError as error:
-            if run.attempt.cancelled:
-                run.offers.append(Offer(target.name, "cancelled"))
-                run.possible_executions += 1
-                raise self.crashes.refusal(run, Verdict.REFUSED) from error
-            self.record_attempt_failure(run, target, error)
             broken_off = connection is not None and connection.ended_by_peer()
-            if broken_off and await self.crashes.record_loss(run):
-                raise ServiceError(
-                    ErrorKind.ANSWER_INCOMPLETE, "the engine crashed, maybe on the request"
-                ) from error
-            return await self.after_failure(run, error)
+            return await self.after_failure(run, target, error, broken_off)
         except TimeoutError:
             outcome = CALLER_NOT_READING if run.waiting_for_caller else TIMEOUT
             run.offers.append(Offer(target.name, outcome))
@@ -310,7 +301,8 @@
                 return False
         else:
             self.health.record_success(target, now)
-            self.crashes.record_answer(run)
+            if answer.status < 300:
+                self.crashes.record_answer(run)
         await self.deliver(run, answer, body)
         return True
 
@@ -385,13 +377,27 @@
             parts=shared_parts_label(run.request),
         )
 
-    async def after_failure(self, run: Run, error: TargetError) -> bool:
-        """Returns False if a failed attempt may be retried; raises ServiceError otherwise."""
+    async def after_failure(
+        self, run: Run, target: Target, error: TargetError, broken_off: bool
+    ) -> bool:
+        """Returns False if a failed attempt may be retried; raises ServiceError otherwise.
+
+        `broken_off` is True if the target closed the connection.
+        """
+        if run.attempt is not None and run.attempt.cancelled:
+            run.offers.append(Offer(target.name, "cancelled"))
+            run.possible_executions += 1
+            raise self.crashes.refusal(run, Verdict.REFUSED) from error
+        self.record_attempt_failure(run, target, error)
+        if broken_off and await self.crashes.record_loss(run):
+            raise ServiceError(
+                ErrorKind.ANSWER_INCOMPLETE, "the target crashed, maybe on the request"
+            ) from error
         if not error.sent or self.may_repeat(run):
             return False
         raise ServiceError(
             ErrorKind.ANSWER_INCOMPLETE, f"the target returned no complete answer: {error.reason}"
-        )
+        ) from error
 
     def deadline_error(self, run: Run) -> ServiceError:
         """Returns the error for a request that has passed its deadline."""
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -139,6 +139,18 @@
 
 
 class TestQuarantinedRequests:
+    @pytest.mark.parametrize(("status", "cleared"), [("200 OK", True), ("400 Bad Request", False)])
+    async def test_only_a_success_clears_a_part(self, scripted, status, cleared):
+        """Guards against taking a rejection of a request for proof that its parts are sound."""
+
+        async def reply(request, writer):
+            writer.write(answer(status, request.id))
+
+        await scripted.replace("plain", reply)
+        quarantine = scripted.deployment.hosts[0].follower.quarantine
+        await scripted.deployment.call("/book/x", **TOKENS)
+        assert bool(quarantine.answered_at) == cleared
+
     async def test_connection_is_given_up_before_its_answer_is_delivered(
         self, scripted, monkeypatch
     ):
@@ -161,52 +173,60 @@
         assert held == [None]
 
 
+def repeat_refusal(
+    runs: Counter[str], refuse: Callable[[str], bytes], succeed: Callable[[Received], bytes]
+) -> Script:
+    """Returns a script that refuses the first request and writes that again on its connection."""
+    refusals: list[bytes] = []
+
+    async def script(request: Received, writer: asyncio.StreamWriter) -> None:
+        if not refusals:
+            refusals.append(refuse(request.id))
+            writer.write(refusals[0])
+            return
+        runs[request.id] += 1
+        if request.number:
+            writer.write(refusals[0])
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(succeed(request))
+
+    return script
+
+
 class TestRepeatedRefusals:
     async def test_refusal_written_again_is_not_taken_for_the_next_answer(self, scripted):
         """Guards against "not run" for a request that runs: an old refusal without an id."""
-
-        async def refuse_then_repeat(request, writer):
-            refusal = answer("503 Full", None, b"", "Not-Executed: 1", "Keep-Alive: timeout=5")
-            if len(target.received) == 1:
-                writer.write(refusal)
-                return
-            target.runs[request.id] += 1
-            if request.number:
-                writer.write(refusal)
-                await writer.drain()
-                await asyncio.sleep(0.05)
-            writer.write(answer("200 OK", request.id, b"done", "Response-Seal: s"))
-
-        (target,) = await scripted.replace("plain", refuse_then_repeat)
+        runs: Counter[str] = Counter()
+        kept = ("Not-Executed: 1", "Keep-Alive: timeout=5")
+        script = repeat_refusal(
+            runs,
+            lambda _: answer("503 Full", None, b"", *kept),
+            lambda request: answer("200 OK", request.id, b"done", "Response-Seal: s"),
+        )
+        await scripted.replace("plain", script)
         call = scripted.deployment.call
         assert (await call("/book/x", Request_Id="first"))[0] in NOT_EXECUTED_STATUSES
         status, body, _ = await call("/book/x", Request_Id="second")
-        assert target.runs["second"] == 1 and (status, body) == (200, b"done")
+        assert runs["second"] == 1 and (status, body) == (200, b"done")
 
     async def test_refusal_of_the_same_request_written_again_is_not_taken_for_a_new_one(
         self, scripted
     ):
         """Guards against a second run: a request with a missing input is offered there again."""
+        runs: Counter[str] = Counter()
+        kept = ("Not-Executed: 1", "Keep-Alive: timeout=5")
 
-        async def miss_input_then_repeat(request, writer):
-            kept = ("Not-Executed: 1", "Keep-Alive: timeout=5")
-            refusal = answer("409 Gone", request.id, b"", *kept)
-            if len(target.received) == 1:
-                writer.write(refusal)
-                return
-            target.runs[request.id] += 1
-            if request.number:
-                writer.write(refusal)
-                await writer.drain()
-                await asyncio.sleep(0.05)
-            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
-            writer.write(chunk(EVENT % 1) + chunk(b""))
+        def stream(request: Received) -> bytes:
+            head = stream_head(request, "Transfer-Encoding: chunked")
+            return head + chunk(EVENT % 1) + chunk(b"")
 
-        (target,) = await scripted.replace("engine", miss_input_then_repeat)
+        script = repeat_refusal(runs, lambda id: answer("409 Gone", id, b"", *kept), stream)
+        await scripted.replace("engine", script)
         status, body, _ = await scripted.deployment.call(
             "/chat/x", Request_Id="r", Pieces="1,0", Piece_Key="k", **TOKENS
         )
-        assert (status, body) == (200, EVENT % 1) and target.runs["r"] == 1
+        assert (status, body) == (200, EVENT % 1) and runs["r"] == 1
 
 
 class TestRepeatedResults:
