--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -118,10 +118,10 @@
         bad = {
             "outcome_unknown", "overloaded", "deadline_unreachable", "not_ready",
             "log_unavailable", "no_targets", "deadline_exceeded", "stage_failed",
-            "answer_incomplete", "internal", "stale_configuration",
+            "answer_incomplete", "internal", "stale_configuration", "prompt_quarantined",
         }  # fmt: skip
         assert {kind for kind, _ in tally.spent} == bad
-        assert (tally.total, tally.bad) == (12, 11)  # action_rejected is an answer
+        assert (tally.total, tally.bad) == (13, 12)  # action_rejected is an answer
 
     def test_minute_in_progress_is_kept(self):
         """Guards against a minute that is split over several records."""
