--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import logging
 import struct
 from collections.abc import Sequence
 
@@ -13,8 +14,14 @@
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
+from savoryfork.util import logs
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 
+log = logging.getLogger(__name__)
+
+# A store that was restored from an older copy has lost its newest records; it then raises this.
+ERA_HEADER = "Store-Era"
+
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
     Topic.TARGETS: "keyed.servers",
@@ -108,6 +115,7 @@
             auto_decompress=False,
         )
         self.calls = 0
+        self.era: str | None = None
 
     async def close(self) -> None:
         """Closes the connections."""
@@ -166,6 +174,23 @@
         params = {"topic": TOPIC_NAMES[topic], "part": "0"}
         await self.call("log-append", params, 0.0, encode_records(entries))
 
+    def record_era(self, name: str, params: dict[str, str], status: int, era: str | None) -> None:
+        """Logs the era of the store when it differs from that of the last answer."""
+        if era is None or era == self.era:
+            return
+        logs.event(
+            log,
+            "store_era",
+            logging.WARNING,
+            era=era,
+            former_era=self.era,
+            call=name,
+            topic=params["topic"],
+            offset=params.get("from"),
+            status=status,
+        )
+        self.era = era
+
     async def read_body(self, name: str, response: aiohttp.ClientResponse) -> bytes:
         """Reads the body of a response; raises LogUnavailable if it exceeds the limit."""
         body = bytearray()
@@ -192,6 +217,7 @@
                 async with self.session.request(method, url, params=params, data=data) as response:
                     body = await self.read_body(name, response)
                     status = response.status
+                    self.record_era(name, params, status, response.headers.get(ERA_HEADER))
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise LogUnavailable(f"{name}: {type(error).__name__}") from error
         if status == 410:
