--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -15,7 +15,8 @@
 class KeyedStore:
     """Keyed topics in memory, created on first use.
 
-    `down` makes every call fail; `calls` counts all calls.
+    `down` makes every call fail; `calls` counts all calls. `era` rises with each restore from a
+    copy; every answer carries it.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,18 @@
         self.changed = asyncio.Event()
         self.down = False
         self.calls = 0
+        self.era = 1
+
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Returns a copy of all topics, for `restore`."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Goes back to a copy: newer records are lost and their offsets are given out again."""
+        self.topics = defaultdict(list, {topic: list(records) for topic, records in copy.items()})
+        self.first_offsets.clear()
+        self.era += 1
+        self.notify()
 
     def put(self, topic: str, key: str, value: Any) -> int:
         """Writes a value, or deletes the key if it is None; returns the offset."""
@@ -44,11 +57,16 @@
     def app(self) -> web.Application:
         """Returns the web application."""
         app = web.Application()
+        app.on_response_prepare.append(self.add_era)
         app.router.add_get("/api/log-newest", self.newest)
         app.router.add_get("/api/log-read", self.read)
         app.router.add_post("/api/log-append", self.append)
         return app
 
+    async def add_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Adds the era to an answer."""
+        response.headers["Store-Era"] = str(self.era)
+
     async def newest(self, request: web.Request) -> web.Response:
         """Returns the newest value of each key."""
         self.calls += 1
@@ -84,7 +102,7 @@
         self.calls += 1
         topic, start = request.query["topic"], int(request.query["from"])
         end_s = asyncio.get_running_loop().time() + int(request.query.get("wait_ms", 0)) / 1000
-        while start >= len(self.topics[topic]) and not self.down:
+        while start == len(self.topics[topic]) and not self.down:
             remaining_s = end_s - asyncio.get_running_loop().time()
             if remaining_s <= 0:
                 break
@@ -95,7 +113,7 @@
                 break
         if self.down:
             return web.Response(status=503)
-        if start < self.first_offsets[topic]:
+        if start < self.first_offsets[topic] or start > len(self.topics[topic]):
             return web.json_response({"first": self.first_offsets[topic]}, status=410)
         records = self.topics[topic]
         body = struct.pack(">QQ", len(records), self.first_offsets[topic])
