Keep a target that is deleted and registers again between two reads

Found by a model check of restored stores. Registry.update collected the targets that were deleted in a batch of entries and dropped them after it, also if a later entry of the batch had registered them again. The table of entries then held the new value, so rewrites of it were no change, and the live target got no work from this host until its entry changed.

The test failed before (KeyError: 't1') and passes now.

--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -41,14 +41,16 @@
     def update(self, entries: list[Entry], now: float) -> list[tuple[Target, str]]:
         """Applies changed entries; returns each target that changed with the kind of change."""
         changes: list[tuple[Target, str]] = []
-        dropped = []
+        dropped: dict[str, Target] = {}
         for entry in entries:
             known = self.targets.get(entry.key)
             target = self.decode(entry.key, entry.value) if entry.value else None
             if target is None:
                 if known is not None:
-                    dropped.append(known)
+                    dropped[entry.key] = known
                 continue
+            # It registered again after it was deleted.
+            dropped.pop(entry.key, None)
             self.lapsed.pop(entry.key, None)
             self.targets[entry.key] = target
             if known is None:
@@ -57,7 +59,7 @@
                 changes.append((target, "reborn"))
             elif known.leaving != target.leaving:
                 changes.append((target, "leaving" if target.leaving else "ready"))
-        changes += self.drop(dropped, now)
+        changes += self.drop(list(dropped.values()), now)
         self.reindex()
         return changes
 
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -43,6 +43,13 @@
         changes = registry.update([Entry(9, "t1", value("10.0.0.1:80", born=2))], 0.0)
         assert changes[0][1] == "reborn" and not registry.is_current(old)
 
+    def test_a_target_that_is_deleted_and_registers_again_between_two_reads_is_kept(self):
+        """Guards against a live target that gets no work until its entry changes again."""
+        registry = make_registry()
+        again = Entry(10, "t1", value("10.0.0.1:80", born=2))
+        registry.update([Entry(9, "t1", b""), again], 50_000.0)
+        assert registry.targets["t1"].born == 2 and len(registry.usable("s")) == 5
+
 
 class TestLapse:
     def test_entries_that_lapse_in_an_outage_are_kept_for_the_grace_period(self):
