Follow a store that was restored from an older copy

Cause: hosts took the offset of a record for its version. A table kept the value with the higher offset and read on from the highest offset that it had seen, also from other hosts, and hosts compared these offsets to decide who is behind. A restored store gives offsets out again, so whatever it said afterwards lost against what hosts had. Ruled out: failed reads (every host regained the store within 0.3 s, with an age below 2 s) and waiting for a newer version (14 follows 11).

Change: every entry carries the era of the store that it was read in, and a revision, its writer's own measure: the version of a configuration, the incarnation and heartbeat of a target, the era for the system's own records. Offsets are compared within an era only, revisions across eras. A host that sees a new era reads all newest values; what it knew stays until something newer replaces it, and is passed to hosts that lack it. A target that the copy lacks stays for the grace period of lapsed entries. A read shows that the configuration is the newest only if the store has the version in force, and not within 1 s of the restore, when writers may still write again what was lost; keys are trusted by that age.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -13,9 +13,9 @@
 import math
 import random
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from savoryfork.forward.knowledge import Entry, TopicTable, Update
+from savoryfork.forward.knowledge import NO_ENTRIES, Changes, Entry, TopicTable, Update
 from savoryfork.forward.loads import LoadTable, LoadTree
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import SyncReply, SyncRequest
@@ -72,10 +72,6 @@
 FAILED_PROBE_SHARE = 0.3
 
 
-# An offset beyond all others, by which the sender asks for no entries.
-NO_ENTRIES_OFFSET = 2**62
-
-
 class Topic(enum.Enum):
     """The topics of the store; hosts themselves write that of crash reports."""
 
@@ -98,18 +94,28 @@
     return reader_age_ms + level * SYNC_WAIT_MS + SYNC_WAIT_MS + SYNC_TIMEOUT_MARGIN_MS
 
 
+class StoreRead(NamedTuple):
+    """Entries of a topic, the offset to read from next, the end offset, and the store's era."""
+
+    entries: list[Entry]
+    next: int
+    end: int
+    era: int
+
+
 class Store(Protocol):
     """Read access to the platform's store; `calls` counts the reads."""
 
     calls: int
 
-    async def newest(self, topic: Topic) -> tuple[list[Entry], int]:
-        """Returns the newest value of each key and the next offset. Raises LogUnavailable."""
+    async def newest(self, topic: Topic) -> StoreRead:
+        """Returns the newest value of each key. Raises LogUnavailable."""
 
-    async def read(self, topic: Topic, offset: int, wait_ms: float) -> tuple[list[Entry], int, int]:
-        """Returns the changes from an offset, the next offset and the end offset.
+    async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
+        """Returns the records from an offset on.
 
-        Raises LogUnavailable, or OffsetExpired if the records are no longer retained.
+        Raises LogUnavailable, or OffsetExpired if the records are no longer retained or the store
+        was restored and does not have them.
         """
 
     async def append(self, topic: Topic, entries: Sequence[tuple[str, bytes]]) -> None:
@@ -142,7 +148,11 @@
         self.rng = rng
         self.metrics = metrics
         self.background = background
-        self.tables = {topic: TopicTable() for topic in Topic}
+        self.tables = {
+            Topic.CONFIGURATION: TopicTable(ordered=True, keeps_missing=True),
+            Topic.TARGETS: TopicTable(),
+            Topic.CRASHES: TopicTable(keeps_missing=True),
+        }
         self.registry = Registry(wire.decode_target)
         self.catalog: Catalog | None = None
         self.quarantine = Quarantine(rng.random())
@@ -163,8 +173,8 @@
         return self.clock.monotonic_ms()
 
     def config_age_ms(self) -> float:
-        """Returns the time since the catalog was last confirmed to be the newest."""
-        return self.tables[Topic.CONFIGURATION].age_ms(self.now())
+        """Returns the time since the catalog was last known to be the newest."""
+        return self.tables[Topic.CONFIGURATION].trusted_age_ms(self.now())
 
     # Reading the store.
 
@@ -194,18 +204,7 @@
         table = self.tables[topic]
         started = self.now()
         try:
-            if table.next_offset < 0:
-                entries, end = await self.store.newest(topic)
-                new = table.apply_snapshot(entries, end)
-            else:
-                try:
-                    entries, next_offset, end = await self.store.read(
-                        topic, table.next_offset, wait_ms
-                    )
-                    new = table.apply(entries, next_offset)
-                except OffsetExpired:
-                    entries, end = await self.store.newest(topic)
-                    new = table.apply_snapshot(entries, end)
+            changes, end = await self.read_changes(topic, table, wait_ms)
         except LogUnavailable as error:
             self.record_store_result(topic, False, str(error))
             return False
@@ -214,11 +213,38 @@
         if back and topic is not Topic.CRASHES:
             self.registry.record_store_return(now)
         if table.next_offset >= end:
-            table.confirm(started)
+            table.confirm_read(started)
         self.record_store_result(topic, True, "")
-        self.apply_entries(topic, new, "store", now - started)
+        self.apply_entries(topic, changes, "store", now - started)
         return True
 
+    async def read_changes(
+        self, topic: Topic, table: TopicTable, wait_ms: float
+    ) -> tuple[Changes, int]:
+        """Reads one topic once; returns what was new and the end offset.
+
+        All newest values are read if the store was restored since the last read, as it gives out
+        offsets again. Raises LogUnavailable.
+        """
+        era = table.era
+        if table.next_offset >= 0:
+            try:
+                read = await self.store.read(topic, table.next_offset, wait_ms)
+                if read.era == era == table.era:
+                    return Changes(table.apply_records(read.entries, read.next)), read.end
+            except OffsetExpired:
+                logs.event(log, "offset_expired", topic=topic.value, offset=table.next_offset)
+        read = await self.store.newest(topic)
+        if table.next_offset < 0:
+            new = table.start_era(read.era, read.entries, read.next, -math.inf)
+            return Changes(new), read.end
+        if read.era < table.era:
+            raise LogUnavailable(f"an answer of era {read.era} after one of era {table.era}")
+        if read.era == table.era:
+            return Changes(table.apply_snapshot(read.entries, read.next)), read.end
+        new = table.start_era(read.era, read.entries, read.next, self.now())
+        return Changes(new, restored=True), read.end
+
     def record_store_result(self, topic: Topic, ok: bool, reason: str) -> None:
         """Records whether a read was answered, and propagates a change of that to peers."""
         result = "answered" if ok else "failed"
@@ -237,8 +263,11 @@
             self.members.update_local(store_ok=all_ok)
             self.notify()
 
-    def apply_entries(self, topic: Topic, new: list[Entry], source: str, age_ms: float) -> None:
+    def apply_entries(self, topic: Topic, changes: Changes, source: str, age_ms: float) -> None:
         """Applies new entries of a topic and wakes the waiting syncs."""
+        if changes.restored:
+            self.record_restore(topic, changes, source)
+        new = changes.entries
         if not new:
             return
         if topic is Topic.CONFIGURATION:
@@ -247,7 +276,7 @@
             self.quarantine.update(new, self.now())
             self.on_crash_reports()
         else:
-            for target, change in self.registry.update(new, self.now()):
+            for target, change in self.registry.update(new, self.now(), changes.restored):
                 logs.event(
                     log,
                     "target_" + change,
@@ -259,6 +288,22 @@
                 )
         self.notify()
 
+    def record_restore(self, topic: Topic, changes: Changes, source: str) -> None:
+        """Logs that a topic was restored from an older copy, and wakes the waiting syncs."""
+        table = self.tables[topic]
+        logs.event(
+            log,
+            "store_restored",
+            logging.WARNING,
+            topic=topic.value,
+            era=table.era,
+            next_offset=table.next_offset,
+            changed=len(changes.entries),
+            kept=len(table.kept_keys),
+            source=source,
+        )
+        self.notify()
+
     def apply_catalog(self, new: list[Entry], source: str, age_ms: float) -> None:
         """Puts a newer configuration into effect; the version never decreases."""
         for entry in new:
@@ -349,15 +394,15 @@
             loads, loads_age_ms = self.load_tree.report_up(requested_at)
         request = SyncRequest(
             sender=members.local,
-            config_next=self.tables[Topic.CONFIGURATION].next_offset,
-            targets_next=self.tables[Topic.TARGETS].next_offset,
+            config_position=self.tables[Topic.CONFIGURATION].position(),
+            targets_position=self.tables[Topic.TARGETS].position(),
             wait_ms=wait_ms,
             members=changed,
             members_known=received,
             members_digest=members.digest() if received < 0 else None,
             loads=loads,
             loads_age_ms=loads_age_ms,
-            crashes_next=self.tables[Topic.CRASHES].next_offset,
+            crashes_position=self.tables[Topic.CRASHES].position(),
         )
         try:
             reply = await self.peers.call(
@@ -374,8 +419,8 @@
         # The reply was sent at this time or later; it may have waited unread since.
         replied_at = requested_at + reply.held_ms
         for topic, update in self.updates_by_topic(reply):
-            new = self.tables[topic].merge_update(update, replied_at)
-            self.apply_entries(topic, new, address, now - replied_at + update.age_ms)
+            changes = self.tables[topic].merge_update(update, replied_at, now)
+            self.apply_entries(topic, changes, address, now - replied_at + update.age_ms)
         if wait_ms:
             self.load_tree.record_above(reply.loads, reply.loads_age_ms, replied_at)
             self.refresh_loads()
@@ -385,15 +430,15 @@
         """Checks that a host answers; raises PeerUnavailable if it does not."""
         request = SyncRequest(
             sender=self.members.local,
-            config_next=NO_ENTRIES_OFFSET,
-            targets_next=NO_ENTRIES_OFFSET,
+            config_position=NO_ENTRIES,
+            targets_position=NO_ENTRIES,
             wait_ms=0.0,
             members=[],
             members_known=-1,
             members_digest=None,
             loads={},
             loads_age_ms=0.0,
-            crashes_next=NO_ENTRIES_OFFSET,
+            crashes_position=NO_ENTRIES,
         )
         await self.peers.call(address, "Sync", request, timeout_ms)
 
@@ -467,11 +512,11 @@
             held_ms=now - received_at,
             members=self.members_for(request),
             members_revision=members.revision,
-            config=tables[Topic.CONFIGURATION].changes_since(request.config_next, now),
-            targets=tables[Topic.TARGETS].changes_since(request.targets_next, now),
+            config=tables[Topic.CONFIGURATION].changes_since(request.config_position, now),
+            targets=tables[Topic.TARGETS].changes_since(request.targets_position, now),
             loads=loads,
             loads_age_ms=loads_age_ms,
-            crashes=tables[Topic.CRASHES].changes_since(request.crashes_next, now),
+            crashes=tables[Topic.CRASHES].changes_since(request.crashes_position, now),
         )
 
     def members_for(self, request: SyncRequest) -> list[Member]:
@@ -492,9 +537,9 @@
     def has_newer_entries(self, request: SyncRequest) -> bool:
         """Returns whether this host has entries that the requesting peer lacks."""
         return (
-            self.tables[Topic.CONFIGURATION].last_change_offset >= request.config_next
-            or self.tables[Topic.TARGETS].last_change_offset >= request.targets_next
-            or self.tables[Topic.CRASHES].last_change_offset >= request.crashes_next
+            self.tables[Topic.CONFIGURATION].has_changes_since(request.config_position)
+            or self.tables[Topic.TARGETS].has_changes_since(request.targets_position)
+            or self.tables[Topic.CRASHES].has_changes_since(request.crashes_position)
         )
 
     def refresh_loads(self) -> None:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -259,6 +259,9 @@
         metrics.config_age.set({}, age_ms if self.follower.catalog is not None else -1)
         targets_age_ms = self.follower.tables[Topic.TARGETS].age_ms(self.follower.now())
         metrics.targets_age.set({}, targets_age_ms if math.isfinite(targets_age_ms) else -1)
+        for topic, table in self.follower.tables.items():
+            metrics.store_era.set({"register": topic.value}, table.era)
+            metrics.kept_entries.set({"register": topic.value}, len(table.kept_keys))
         metrics.loads_age.set({}, self.follower.load_tree.total_age_ms)
         for (kind, direction), size in self.codec.bytes.items():
             metrics.control_bytes.set({"kind": kind, "direction": direction}, size)
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -13,7 +13,7 @@
 from grpclib.encoding.base import CodecBase
 
 from savoryfork.forward.cells import UNDIVIDED, Cell
-from savoryfork.forward.knowledge import Update
+from savoryfork.forward.knowledge import Position, Update
 from savoryfork.forward.loads import LoadTable
 from savoryfork.forward.members import Member
 from savoryfork.forward.model import StagePlan
@@ -38,24 +38,24 @@
 class SyncRequest(NamedTuple):
     """Long poll for updates, with what has changed at the sender.
 
-    It is answered on a change or after `wait_ms`. `config_next`, `targets_next` and `crashes_next`
-    are the next offsets that the sender needs. `members` are entries that may be new to the
-    receiver. `members_known` is the revision of the receiver's membership that the sender has, -1
-    if none; with `members_digest` the sender asks for all entries if its own list has another
-    digest. `loads` is the outstanding work on engines of the sender and the hosts below it, at most
-    `loads_age_ms` old; only long polls carry it.
+    It is answered on a change or after `wait_ms`. `config_position`, `targets_position` and
+    `crashes_position` are what the sender has of each topic. `members` are entries that may be new
+    to the receiver. `members_known` is the revision of the receiver's membership that the sender
+    has, -1 if none; with `members_digest` the sender asks for all entries if its own list has
+    another digest. `loads` is the outstanding work on engines of the sender and the hosts below
+    it, at most `loads_age_ms` old; only long polls carry it.
     """
 
     sender: Member
-    config_next: int
-    targets_next: int
+    config_position: Position
+    targets_position: Position
     wait_ms: float
     members: list[Member]
     members_known: int
     members_digest: int | None
     loads: LoadTable
     loads_age_ms: float
-    crashes_next: int
+    crashes_position: Position
 
 
 class SyncReply(NamedTuple):
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -36,6 +36,12 @@
         self.store_calls = self.gauge(
             "savoryfork_store_calls", "Calls to the store since the start"
         )
+        self.store_era = self.gauge(
+            "savoryfork_store_era", "Era of the store, which rises when it is restored, by register"
+        )
+        self.kept_entries = self.gauge(
+            "savoryfork_kept_entries", "Entries that the restored store has not as new, by register"
+        )
         self.config_age = self.gauge("savoryfork_config_age_ms", "Age of the configuration")
         self.targets_age = self.gauge("savoryfork_targets_age_ms", "Age of the list of targets")
         self.loads_age = self.gauge(
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -38,8 +38,15 @@
         """Records that the store answers again after an outage."""
         self.store_returned_at = now
 
-    def update(self, entries: list[Entry], now: float) -> list[tuple[Target, str]]:
-        """Applies changed entries; returns each target that changed with the kind of change."""
+    def update(
+        self, entries: list[Entry], now: float, restored: bool = False
+    ) -> list[tuple[Target, str]]:
+        """Applies changed entries; returns each target that changed with the kind of change.
+
+        `restored` is True for the entries of a store that was restored from an older copy.
+        """
+        if restored:
+            self.record_store_return(now)
         changes: list[tuple[Target, str]] = []
         dropped: dict[str, Target] = {}
         for entry in entries:
@@ -55,22 +62,27 @@
             self.targets[entry.key] = target
             if known is None:
                 changes.append((target, "added"))
-            elif (known.born, known.address) != (target.born, target.address):
+            elif not is_same_incarnation(known, target):
                 changes.append((target, "reborn"))
             elif known.leaving != target.leaving:
                 changes.append((target, "leaving" if target.leaving else "ready"))
-        changes += self.drop(list(dropped.values()), now)
+        changes += self.drop(list(dropped.values()), now, restored)
         self.reindex()
         return changes
 
-    def drop(self, dropped: list[Target], now: float) -> list[tuple[Target, str]]:
-        """Removes targets whose entries were deleted, or keeps them for now if they seem lapsed."""
+    def drop(self, dropped: list[Target], now: float, restored: bool) -> list[tuple[Target, str]]:
+        """Removes targets whose entries were deleted, or keeps them for now if they seem lapsed.
+
+        An entry that a restored store lacks was written after the copy was made, and its target
+        registers again.
+        """
         changes = []
         recent = now - self.store_returned_at < LAPSE_GRACE_MS
         for target in dropped:
             registered = self.of_service(target.service)
             gone = [t for t in dropped if t.service == target.service]
-            if recent and len(gone) > max(1.0, LAPSED_SHARE * len(registered)):
+            many = len(gone) > max(1.0, LAPSED_SHARE * len(registered))
+            if restored or (recent and many):
                 self.lapsed[target.name] = self.store_returned_at + LAPSE_GRACE_MS
                 changes.append((target, "lapsed"))
                 continue
@@ -123,6 +135,11 @@
         return (
             known is not None
             and not known.leaving
-            and (known.born, known.address) == (target.born, target.address)
+            and is_same_incarnation(known, target)
             and target.name not in self.misdirected
         )
+
+
+def is_same_incarnation(known: Target, other: Target) -> bool:
+    """Returns whether two entries of a name are of the same incarnation of a target."""
+    return (known.born, known.address) == (other.born, other.address)
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -4,24 +4,17 @@
 
 import asyncio
 import base64
-import logging
 import struct
 from collections.abc import Sequence
 
 import aiohttp
 import msgspec
 
-from savoryfork.forward.follower import Topic
-from savoryfork.forward.knowledge import Entry
+from savoryfork.forward.follower import StoreRead, Topic
+from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
-from savoryfork.util import logs
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 
-log = logging.getLogger(__name__)
-
-# A store that was restored from an older copy has lost its newest records; it then raises this.
-ERA_HEADER = "Store-Era"
-
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
     Topic.TARGETS: "keyed.servers",
@@ -35,6 +28,13 @@
 # Fields of a target's entry that change with every heartbeat and are not used here.
 VOLATILE_FIELDS = ("sequence", "warmup_left_ms")
 
+# Largest number in a revision; hosts exchange revisions as 64-bit integers.
+MAX_REVISION = 2**62
+
+# The header of every answer by which the store tells its era, 0 if it has none.
+ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 18
+
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 
@@ -77,13 +77,64 @@
     return bytes(body)
 
 
-def normalize_entries(topic: Topic, entries: list[Entry]) -> list[Entry]:
-    """Returns entries without the fields that change at every heartbeat."""
-    return (
-        [e._replace(value=strip_volatile_fields(e.value)) for e in entries]
-        if (topic is Topic.TARGETS)
-        else entries
-    )
+def normalize_entries(
+    topic: Topic, entries: list[Entry], era: int, *, records: bool
+) -> list[Entry]:
+    """Returns entries with their era and revision, without fields that change at every heartbeat.
+
+    `records` is False for a snapshot, whose values may be older than the era of the store.
+    """
+    if topic is Topic.CONFIGURATION:
+        return [e._replace(era=era, revision=config_revision(e.value)) for e in entries]
+    if topic is Topic.TARGETS:
+        return [
+            e._replace(
+                value=strip_volatile_fields(e.value), era=era, revision=target_revision(e.value)
+            )
+            for e in entries
+        ]
+    revision = (era, 0) if records else UNKNOWN_REVISION
+    return [e._replace(era=era, revision=revision) for e in entries]
+
+
+class ConfigVersion(msgspec.Struct):
+    """The version of a configuration."""
+
+    version: int
+
+
+class TargetSequence(msgspec.Struct):
+    """The start of a target's incarnation and the count of its heartbeats."""
+
+    born: int = 0
+    sequence: int = 0
+
+
+def config_revision(value: bytes) -> Revision:
+    """Returns the revision of a configuration: its version.
+
+    >>> config_revision(b'{"routes":[],"version":7}'), config_revision(b"{")
+    ((7, 0), (0, 0))
+    """
+    try:
+        return (msgspec.json.decode(value, type=ConfigVersion).version, 0)
+    except (msgspec.DecodeError, RecursionError):
+        return UNKNOWN_REVISION  # reported when it is decoded to be put into effect
+
+
+def target_revision(value: bytes) -> Revision:
+    """Returns the revision of a target's entry: its incarnation, then its heartbeat.
+
+    >>> target_revision(b'{"born":1700000000000,"sequence":9}'), target_revision(b'{"born":"x"}')
+    ((1700000000000, 9), (0, 0))
+    """
+    try:
+        row = msgspec.json.decode(value, type=TargetSequence)
+    except (msgspec.DecodeError, RecursionError):
+        return UNKNOWN_REVISION  # reported when it is decoded to be used
+    if max(abs(row.born), abs(row.sequence)) > MAX_REVISION:
+        return UNKNOWN_REVISION
+    return (row.born, row.sequence)
 
 
 def strip_volatile_fields(value: bytes) -> bytes:
@@ -96,7 +147,7 @@
     """
     try:
         row = msgspec.json.decode(value) if value else None
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return value
     if not isinstance(row, dict):
         return value
@@ -115,13 +166,12 @@
             auto_decompress=False,
         )
         self.calls = 0
-        self.era: str | None = None
 
     async def close(self) -> None:
         """Closes the connections."""
         await self.session.close()
 
-    async def newest(self, topic: Topic) -> tuple[list[Entry], int]:
+    async def newest(self, topic: Topic) -> StoreRead:
         """Returns the newest value of each key, and the offset at which to continue reading.
 
         The pages are not a consistent snapshot. The end offset of the first page is returned, so
@@ -130,32 +180,34 @@
         """
         changes: list[Entry] = []
         total_bytes = 0
-        start_offset: int | None = None
-        params = {"topic": TOPIC_NAMES[topic], "part": "0"}
+        start: StoreRead | None = None
+        name = TOPIC_NAMES[topic]
+        params = {"topic": name, "part": "0"}
         while True:
-            body = await self.call("log-newest", params, 0.0)
+            body, era = await self.call("log-newest", params, 0.0)
             total_bytes += len(body)
             if total_bytes > self.limits.snapshot_bytes:
-                raise LogUnavailable(f"{TOPIC_NAMES[topic]}: the snapshot is too large")
+                raise LogUnavailable(f"{name}: the snapshot is too large")
             try:
                 page = msgspec.json.decode(body)
                 for row in page["entries"]:
                     value = base64.b64decode(row.get("value") or "")
                     changes.append(Entry(int(row["offset"]), str(row["key"]), value))
-                start_offset = int(page["end"]) if start_offset is None else start_offset
+                if start is None:
+                    start = StoreRead([], int(page["end"]), int(page["end"]), era)
+                if era != start.era:
+                    raise LogUnavailable(f"{name}: the store was restored between two pages")
                 if not page.get("has_more") or not page["entries"]:
-                    return normalize_entries(topic, changes), start_offset
+                    entries = normalize_entries(topic, changes, era, records=False)
+                    return start._replace(entries=entries)
                 params = {**params, "after": str(page["entries"][-1]["key"])}
             except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
-                raise LogUnavailable(
-                    f"{TOPIC_NAMES[topic]}: the answer can't be decoded"
-                ) from error
+                raise LogUnavailable(f"{name}: the answer can't be decoded") from error
 
-    async def read(self, topic: Topic, offset: int, wait_ms: float) -> tuple[list[Entry], int, int]:
+    async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
         """Reads entries from `offset` on, waiting up to `wait_ms` for the first one.
 
-        Returns them with the next offset to read and the end offset of the topic. Raises
-        OffsetExpired or LogUnavailable.
+        Raises OffsetExpired or LogUnavailable.
         """
         params = {
             "topic": TOPIC_NAMES[topic],
@@ -165,32 +217,16 @@
         }
         if wait_ms:
             params["wait_ms"] = str(int(wait_ms))
-        body = await self.call("log-read", params, wait_ms)
+        body, era = await self.call("log-read", params, wait_ms)
         changes, next_offset, end = decode_records(body, offset)
-        return normalize_entries(topic, changes), next_offset, end
+        entries = normalize_entries(topic, changes, era, records=True)
+        return StoreRead(entries, next_offset, end, era)
 
     async def append(self, topic: Topic, entries: Sequence[tuple[str, bytes]]) -> None:
         """Appends a value for each key; an empty one deletes the key. Raises LogUnavailable."""
         params = {"topic": TOPIC_NAMES[topic], "part": "0"}
         await self.call("log-append", params, 0.0, encode_records(entries))
 
-    def record_era(self, name: str, params: dict[str, str], status: int, era: str | None) -> None:
-        """Logs the era of the store when it differs from that of the last answer."""
-        if era is None or era == self.era:
-            return
-        logs.event(
-            log,
-            "store_era",
-            logging.WARNING,
-            era=era,
-            former_era=self.era,
-            call=name,
-            topic=params["topic"],
-            offset=params.get("from"),
-            status=status,
-        )
-        self.era = era
-
     async def read_body(self, name: str, response: aiohttp.ClientResponse) -> bytes:
         """Reads the body of a response; raises LogUnavailable if it exceeds the limit."""
         body = bytearray()
@@ -203,8 +239,8 @@
 
     async def call(
         self, name: str, params: dict[str, str], wait_ms: float, data: bytes | None = None
-    ) -> bytes:
-        """Calls the store, by POST if there is data.
+    ) -> tuple[bytes, int]:
+        """Calls the store, by POST if there is data; returns the body and the store's era.
 
         Every failure except an expired offset raises LogUnavailable. The client closes a connection
         that timed out and never reuses it.
@@ -217,11 +253,13 @@
                 async with self.session.request(method, url, params=params, data=data) as response:
                     body = await self.read_body(name, response)
                     status = response.status
-                    self.record_era(name, params, status, response.headers.get(ERA_HEADER))
+                    era_value = response.headers.get(ERA_HEADER, "0")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise LogUnavailable(f"{name}: {type(error).__name__}") from error
         if status == 410:
             raise OffsetExpired(0, 0)
         if status != 200:
             raise LogUnavailable(f"{name}: status {status}")
-        return body
+        if not era_value.isdecimal() or len(era_value) > MAX_ERA_DIGITS:
+            raise LogUnavailable(f"{name}: the era of the store can't be read")
+        return body, int(era_value)
--- a/tests/forward/controlplane.py
+++ b/tests/forward/controlplane.py
@@ -10,16 +10,17 @@
 from collections.abc import Sequence
 from typing import Any
 
-from savoryfork.forward.follower import Follower, Topic
+from savoryfork.forward.follower import Follower, StoreRead, Topic
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import METHODS, MessageCodec
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.peers import PeerUnavailable
+from savoryfork.platform.store import normalize_entries
 from savoryfork.platform.wire import PlatformWire
 from savoryfork.util.background import BackgroundTasks
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogUnavailable
+from savoryfork.util.topic import LogUnavailable, OffsetExpired
 
 CODEC = MessageCodec()
 
@@ -30,34 +31,57 @@
 
 
 class Store:
-    """The log of both topics; `down` makes every read fail."""
+    """The log of all topics; `down` makes every read fail, `era` rises with each restore."""
 
     def __init__(self) -> None:
         self.logs: dict[Topic, list[Entry]] = {topic: [] for topic in Topic}
         self.down = False
+        self.era = 1
         self.calls = 0
         self.changed = asyncio.Event()
 
+    def copy(self) -> dict[Topic, list[Entry]]:
+        return {topic: list(entries) for topic, entries in self.logs.items()}
+
+    def restore(self, copy: dict[Topic, list[Entry]]) -> None:
+        """Goes back to a copy: newer records are lost and their offsets are given out again."""
+        self.logs = {topic: list(entries) for topic, entries in copy.items()}
+        self.era += 1
+        self.notify()
+
     def put(self, topic: Topic, key: str, value: bytes) -> None:
         self.logs[topic].append(Entry(len(self.logs[topic]), key, value))
+        self.notify()
+
+    def notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def newest(self, topic: Topic) -> tuple[list[Entry], int]:
-        entries, next_offset, _ = await self.read(topic, 0, 0.0)
-        return entries, next_offset
+    async def newest(self, topic: Topic) -> StoreRead:
+        self.calls += 1
+        await asyncio.sleep(STORE_S)
+        if self.down:
+            raise LogUnavailable("down")
+        newest = {entry.key: entry for entry in self.logs[topic]}
+        end = len(self.logs[topic])
+        live = [entry for entry in newest.values() if entry.value]
+        entries = normalize_entries(topic, live, self.era, records=False)
+        return StoreRead(entries, end, end, self.era)
 
-    async def read(self, topic: Topic, offset: int, wait_ms: float) -> tuple[list[Entry], int, int]:
+    async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
         self.calls += 1
         await asyncio.sleep(STORE_S)
-        if wait_ms and len(self.logs[topic]) <= offset:
+        if wait_ms and len(self.logs[topic]) == offset:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_ms / 1000):
                     await self.changed.wait()
         if self.down:
             raise LogUnavailable("down")
         end = len(self.logs[topic])
-        return self.logs[topic][offset:], end, end
+        if offset > end:
+            raise OffsetExpired(0, 0)
+        entries = normalize_entries(topic, self.logs[topic][offset:], self.era, records=True)
+        return StoreRead(entries, end, end, self.era)
 
     async def append(self, topic: Topic, entries: Sequence[tuple[str, bytes]]) -> None:
         await asyncio.sleep(STORE_S)
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryfork.forward.knowledge import Entry, TopicTable
+from savoryfork.forward.knowledge import Entry, Position, TopicTable
 
 
 def entry(offset: int, key: str, value: bytes = b"v") -> Entry:
@@ -44,22 +44,23 @@
         """Guards against a host frozen for 9 s taking a reply sent before the freeze as fresh."""
         peer, host = TopicTable(), TopicTable()
         peer.apply([entry(1, "k")], 2)
-        peer.confirm(1_000.0)
-        update = peer.changes_since(0, now=1_200.0)
-        host.merge_update(update, replied_at=1_100.0)
+        peer.confirm_read(1_000.0)
+        update = peer.changes_since(Position(0, 0), now=1_200.0)
+        host.merge_update(update, replied_at=1_100.0, now=1_300.0)
         assert host.age_ms(now=10_000.0) == 10_000.0 - (1_100.0 - 200.0)
 
     def test_an_update_from_a_peer_that_is_behind_confirms_nothing(self):
         peer, host = TopicTable(), TopicTable()
         host.apply([entry(5, "k")], 6)
         peer.apply([entry(1, "k")], 2)
-        peer.confirm(50.0)
-        host.merge_update(peer.changes_since(6, now=60.0), replied_at=55.0)
+        peer.confirm_read(50.0)
+        host.merge_update(peer.changes_since(Position(0, 6), now=60.0), replied_at=55.0, now=61.0)
         assert host.age_ms(60.0) == math.inf
 
     def test_an_update_from_a_peer_that_never_read_the_store_confirms_nothing(self):
         host = TopicTable()
-        host.merge_update(TopicTable().changes_since(0, now=5.0), replied_at=5.0)
+        update = TopicTable().changes_since(Position(0, 0), now=5.0)
+        host.merge_update(update, replied_at=5.0, now=5.0)
         assert host.age_ms(5.0) == math.inf
 
 
@@ -70,7 +71,7 @@
         peer.apply([entry(0, "dropped")], 1)
         peer.apply([entry(1, "dropped", b""), entry(2, "kept")], 3)
         peer.purge_tombstones()
-        host.merge_update(peer.changes_since(host.next_offset, now=0.0), replied_at=0.0)
+        host.merge_update(peer.changes_since(host.position(), now=0.0), replied_at=0.0, now=0.0)
         assert not host.entries["dropped"].value and host.entries["kept"].value
 
     @given(
@@ -82,8 +83,8 @@
         reader, follower = TopicTable(), TopicTable()
         cut = min(cut, len(log))
         reader.apply(log[:cut], cut)
-        follower.merge_update(reader.changes_since(follower.next_offset, 0.0), 0.0)
+        follower.merge_update(reader.changes_since(follower.position(), 0.0), 0.0, 0.0)
         reader.apply(log[cut:], len(log))
-        follower.merge_update(reader.changes_since(follower.next_offset, 0.0), 0.0)
+        follower.merge_update(reader.changes_since(follower.position(), 0.0), 0.0, 0.0)
         alive = {k: e.value for k, e in reader.entries.items() if e.value}
         assert {k: e.value for k, e in follower.entries.items() if e.value} == alive
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -88,3 +88,12 @@
         assert not registry.is_current(target) and len(registry.usable("s")) == 4
         registry.update([Entry(9, "t1", value("10.0.0.1:80", born=2))], 0.0)
         assert len(registry.usable("s")) == 5
+
+
+class TestRestore:
+    def test_a_target_that_the_copy_lacks_is_kept_for_the_grace_period(self):
+        """Guards against dropping a live target whose entry is newer than the copy."""
+        registry = make_registry()
+        changes = registry.update([Entry(9, "t1", b"")], 10_000.0, restored=True)
+        assert [change for _, change in changes] == ["lapsed"] and len(registry.usable("s")) == 5
+        assert [t.name for t, _ in registry.expire(10_000.0 + LAPSE_GRACE_MS)] == ["t1"]
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -7,12 +7,305 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from typing import Any
 
+import msgspec
+import pytest
+
+from savoryfork.forward import quarantine as quarantines
+from savoryfork.forward.follower import Topic, stale_ms
+from savoryfork.forward.knowledge import RESTORE_SETTLE_MS
+from savoryfork.forward.quarantine import Report
+from savoryfork.forward.registry import LAPSE_GRACE_MS
+from tests.forward.controlplane import ControlPlane, Host
 from tests.forward.deployment import Deployment, configuration, until
 
 # The bound within which a change is in force after its acknowledgement.
 MAX_CONFIG_S = 2.0
 
+# Age of the configuration below which a host at the second level of the tree is up to date.
+FRESH_MS = stale_ms(Topic.CONFIGURATION, 2)
+
+
+@pytest.fixture
+def quiet_logs():
+    logging.disable(logging.CRITICAL)
+    yield
+    logging.disable(logging.NOTSET)
+
+
+def config_value(version: int) -> bytes:
+    return msgspec.json.encode({"version": version, "routes": [], "services": []})
+
+
+def target_value(
+    number: int, sequence: int = 1, state: str = "ready", born: int = 1_700_000_000_000
+) -> bytes:
+    row = {"service": "s", "address": f"10.1.0.{number}:80", "zone": "z", "slots": 2}
+    return msgspec.json.encode({**row, "state": state, "born": born, "sequence": sequence})
+
+
+def versions(hosts: list[Host]) -> set[int]:
+    return {host.follower.catalog.version if host.follower.catalog else -1 for host in hosts}
+
+
+def usable(hosts: list[Host]) -> set[frozenset[str]]:
+    return {frozenset(t.name for t in host.follower.registry.usable("s")) for host in hosts}
+
+
+def max_config_age_ms(plane: ControlPlane) -> float:
+    return max(host.follower.config_age_ms() for host in plane.live())
+
+
+class Plane(ControlPlane):
+    """Hosts that follow five targets and version 1 of the configuration."""
+
+    def __init__(self, hosts: int = 20) -> None:
+        super().__init__(hosts)
+        self.put_config(1)
+        for number in range(5):
+            self.put_target(number)
+
+    def put_config(self, version: int) -> None:
+        self.store.put(Topic.CONFIGURATION, "config", config_value(version))
+
+    def put_target(self, number: int, sequence: int = 1, state: str = "ready") -> None:
+        self.store.put(Topic.TARGETS, f"t{number}", target_value(number, sequence, state))
+
+    def remove_target(self, number: int) -> None:
+        self.store.put(Topic.TARGETS, f"t{number}", b"")
+
+    async def drill(self, copy: Any, away_s: float = 2.0) -> None:
+        """Takes the store away and brings it back from an older copy."""
+        self.store.down = True
+        self.store.notify()
+        await asyncio.sleep(away_s)
+        self.store.restore(copy)
+        self.store.down = False
+
+    async def until(self, condition: Any, limit_s: float = MAX_CONFIG_S) -> None:
+        await self.seconds_until(condition, limit_s)
+
+
+@pytest.mark.looptime
+@pytest.mark.usefixtures("quiet_logs")
+class TestConfiguration:
+    async def test_version_at_an_offset_that_is_given_out_again_takes_effect(self):
+        """Guards against offsets taken for versions: such a change was never in force."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for version in (2, 3, 4):
+                plane.put_config(version)
+                await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            plane.put_config(5)
+            await plane.until(lambda: versions(plane.live()) == {5})
+
+    async def test_version_that_grew_beyond_the_former_end_takes_effect(self):
+        """Guards against a read in the middle of new records that were given old offsets."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            plane.store.down = True
+            plane.store.notify()
+            await asyncio.sleep(2.0)
+            plane.store.restore(copy)
+            for version in (2, 3, 4, 5):
+                plane.put_config(version)
+            plane.store.down = False
+            await plane.until(lambda: versions(plane.live()) == {5})
+
+    async def test_older_version_of_the_copy_is_not_put_into_effect(self):
+        """Guards against a configuration that goes back, with keys that were taken away since."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                assert versions(plane.live()) == {2}
+
+    async def test_host_that_starts_during_the_drill_gets_the_version_in_effect(self):
+        """Guards against a host that knows only the copy and serves by an old version."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            plane.add(3, [host.address for host in plane.hosts[:3]])
+            await plane.until(lambda: versions(plane.live()) == {2})
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                assert versions(plane.live()) == {2}
+
+    async def test_copy_does_not_confirm_a_newer_version(self):
+        """Guards against keys trusted because of a read that showed an older configuration."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy, away_s=1.0)
+            await asyncio.sleep(4.0)
+            assert all(host.follower.config_age_ms() >= 4_000.0 for host in plane.live())
+            plane.put_config(2)
+            await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 4.0)
+
+    async def test_equal_version_is_confirmed_once_writers_have_returned(self):
+        """Guards against hosts that are out of date for long after a drill that lost nothing."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            await plane.drill(plane.store.copy(), away_s=1.0)
+            await asyncio.sleep((RESTORE_SETTLE_MS + FRESH_MS) / 1000)
+            assert max_config_age_ms(plane) < FRESH_MS
+
+    async def test_two_drills_in_a_row(self):
+        """Guards against hosts of three eras that hand each other old entries."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy, away_s=0.6)
+            plane.put_config(3)
+            await asyncio.sleep(0.3)
+            await plane.drill(copy, away_s=0.6)
+            await asyncio.sleep(1.0)
+            assert versions(plane.live()) == {3}
+            plane.put_config(4)
+            await plane.until(lambda: versions(plane.live()) == {4})
+
+    async def test_host_cut_off_through_the_drill(self):
+        """Guards against a host of the former era that brings back what it knows."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            host = plane.hosts[7]
+            del plane.up[host.address]
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            plane.put_config(3)
+            await asyncio.sleep(1.0)
+            plane.up[host.address] = host
+            await plane.until(lambda: versions(plane.live()) == {3}, 6.0)
+
+
+@pytest.mark.looptime
+@pytest.mark.usefixtures("quiet_logs")
+class TestTargets:
+    async def test_target_that_leaves_is_not_ready_again(self):
+        """Guards against work for a target that the copy shows as it was before it left."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_target(1, 2, "draining")
+            await plane.until(lambda: usable(plane.live()) == {frozenset({"t0", "t2", "t3", "t4"})})
+            await plane.drill(copy)
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                assert usable(plane.live()) == {frozenset({"t0", "t2", "t3", "t4"})}
+
+    async def test_target_that_has_gone_does_not_return(self):
+        """Guards against work for a target whose entry only the copy still has."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_target(1, 5)
+            await asyncio.sleep(0.5)
+            plane.remove_target(1)
+            await plane.until(lambda: usable(plane.live()) == {frozenset({"t0", "t2", "t3", "t4"})})
+            await plane.drill(copy)
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                assert usable(plane.live()) == {frozenset({"t0", "t2", "t3", "t4"})}
+
+    async def test_host_that_starts_during_the_drill_learns_who_leaves(self):
+        """Guards against a host that takes the copy's word for a target that leaves."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_target(1, 2, "draining")
+            await asyncio.sleep(1.0)
+            await plane.drill(copy)
+            plane.add(3, [host.address for host in plane.hosts[:3]])
+            await asyncio.sleep(2.0)
+            assert usable(plane.live()) == {frozenset({"t0", "t2", "t3", "t4"})}
+
+    async def test_target_that_the_copy_lacks_stays_until_it_registers_again(self):
+        """Guards against new targets that are dropped although they live."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for number in (5, 6):
+                plane.put_target(number)
+            await plane.until(lambda: all(len(names) == 7 for names in usable(plane.live())))
+            await plane.drill(copy)
+            await asyncio.sleep(1.5)
+            plane.put_target(5, 3)
+            assert all(len(names) == 7 for names in usable(plane.live()))
+            await asyncio.sleep(LAPSE_GRACE_MS / 1000)
+            for host in plane.live():
+                await host.follower.expire()
+            assert usable(plane.live()) == {frozenset(f"t{n}" for n in range(6))}
+
+    async def test_change_after_the_drill_reaches_all_hosts(self):
+        """Guards against hosts that miss targets that leave after the offsets went back."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for sequence in range(2, 9):
+                plane.put_target(0, sequence)
+            plane.put_target(5)
+            await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            plane.put_target(2, 2, "draining")
+            await plane.until(
+                lambda: all("t2" not in names for names in usable(plane.live())), MAX_CONFIG_S
+            )
+
+    async def test_targets_are_sent_once_for_a_drill(self):
+        """Guards against hosts that send all entries again with each message after a drill."""
+        async with Plane(60) as plane:
+            for number in range(5, 200):
+                plane.put_target(number)
+            await asyncio.sleep(3.0)
+            await plane.drill(plane.store.copy())
+            await asyncio.sleep(3.0)
+            plane.bytes.clear()
+            await asyncio.sleep(5.0)
+            rates = sorted(plane.bytes[host.address] / 5.0 for host in plane.hosts)
+            assert rates[len(rates) // 2] <= 3_000.0
+
+
+@pytest.mark.looptime
+@pytest.mark.usefixtures("quiet_logs")
+class TestCrashReports:
+    async def report(self, plane: Plane, engine: str) -> None:
+        report = Report(engine, 1, (7,), True)
+        entry = quarantines.report_entry(report, f"request-{engine}")
+        await plane.store.append(Topic.CRASHES, [entry])
+
+    async def test_reports_that_the_store_lost_still_count(self):
+        """Guards against engines that crash again because the reports were lost."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for engine in ("e1", "e2"):
+                await self.report(plane, engine)
+            await asyncio.sleep(1.0)
+            await plane.drill(copy)
+            plane.add(1, [host.address for host in plane.hosts[:3]])
+            await asyncio.sleep(2.0)
+            assert all(h.follower.quarantine.quarantined_parts() == {7} for h in plane.live())
+
 
 class TestHosts:
     """Real hosts on loopback."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -32,10 +32,10 @@
     async def test_newest_values_then_changes(self, store):
         fake, client = store
         fake.put("keyed.op", "config", {"version": 1})
-        entries, end = await client.newest(Topic.CONFIGURATION)
+        entries, end, _, _ = await client.newest(Topic.CONFIGURATION)
         assert [(e.key, e.value, e.offset) for e in entries] == [("config", b'{"version":1}', 0)]
         fake.put("keyed.op", "config", None)
-        changes, next_offset, end = await client.read(Topic.CONFIGURATION, end, 0.0)
+        changes, next_offset, end, _ = await client.read(Topic.CONFIGURATION, end, 0.0)
         assert [(c.offset, c.value) for c in changes] == [(1, b"")] and next_offset == end == 2
 
     async def test_heartbeat_does_not_change_the_value(self, store):
@@ -43,7 +43,7 @@
         for sequence in (1, 2):
             row = {"slots": 2, "sequence": sequence, "warmup_left_ms": sequence}
             fake.put("keyed.servers", "t", row)
-        changes, _, _ = await client.read(Topic.TARGETS, 0, 0.0)
+        changes, _, _, _ = await client.read(Topic.TARGETS, 0, 0.0)
         assert changes[0].value == changes[1].value == b'{"slots":2}'
 
     async def test_expired_offset(self, store):
@@ -103,3 +103,26 @@
         """Guards against a snapshot whose pages never end."""
         with pytest.raises(LogUnavailable, match="too large"):
             await endless.newest(Topic.CONFIGURATION)
+
+
+class TestEra:
+    async def test_offset_that_a_restored_store_does_not_have(self, store):
+        """Guards against a host that takes an offset beyond the end for being up to date."""
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 1})
+        copy = fake.copy()
+        fake.put("keyed.op", "config", {"version": 2})
+        fake.restore(copy)
+        with pytest.raises(OffsetExpired):
+            await client.read(Topic.CONFIGURATION, 2, 0.0)
+        assert (await client.newest(Topic.CONFIGURATION)).era == 2
+
+    async def test_entries_carry_era_and_revision(self, store):
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 7})
+        fake.put("keyed.servers", "t", {"born": 3, "sequence": 5})
+        fake.put("keyed.servers", "odd", {"born": 10**23, "sequence": "x"})
+        config = (await client.newest(Topic.CONFIGURATION)).entries
+        targets = (await client.read(Topic.TARGETS, 0, 0.0)).entries
+        assert [(e.era, e.revision) for e in config] == [(1, (7, 0))]
+        assert [e.revision for e in targets] == [(3, 5), (0, 0)]
