Never use a target again that has said it leaves, in the same incarnation

An entry that says ready after one that said draining took the target back into use. A restored store shows such entries for a moment; the revision of an entry tells, but not for a target that counts no heartbeats, and not to a host that has the former entry from its own read only. Targets do not return from draining by the platform's rules, so the registry keeps the mark for the incarnation.

The test of the registry failed before.

--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -43,7 +43,8 @@
     ) -> list[tuple[Target, str]]:
         """Applies changed entries; returns each target that changed with the kind of change.
 
-        `restored` is True for the entries of a store that was restored from an older copy.
+        `restored` is True for the entries of a store that was restored from an older copy. A target
+        that leaves never returns in the same incarnation, whatever an entry says.
         """
         if restored:
             self.record_store_return(now)
@@ -58,6 +59,8 @@
                 continue
             # It registered again after it was deleted.
             dropped.pop(entry.key, None)
+            if known is not None and known.leaving and is_same_incarnation(known, target):
+                target = target._replace(leaving=True)
             self.lapsed.pop(entry.key, None)
             self.targets[entry.key] = target
             if known is None:
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -91,6 +91,15 @@
 
 
 class TestRestore:
+    def test_a_target_that_leaves_does_not_return_in_the_same_incarnation(self):
+        """Guards against work for a leaving target that an older entry shows as ready."""
+        registry = make_registry()
+        registry.update([Entry(9, "t1", value("10.0.0.1:80", "draining"))], 0.0)
+        assert registry.update([Entry(10, "t1", value("10.0.0.1:80"))], 1.0, restored=True) == []
+        assert len(registry.usable("s")) == 4
+        registry.update([Entry(11, "t1", value("10.0.0.1:80", born=2))], 2.0)
+        assert len(registry.usable("s")) == 5
+
     def test_a_target_that_the_copy_lacks_is_kept_for_the_grace_period(self):
         """Guards against dropping a live target whose entry is newer than the copy."""
         registry = make_registry()
