Clear a prompt part of crashes instead of reports up to an offset

A clearance covered the reports of a part up to an offset of the topic. A restored store gives offsets out again, so a clearance from before covered reports that were written after the restore, and requests on which engines crash were let through again.

A clearance now names the crashes that the part was reported for. Reports of the same crash that arrive later don't count either, and neither does one of this host that was not read back, which needed a case of its own.

In test_quarantine, the check of a report that was not read back no longer looks at its offset, which is gone; it reads the report back instead and expects the part to stay cleared.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -117,8 +117,7 @@
         for part in self.quarantine.record_answer(run.parts, self.follower.now()):
             clearance = self.quarantine.clear(part)
             logs.event(log, "part_cleared", request=run.id, part=f"{part:x}")
-            if clearance.through >= 0:
-                self.append(*quarantines.clearance_entry(clearance))
+            self.append(*quarantines.clearance_entry(clearance))
 
     async def record_loss(self, run: Run) -> bool:
         """Records a request whose connection was closed by its engine before events came.
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -96,10 +96,14 @@
 
 
 class Clearance(NamedTuple):
-    """An engine has answered on a part; reports up to the offset `through` no longer count."""
+    """An engine has answered on a part, so it was not the cause of the crashes.
+
+    `crashes` are their ids, not offsets of the topic: a store that is restored from an older copy
+    gives out offsets again.
+    """
 
     part: int
-    through: int
+    crashes: tuple[int, ...]
 
 
 class QuarantinedGroup(NamedTuple):
@@ -121,6 +125,11 @@
     return tuple(part_id(name) for name in prompt.shared_parts()[:MAX_PROMPT_PARTS])
 
 
+def crash_id(report: Report) -> int:
+    """Returns the 63-bit hash of the crash that a report is about."""
+    return xxhash.xxh3_64_intdigest(f"{report.target} {report.born}".encode()) >> 1
+
+
 def report_entry(report: Report, request_id: str) -> tuple[str, bytes]:
     """Returns the key and the value of a report; a second append of it replaces the first."""
     identity = xxhash.xxh3_64_hexdigest(f"{report.target} {report.born} {request_id}".encode())
@@ -189,17 +198,13 @@
 
 
 class StoredReport(NamedTuple):
-    """A report, its offset in the topic, and when this host learned of it."""
+    """A report, whether it was read from the topic, and when this host learned of it."""
 
-    offset: int
+    was_read: bool
     learned_at: float
     report: Report
 
 
-# Offset of a report of this host that it has not read back from the topic yet.
-UNCONFIRMED = 2**62
-
-
 class Quarantine:
     """The reports and clearances that a host knows, its own observations, and the verdicts.
 
@@ -217,13 +222,13 @@
     def __init__(self, cooldown_share: float = 0.0) -> None:
         self.cooldown_share = cooldown_share
         self.reports: dict[str, StoredReport] = {}
-        self.cleared_through: dict[int, int] = {}
+        self.cleared: dict[int, frozenset[int]] = {}
         self.clearance_keys: dict[str, int] = {}
         self.answered_at: OrderedDict[int, float] = OrderedDict()
         self.answered_before: dict[CrashId, frozenset[int]] = {}
         self.groups: list[QuarantinedGroup] = []
         self.suspects: set[int] = set()
-        self.reported: dict[int, int] = {}
+        self.reported: set[int] = set()
 
     # Reports and clearances.
 
@@ -242,31 +247,35 @@
             self.reports.pop(entry.key, None)
             part = self.clearance_keys.pop(entry.key, None)
             if part is not None:
-                self.cleared_through.pop(part, None)
+                self.cleared.pop(part, None)
         elif entry.key.startswith(REPORT_PREFIX):
             report = msgspec.json.decode(entry.value, type=Report)
-            self.put(entry.key, report, entry.offset, now)
+            self.put(entry.key, report, True, now)
         elif entry.key.startswith(CLEARANCE_PREFIX):
             clearance = msgspec.json.decode(entry.value, type=Clearance)
             self.clearance_keys[entry.key] = clearance.part
-            known = self.cleared_through.get(clearance.part, -1)
-            self.cleared_through[clearance.part] = max(known, clearance.through)
+            known = self.cleared.get(clearance.part, frozenset())
+            self.cleared[clearance.part] = known.union(clearance.crashes)
 
     def add_local(self, key: str, report: Report, now: float) -> None:
         """Adds a report of this host, which counts before it has been read back."""
         if key not in self.reports:
-            self.put(key, report, UNCONFIRMED, now)
+            self.put(key, report, False, now)
             self.review()
 
-    def put(self, key: str, report: Report, offset: int, now: float) -> None:
+    def put(self, key: str, report: Report, was_read: bool, now: float) -> None:
         """Stores a report and notes which of its parts were answered shortly before."""
         known = self.reports.get(key)
         learned_at = known.learned_at if known is not None else now
-        self.reports[key] = StoredReport(offset, learned_at, report)
+        self.reports[key] = StoredReport(was_read, learned_at, report)
         answered = {p for p in report.parts if self.answered_recently(p, learned_at)}
         crash = (report.target, report.born)
         self.answered_before[crash] = self.answered_before.get(crash, frozenset()) | answered
 
+    def is_cleared(self, report: Report, part: int) -> bool:
+        """Returns whether a part of a report was cleared of its crash."""
+        return crash_id(report) in self.cleared.get(part, ())
+
     def crash_weights(self) -> Crashes:
         """Returns the weights of the parts that each crash still counts against."""
         crashes: Crashes = {}
@@ -275,7 +284,7 @@
             crash = (report.target, report.born)
             weight = BEGAN_WEIGHT if report.began else BYSTANDER_WEIGHT
             for part in report.parts:
-                if stored.offset <= self.cleared_through.get(part, -1):
+                if self.is_cleared(report, part):
                     continue
                 factor = ANSWERED_FACTOR if part in self.answered_before[crash] else 1.0
                 weights = crashes.setdefault(crash, {})
@@ -284,17 +293,14 @@
 
     def review(self) -> None:
         """Derives the groups and suspects from all reports; drops clearances without a report."""
-        parts = {part for stored in self.reports.values() for part in stored.report.parts}
-        self.cleared_through = {p: o for p, o in self.cleared_through.items() if p in parts}
+        reports = [stored.report for stored in self.reports.values()]
+        parts = {part for report in reports for part in report.parts}
+        crashes = {crash_id(report) for report in reports}
+        self.cleared = {p: c & crashes for p, c in self.cleared.items() if p in parts}
         judgement = judge(self.crash_weights())
         totals = scores(judgement.unexplained)
         self.suspects = {part for part, total in totals.items() if total >= SUSPECT_SCORE}
-        self.reported = {}
-        for stored in self.reports.values():
-            for part in stored.report.parts:
-                if self.cleared_through.get(part, -1) < stored.offset:
-                    offset = stored.offset if stored.offset < UNCONFIRMED else -1
-                    self.reported[part] = max(self.reported.get(part, -1), offset)
+        self.reported = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
         self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in judgement.groups]
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
@@ -328,18 +334,12 @@
         return [part for part in parts if part in self.reported]
 
     def clear(self, part: int) -> Clearance:
-        """Clears a part of all reports so far; returns the clearance for other hosts.
-
-        Reports that were not read back have no offset yet, so the part is taken out of them.
-        """
-        clearance = Clearance(part, self.reported.get(part, -1))
-        self.cleared_through[part] = clearance.through
-        for key, stored in self.reports.items():
-            if stored.offset == UNCONFIRMED and part in stored.report.parts:
-                parts = tuple(p for p in stored.report.parts if p != part)
-                self.reports[key] = stored._replace(report=stored.report._replace(parts=parts))
+        """Clears a part of all crashes so far; returns the clearance for other hosts."""
+        reports = [stored.report for stored in self.reports.values()]
+        crashes = frozenset(crash_id(report) for report in reports if part in report.parts)
+        self.cleared[part] = crashes
         self.review()
-        return clearance
+        return Clearance(part, tuple(sorted(crashes)))
 
     def is_explained(self, report: Report) -> bool:
         """Returns whether a likelier cause of a report's crash was reported."""
@@ -384,17 +384,15 @@
         for key, stored in self.reports.items():
             report, age_ms = stored.report, now - stored.learned_at
             retention_ms = REPORT_RETENTION_MS if report.began else BYSTANDER_RETENTION_MS
-            counts = any(
-                self.cleared_through.get(part, -1) < stored.offset for part in report.parts
-            )
-            if stored.offset == UNCONFIRMED or (counts and age_ms < retention_ms):
+            counts = any(not self.is_cleared(report, part) for part in report.parts)
+            if not stored.was_read or (counts and age_ms < retention_ms):
                 kept[key] = stored
             else:
                 keys.append(key)
         excess = len(kept) - MAX_REPORTS
         if excess > 0:
             # Bystanders go first, then the oldest.
-            order = sorted(kept, key=lambda k: (kept[k].report.began, kept[k].offset))
+            order = sorted(kept, key=lambda k: (kept[k].report.began, kept[k].learned_at))
             keys += order[:excess]
         reported = {part for k, s in kept.items() if k not in keys for part in s.report.parts}
         keys += [k for k, part in self.clearance_keys.items() if part not in reported]
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -7,6 +7,7 @@
 import random
 
 import aiohttp
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -17,7 +18,6 @@
     FIRST_COOLDOWN_MS,
     MAX_REPORTS,
     QUARANTINE_SCORE,
-    UNCONFIRMED,
     Quarantine,
     Report,
     Verdict,
@@ -165,7 +165,10 @@
         for part in host.record_answer((8,), 0.0):
             host.clear(part)
         assert host.suspects == {CRASHING}
-        assert host.reports["k"].offset == UNCONFIRMED and not host.cleared_through.get(8)
+        # The report that is read back later does not count against the part either.
+        key, value = "k", msgspec.json.encode(host.reports["k"].report)
+        host.update([Entry(0, quarantines.REPORT_PREFIX + key, value)], 0.0)
+        assert host.suspects == {CRASHING}
 
 
 class TestReplay:
@@ -233,14 +236,14 @@
         for _ in range(2):
             for key in host.obsolete_keys(0.0):
                 topic.put(key, b"")
-        assert not host.reports and not host.cleared_through
+        assert not host.reports and not host.cleared
 
     def test_malformed_entries_are_ignored(self):
         host = Quarantine()
         values = [b"x", b"[]", b'["e",1,["a"],true]', b"[1,2]"]
         host.update([Entry(n, f"report/{n}", v) for n, v in enumerate(values)], 0.0)
         host.update([Entry(9, "clear/1", b"{}"), Entry(10, "other", b"[]")], 0.0)
-        assert not host.reports and not host.cleared_through
+        assert not host.reports and not host.cleared
 
 
 class Traffic:
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -306,6 +306,25 @@
             await asyncio.sleep(2.0)
             assert all(h.follower.quarantine.quarantined_parts() == {7} for h in plane.live())
 
+    async def test_clearance_does_not_cover_reports_that_are_written_later(self):
+        """Guards against a clearance by offset: after a drill it covered new reports."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for engine in ("e1", "e2"):
+                await self.report(plane, engine)
+            await asyncio.sleep(1.0)
+            quarantine = plane.hosts[0].follower.quarantine
+            entry = quarantines.clearance_entry(quarantine.clear(7))
+            await plane.store.append(Topic.CRASHES, [entry])
+            await asyncio.sleep(1.0)
+            assert not any(h.follower.quarantine.quarantined_parts() for h in plane.live())
+            await plane.drill(copy)
+            for engine in ("e3", "e4"):
+                await self.report(plane, engine)
+            await asyncio.sleep(1.5)
+            assert all(h.follower.quarantine.quarantined_parts() == {7} for h in plane.live())
+
 
 class TestHosts:
     """Real hosts on loopback."""
