Append crash reports again that a restored store has lost

Hosts write crash reports and clearances themselves, so nobody else writes them again. Every host that was up keeps what it knew, but a host that starts when all others are gone would know nothing and let engines crash again.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -234,7 +234,10 @@
         self.closed = True
 
     def run_housekeeping(self) -> None:
-        """Drops what belongs to departed targets; the reader deletes reports without effect."""
+        """Drops what belongs to departed targets; the reader maintains the topic.
+
+        It deletes reports without effect, and appends again what a restored store has lost.
+        """
         targets = self.follower.registry.targets
         current = {(target.name, target.born) for target in targets.values()}
         self.crashed = {
@@ -242,9 +245,13 @@
         }
         now = self.follower.now()
         if self.follower.members.level(now) == 0:
-            for key in self.quarantine.obsolete_keys(now)[:MAX_APPENDED]:
+            # In this order reports come before the clearances of their parts.
+            kept = sorted(self.follower.tables[Topic.CRASHES].kept(), key=lambda e: e.key)
+            lost = [(entry.key, entry.value) for entry in reversed(kept)]
+            obsolete = [(key, b"") for key in self.quarantine.obsolete_keys(now)]
+            for key, value in [*lost, *obsolete][:MAX_APPENDED]:
                 if key not in self.waiting:
-                    self.append(key, b"")
+                    self.append(key, value)
 
 
 async def refuses_connections(address: str) -> bool:
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -348,3 +348,19 @@
                 await until(lambda host=host: host.follower.catalog.version == 4, MAX_CONFIG_S)
                 assert (await deployment.call("/view/x", host=number, Key="k4"))[0] == 200
                 assert (await deployment.call("/view/x", host=number, Key="k3"))[0] == 401
+
+    async def test_reports_that_the_store_lost_are_appended_again(self):
+        """Guards against a host that starts after all others are gone and knows no report."""
+        async with Deployment(hosts=2) as deployment:
+            store = deployment.store
+            copy = store.copy()
+            report = Report("e1", 1, (7,), True)
+            deployment.hosts[1].crashes.report(report, "request")
+            for host in deployment.hosts:
+                await until(lambda host=host: host.follower.quarantine.reports)
+            await until(lambda: store.topics["keyed.savoryfork-crashes"])
+            store.restore(copy)
+            await until(lambda: store.topics["keyed.savoryfork-crashes"], 4.0)
+            calls = store.calls
+            await asyncio.sleep(1.0)
+            assert len(store.topics["keyed.savoryfork-crashes"]) == 1, store.calls - calls
