Keep a silent target until another one can take its stream

Callers lost streams that they had begun to read, although the target was sound and went on after a pause. A resumable stream was given up after 0.9 s without an event (1.5 objectives + 0.5 s before the first), and only then was looked whether it could go on elsewhere: it could not without a second target, retry budget, attempts, time or stages, nor once the key had been revoked.

Silence alone now ends nothing. `silence` decides, as a pure function, whether a move has all of its means. If so its stages run, the other target is connected to and the retry is spent while the first one is still read; the old connection is closed in the same step that sends the new request. Otherwise the read goes on and the stream is reviewed. If the next target refuses, the stream goes back to the first. The log line target_silent and a metric name the decision; before, logs could not tell a stream whose move was impossible from one whose target was dead.

Ruled out: that waiting keeps callers of dead targets for longer than their patience while another target is free (TestDeadTargets).

Fixtures: Deployment waits for as many targets as it starts, where it expected eight with one replica too; a scripted target's request has its reader.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
-from savoryfork.forward import relay
+from savoryfork.forward import relay, silence
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.connection import Connection, Connections, TargetError
 from savoryfork.forward.crashes import CrashMonitor
@@ -25,11 +25,13 @@
     DEFAULT_RETRY_MS,
     NOT_EXECUTED_STATUSES,
     Attempt,
+    NextTarget,
     Offer,
     Run,
     shared_parts_label,
 )
 from savoryfork.forward.selection import TargetSelector
+from savoryfork.forward.silence import Decision, MoveOptions
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -111,6 +113,7 @@
             answer, body = run.failed_answer
             await self.deliver(run, answer, body)
         finally:
+            self.drop_next_target(run)
             self.release_inputs(run)
             self.crashes.forget(run)
 
@@ -118,14 +121,34 @@
         """Offers the request to targets until its caller has a final answer."""
         assert run.route is not None
         while True:
-            if run.route.stages and run.work is None and any(run.request.pieces):
+            if run.next_target is None and self.needs_stages(run):
                 await self.run_stages(run)
-            target = self.selector.choose(run) if len(run.offers) < MAX_OFFERS else None
+            target = self.choose_target(run)
             if target is None:
                 raise self.no_target_error(run)
             if await self.attempt(run, target):
                 return
 
+    def needs_stages(self, run: Run) -> bool:
+        """Returns whether stages must run before the request can be sent."""
+        assert run.route is not None
+        return bool(run.route.stages) and run.work is None and any(run.request.pieces)
+
+    def choose_target(self, run: Run) -> Target | None:
+        """Returns the target of the next attempt, or None if there is none.
+
+        A target that was left while silent may be sound, so the request goes back to it if nothing
+        else is left.
+        """
+        if run.next_target is not None:
+            return run.next_target.target
+        target = self.selector.choose(run) if len(run.offers) < MAX_OFFERS else None
+        if target is None:
+            run.silent_targets = [t for t in run.silent_targets if self.registry.is_current(t)]
+            if run.silent_targets:
+                target = run.silent_targets.pop()
+        return target
+
     async def run_stages(self, run: Run) -> None:
         """Runs the stages that precede the request; raises ServiceError if one fails."""
         assert run.route is not None
@@ -194,7 +217,10 @@
         try:
             share = 1.0 if run.repeatable() else NON_REPEATABLE_IDLE_SHARE
             async with asyncio.timeout(max(0.0, run.deadline_at - now) / 1000):
-                connection = await self.connections.open(target.address, now, share=share)
+                if run.next_target is not None:
+                    connection, run.next_target = run.next_target.connection, None
+                else:
+                    connection = await self.connections.open(target.address, now, share=share)
                 self.check_sendable(run, target)
                 run.attempt.connection = connection
                 self.send(run, target, connection)
@@ -249,14 +275,17 @@
     ) -> bool:
         """Reads the target's answer and relays it to the caller; raises TargetError."""
         assert run.route is not None
-        head = await relay.with_timeout(connection.read_head, relay.first_event_timeout_ms(run))
+        watch = relay.SilenceWatch(
+            (lambda: self.review_silence(run, target)) if self.may_move(run) else None
+        )
+        head = await watch.read(connection.read_head, silence.first_event_silence_ms(run.route))
         assert run.attempt is not None
         run.attempt.head_at = self.now()
         answer = self.wire.decode_answer(head.status, head.headers)
         if answer.request_id is not None and answer.request_id != run.request.id:
             raise TargetError("answer to another request", sent=True)
         if head.status == 200 and run.route.repeat is Repeat.STREAM:
-            await self.stream(run, target, connection, answer, mark_prefilled)
+            await self.stream(run, target, connection, answer, mark_prefilled, watch)
             return True
         body = await connection.read_body()
         self.return_connection(run, connection, answer)
@@ -333,7 +362,9 @@
         assert run.route is not None
         if not run.repeatable() or run.possible_executions >= run.route.max_targets:
             return False
-        if not self.selector.candidates(run) or run.deadline_at - self.now() < MIN_ATTEMPT_MS:
+        if not self.selector.candidates(run) and not run.silent_targets:
+            return False
+        if run.deadline_at - self.now() < MIN_ATTEMPT_MS:
             return False
         hosts = len(self.follower.members.alive(self.now()))
         return self.budget(run.service).try_spend(self.now(), hosts)
@@ -347,14 +378,21 @@
 
     def record_attempt_failure(self, run: Run, target: Target, error: TargetError) -> None:
         """Records an attempt without a complete answer."""
-        run.offers.append(Offer(target.name, error.reason))
+        self.record_failed_offer(run, target, error)
         self.log_broken_attempt(run, error)
-        if error.reason != "left":
+        if error.sent:
+            run.possible_executions += 1
+
+    def record_failed_offer(self, run: Run, target: Target, error: TargetError) -> None:
+        """Records a failed offer, and charges it to the health of the target.
+
+        Silence was charged when it was noticed.
+        """
+        run.offers.append(Offer(target.name, error.reason))
+        if error.reason not in ("left", relay.SILENT):
             peers = self.registry.usable(run.service)
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             self.health.record_failure(target, peers, weight, error.reason, self.now())
-        if error.sent:
-            run.possible_executions += 1
 
     def log_broken_attempt(self, run: Run, error: TargetError) -> None:
         """Logs and counts how far an attempt had come that ended without a complete answer."""
@@ -393,12 +431,116 @@
             raise ServiceError(
                 ErrorKind.ANSWER_INCOMPLETE, "the target crashed, maybe on the request"
             ) from error
-        if not error.sent or self.may_repeat(run):
+        if error.reason == relay.SILENT:
+            run.silent_targets.append(target)
+        if run.next_target is not None or not error.sent or self.may_repeat(run):
             return False
         raise ServiceError(
             ErrorKind.ANSWER_INCOMPLETE, f"the target returned no complete answer: {error.reason}"
         ) from error
 
+    # Silent targets.
+
+    def may_move(self, run: Run) -> bool:
+        """Returns whether a request may leave a target that has begun to answer it."""
+        return run.route is not None and run.route.repeat is Repeat.STREAM and run.repeatable()
+
+    async def review_silence(self, run: Run, target: Target) -> Decision:
+        """Decides whether a request leaves its silent target, and prepares the move.
+
+        Nothing is given up for a move that can't be made: stages are run, the other target is
+        connected to and the retry is spent while the silent target may still go on.
+        """
+        attempt = run.attempt
+        assert attempt is not None
+        self.drop_next_target(run)
+        decision = silence.decide_move(self.move_options(run))
+        if decision is Decision.MOVE:
+            run.next_target = await self.prepare_move(run)
+            if run.next_target is None:
+                decision = Decision.STAY_UNPREPARED
+        if attempt.silence is None:
+            peers = self.registry.usable(run.service)
+            self.health.record_failure(target, peers, LIKELY_FAULT, relay.SILENT, self.now())
+        if decision is not attempt.silence:
+            attempt.silence = decision
+            self.follower.metrics.silent_targets.inc(
+                {"service": run.service, "decision": decision.value}
+            )
+            logs.event(
+                log,
+                "target_silent",
+                request=run.id,
+                target=target.name,
+                service=run.service,
+                decision=decision.value,
+                events=attempt.events,
+                left_ms=round(run.deadline_at - self.now()),
+            )
+        return decision
+
+    def move_options(self, run: Run) -> MoveOptions:
+        """Returns what a request could use for a move away from its silent target now."""
+        assert run.route is not None
+        now = self.now()
+        hosts = len(self.follower.members.alive(now))
+        return MoveOptions(
+            targets_left=run.route.max_targets - run.possible_executions - 1,
+            offers_left=MAX_OFFERS - len(run.offers) - 1,
+            candidates=len(self.selector.candidates(run)),
+            retries_left=self.budget(run.service).remaining(now, hosts),
+            left_ms=run.deadline_at - now,
+            needed_ms=max(MIN_ATTEMPT_MS, self.selector.expected_first_event_ms(run)),
+            permitted=self.is_permitted(run),
+        )
+
+    def is_permitted(self, run: Run) -> bool:
+        """Returns whether the key and the prompt of a request would be accepted now."""
+        try:
+            self.gate.check_key(run, self.gate.current_catalog())
+            self.crashes.check(run)
+        except ServiceError:
+            return False
+        return True
+
+    async def prepare_move(self, run: Run) -> NextTarget | None:
+        """Returns another target that is ready for the request, or None; spends the retry."""
+        try:
+            if self.needs_stages(run):
+                await self.run_stages(run)
+            target = self.selector.choose(run)
+            return None if target is None else await self.prepare_target(run, target)
+        except ServiceError as error:
+            logs.event(log, "move_not_prepared", request=run.id, reason=str(error))
+            return None
+
+    async def prepare_target(self, run: Run, target: Target) -> NextTarget | None:
+        """Connects to a target and spends the retry; returns None if either fails."""
+        run.tried_targets.add(target.name)
+        connection: Connection | None = None
+        ready = False
+        try:
+            connection = await self.connections.open(target.address, self.now())
+            self.check_sendable(run, target)
+            hosts = len(self.follower.members.alive(self.now()))
+            ready = self.budget(run.service).try_spend(self.now(), hosts)
+            if not ready:
+                run.tried_targets.discard(target.name)
+        except TargetError as error:
+            logs.event(log, "move_not_prepared", request=run.id, reason=error.reason)
+            self.record_failed_offer(run, target, error)
+        finally:
+            if connection is not None and not ready:
+                connection.abort()
+        return NextTarget(target, connection) if ready and connection is not None else None
+
+    def drop_next_target(self, run: Run) -> None:
+        """Gives up a prepared move, as the silent target went on or the request has ended."""
+        if run.next_target is not None:
+            run.next_target.connection.abort()
+            run.tried_targets.discard(run.next_target.target.name)
+            run.next_target = None
+
     def deadline_error(self, run: Run) -> ServiceError:
         """Returns the error for a request that has passed its deadline."""
         if run.possible_executions or any(
@@ -418,6 +560,7 @@
         connection: Connection,
         answer: AnswerHead,
         mark_prefilled: Callable[[], None],
+        watch: relay.SilenceWatch,
     ) -> None:
         """Relays a stream to its end; raises TargetError if it breaks off."""
 
@@ -427,12 +570,15 @@
                 self.selector.speed(run.service).record(
                     run.request.prompt, self.now() - run.attempt.sent_at
                 )
+            if run.attempt is not None:
+                run.attempt.silence = None
+            self.drop_next_target(run)
             # The engine has processed the prompt and therefore fetched the inputs.
             mark_prefilled()
             self.release_inputs(run)
             self.crashes.record_events(run)
 
-        await relay.relay_events(run, connection, answer, self.now, on_events)
+        await relay.relay_events(run, connection, answer, self.now, on_events, watch)
         self.return_connection(run, connection, answer)
         self.health.record_success(target, self.now())
         self.crashes.record_answer(run)
--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -119,11 +119,13 @@
         """
         if not catalog.keyed:
             return
-        run.workspace = catalogs.workspace_of(catalog, run.request.key)
+        workspace = catalogs.workspace_of(catalog, run.request.key)
         if run.route is not None and run.route.anonymous:
+            run.workspace = workspace
             return
         self.check_trusted(run)
-        if run.workspace is None:
+        if workspace is None:
             raise ServiceError(ErrorKind.UNAUTHORIZED, "unknown key")
+        run.workspace = workspace
         if run.workspace.priority is not None:
             run.priority = run.workspace.priority
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -23,6 +23,10 @@
             "savoryfork_broken_attempts_total",
             "Attempts that ended without a complete answer, by service and progress",
         )
+        self.silent_targets = self.counter(
+            "savoryfork_silent_targets_total",
+            "Decisions on requests whose target has fallen silent, by service and decision",
+        )
         self.crash_losses = self.counter(
             "savoryfork_crash_losses_total",
             "Requests lost when an engine crashed, by service and whether their answer had begun",
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -3,42 +3,82 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from savoryfork.forward import silence
 from savoryfork.forward.connection import Connection, TargetError
 from savoryfork.forward.events import EventSplitter, EventTooLarge, numeric_id
-from savoryfork.forward.model import AnswerHead, Repeat
+from savoryfork.forward.model import AnswerHead
 from savoryfork.forward.run import Run
+from savoryfork.forward.silence import Decision
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
 
 T = TypeVar("T")
 
-# A resumable stream moves to another target if its target sends nothing for this long: longer
-# than a busy engine needs, shorter than callers wait (2 s, or four times the latency objective).
-FIRST_EVENT_AIM_FACTOR = 1.5
-FIRST_EVENT_MARGIN_MS = 500.0
-EVENT_GAP_FACTOR = 5.0
-MIN_EVENT_GAP_MS = 900.0
+# Reason of the TargetError of a request that leaves its silent target.
+SILENT = "silent"
+
 
+class SilenceWatch:
+    """Watches the reads of one response while its target may fall silent.
 
-def first_event_timeout_ms(run: Run) -> float | None:
-    """Returns the timeout of the first event; None if the request can't move to another target."""
-    if run.route is None or run.route.repeat is not Repeat.STREAM or not run.repeatable():
-        return None
-    return FIRST_EVENT_AIM_FACTOR * run.route.aim_ms + FIRST_EVENT_MARGIN_MS
+    `review` is called again and again for a silent target: it prepares a move to another target,
+    and returns MOVE once that can take the request. Until then the read goes on. None waits for the
+    target however long it is silent.
+    """
 
+    def __init__(self, review: Callable[[], Awaitable[Decision]] | None) -> None:
+        self.review = review
+        self.reviews: asyncio.Task[None] | None = None
 
-async def with_timeout(operation: Callable[[], Awaitable[T]], timeout_ms: float | None) -> T:
-    """Awaits one read of a response; raises TargetError on timeout. None means no timeout."""
-    if timeout_ms is None:
-        return await operation()
-    try:
-        async with asyncio.timeout(timeout_ms / 1000) as timeout:
+    async def read(self, operation: Callable[[], Awaitable[T]], silence_ms: float) -> T:
+        """Awaits one read; raises TargetError if the request leaves its target.
+
+        The read is not interrupted for a review, since an interrupted read may lose data.
+        """
+        if self.review is None:
             return await operation()
-    except TimeoutError:
-        if timeout.expired():
-            raise TargetError("silent", sent=True) from None
-        raise
+        try:
+            async with asyncio.timeout(None) as timeout:
+                loop = asyncio.get_running_loop()
+                start = loop.call_later(silence_ms / 1000, self.start_reviews, timeout)
+                try:
+                    return await operation()
+                finally:
+                    start.cancel()
+                    self.stop_reviews()
+        except TimeoutError:
+            if timeout.expired():
+                raise TargetError(SILENT, sent=True) from None
+            raise
+
+    def start_reviews(self, timeout: asyncio.Timeout) -> None:
+        """Starts the reviews of a target that has fallen silent."""
+        self.reviews = asyncio.get_running_loop().create_task(self.run_reviews(timeout))
+
+    def stop_reviews(self) -> None:
+        """Ends the reviews, as the target has sent something or the request ends."""
+        if self.reviews is not None:
+            self.reviews.cancel()
+            self.reviews = None
+
+    async def run_reviews(self, timeout: asyncio.Timeout) -> None:
+        """Reviews the request until it can move; then interrupts its read."""
+        assert self.review is not None
+        try:
+            decision = await self.review()
+            while decision is not Decision.MOVE:
+                await asyncio.sleep(silence.review_ms(decision) / 1000)
+                decision = await self.review()
+        except Exception:
+            # The request stays where it is.
+            logs.failure(log, "silence_review_failed")
+            return
+        timeout.reschedule(asyncio.get_running_loop().time())
 
 
 def is_duplicate(run: Run, event_id: bytes | None) -> bool:
@@ -53,6 +93,7 @@
     answer: AnswerHead,
     now: Callable[[], float],
     on_events: Callable[[], None],
+    watch: SilenceWatch,
 ) -> None:
     """Forwards complete events as they arrive, until the target ends its stream.
 
@@ -61,10 +102,9 @@
     """
     assert run.route is not None
     splitter = EventSplitter(connection.limits.event_bytes)
-    timeout_ms = first_event_timeout_ms(run)
-    gap_timeout_ms = max(MIN_EVENT_GAP_MS, EVENT_GAP_FACTOR * run.route.gap_ms)
+    silence_ms = silence.first_event_silence_ms(run.route)
     while True:
-        data = await with_timeout(connection.read_chunk, timeout_ms)
+        data = await watch.read(connection.read_chunk, silence_ms)
         if data is None:
             break
         try:
@@ -78,8 +118,7 @@
         if run.attempt is not None:
             run.attempt.events += len(events)
         on_events()
-        if timeout_ms is not None:
-            timeout_ms = gap_timeout_ms
+        silence_ms = silence.event_silence_ms(run.route)
         new_events = [event for event in events if not is_duplicate(run, event.id)]
         if new_events:
             # A caller that reads slowly delays the next read, and so holds back the target.
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -16,6 +16,7 @@
     Target,
     Workspace,
 )
+from savoryfork.forward.silence import Decision
 from savoryfork.forward.work import Work
 
 # Callers abandon a stream without events for the longest of these: a minimum, a multiple of the
@@ -78,6 +79,16 @@
     outcome: str
 
 
+class NextTarget(NamedTuple):
+    """A target that can take a request from a silent one, with a connection to it.
+
+    The retry has been spent.
+    """
+
+    target: Target
+    connection: Connection
+
+
 class Progress(enum.Enum):
     """How far the answer of an attempt has come."""
 
@@ -91,7 +102,7 @@
 
     `connection` is set until the answer was read. `answered` is True once the target has surely
     written on the prompt; `cancelled` once this host has closed the connection because engines
-    crash on the prompt.
+    crash on the prompt. `silence` is the last decision on a silent target, None while it is not.
     """
 
     def __init__(self, target: Target) -> None:
@@ -102,6 +113,7 @@
         self.sent_at: float | None = None
         self.head_at: float | None = None
         self.events = 0
+        self.silence: Decision | None = None
 
     def progress(self) -> Progress:
         """Returns how far the answer has come."""
@@ -116,7 +128,8 @@
     `possible_executions` counts the targets that may have executed it. `response_started` is True
     once response headers were sent to the caller. `last_event` is the id of the last event sent.
     `attempt` is the latest attempt, `parts` the ids of the shared parts of the prompt.
-    `waiting_for_caller` is True while events wait for the caller to read.
+    `waiting_for_caller` is True while events wait for the caller to read. `next_target` is ready to
+    take the request from a silent one; `silent_targets` are those that it has left, maybe sound.
     """
 
     def __init__(
@@ -151,6 +164,8 @@
         self.input_release_timer: asyncio.TimerHandle | None = None
         self.stages_done_at: float | None = None
         self.attempt: Attempt | None = None
+        self.next_target: NextTarget | None = None
+        self.silent_targets: list[Target] = []
         self.parts: tuple[int, ...] = ()
         self.first_event_at: float | None = None
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -28,7 +28,8 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`. It
+    sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
     """
 
     def __init__(self, name: str) -> None:
@@ -41,6 +42,9 @@
         self.refuse = False
         self.refusals = 0
         self.break_after: int | None = None
+        self.silent_after: int | None = None
+        self.silence_s = 0.0
+        self.silences = 0
         self.delay_s = 0.0
         self.status = 200
         self.batch_sizes: list[int] = []
@@ -90,6 +94,9 @@
             return response
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, count + 1):
+            if number - 1 == self.silent_after and "Last-Event-Id" not in request.headers:
+                self.silences += 1
+                await asyncio.sleep(self.silence_s)
             if self.break_after is not None and number > self.break_after:
                 await response.write(b"id: %d\nda" % number)
                 assert request.transport is not None
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -81,7 +81,9 @@
             await self.start_host(number, seeds)
         for host in self.hosts:
             await until(lambda host=host: host.unready_reason() is None)
-            await until(lambda host=host: len(host.follower.registry.targets) >= 8)
+            await until(
+                lambda host=host: len(host.follower.registry.targets) >= 4 * self.replica_count
+            )
         return self
 
     async def __aexit__(self, *details: object) -> None:
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -20,11 +20,15 @@
 class Received:
     """A request as a target received it: headers, body, and its number on its connection.
 
-    `earlier` are the answers that the script has kept of the connection.
+    `earlier` are the answers that the script has kept of the connection, `reader` reads what comes
+    after the request.
     """
 
-    def __init__(self, number: int, head: bytes, earlier: list[bytes]) -> None:
+    def __init__(
+        self, number: int, head: bytes, earlier: list[bytes], reader: asyncio.StreamReader
+    ) -> None:
         self.number = number
+        self.reader = reader
         self.earlier = earlier
         lines = head.decode().split("\r\n")[1:]
         self.headers = {
@@ -54,7 +58,7 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                request = Received(number, head, earlier)
+                request = Received(number, head, earlier, reader)
                 request.body = await reader.readexactly(
                     int(request.headers.get("content-length", 0))
                 )
