Refuse stage work without targets instead of failing its review

When all targets of a stage service had left, or none was in a request's cell, the expected finish was infinite, and rounding it for the log line raised OverflowError. The review of unstarted work ended there every 100 ms, so no request on the coordinator was given up any more while one such request waited; each held its caller until the deadline. A new request in such a cell failed with an internal error.

An expectation without end is logged as none. Ruled out: the decision itself, which took infinity for unreachable already, and the retry-after, which is bounded.

test_coordinator: test_work_of_a_service_that_has_gone_is_refused and test_request_for_a_cell_without_targets_is_refused raised OverflowError before and pass now.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -36,6 +37,15 @@
 START_CHECK_MS = 25.0
 
 
+def rounded_ms(duration_ms: float) -> int | None:
+    """Returns a duration for a log line; None for one without end, as without any target.
+
+    >>> rounded_ms(1.6), rounded_ms(math.inf)
+    (2, None)
+    """
+    return round(duration_ms) if math.isfinite(duration_ms) else None
+
+
 class Arrival(NamedTuple):
     """Accepted work and its admission time."""
 
@@ -122,9 +132,9 @@
             request=work.request_id,
             priority=work.priority,
             pieces=",".join(map(str, work.pieces)),
-            expected_ms=round(on_time_at - now),
+            expected_ms=rounded_ms(on_time_at - now),
             margin_ms=round(margin_ms),
-            expected_late_ms=round(late_at - now),
+            expected_late_ms=rounded_ms(late_at - now),
             due_ms=round(work.aim_at - now),
             left_ms=round(work.deadline_at - now),
             active=len(self.active),
@@ -157,7 +167,7 @@
                     "work_given_up",
                     request=work.request_id,
                     priority=work.priority,
-                    expected_ms=round(end - now),
+                    expected_ms=rounded_ms(end - now),
                     left_ms=round(work.deadline_at - now),
                 )
                 self.metrics.stage_work.inc({"decision": "given_up"})
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -140,6 +140,28 @@
         replies = await asyncio.gather(*first, *later)
         assert replies[0].failure == "overloaded"
 
+    async def test_work_of_a_service_that_has_gone_is_refused(self, coordinator):
+        """Guards against a review that fails on one request and leaves out all others.
+
+        An infinite expectation could not be logged; the work then waited until its deadline.
+        """
+        pools = coordinator.pools
+        tasks = await start(coordinator, 3)
+        works = list(coordinator.active.values())
+        pools.time = 1_700.0
+        pools.usable = lambda *_: []
+        await coordinator.refuse_unreachable_work()
+        assert pools.refused == works
+        pools.release.set()
+        replies = await asyncio.gather(*tasks)
+        assert {reply.failure for reply in replies} == {"overloaded"}
+
+    async def test_request_for_a_cell_without_targets_is_refused(self, coordinator):
+        """Guards against an internal error when the targets of a service are in other cells."""
+        coordinator.pools.target_status = None  # not called without targets
+        coordinator.pools.usable = lambda *arguments: [] if len(arguments) == 2 else [0]
+        assert (await coordinator.handle(request(1))).failure == "overloaded"
+
     async def test_started_work_is_never_refused(self, coordinator):
         tasks = await start(coordinator, 20)
         for work in coordinator.active.values():
