Let stage work in hand outlive the removal of its service

Callers whose request had been admitted got 503 halfway, their earlier stages run for nothing, when a configuration removed a later stage's service; while such work waited, the review of all unstarted work ended in an AssertionError every 100 ms, and work without targets waited until its deadline.

The service of a stage is looked up again at each step, in whatever configuration is in force by then. The limits describe targets, not routes, so the pools now keep the last ones of a service while targets of it are registered. Once they are gone too, waiting tasks end with no_targets at the next dispatch, and the coordinator sees a queue at which nothing starts.

Ruled out: that new requests use such a service, as routes are matched in the new configuration.

test_pools TestRemovedServices and the second case of test_work_of_a_service_that_has_gone_is_refused failed before (503, 2.0 s until the refusal, AssertionError) and pass now.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -13,6 +13,7 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
 from savoryfork.forward.metrics import ForwardMetrics
+from savoryfork.forward.model import BatchLimits
 from savoryfork.forward.planning import AdmissionDecision, ServiceQueue
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -37,6 +38,10 @@
 START_CHECK_MS = 25.0
 
 
+# The queue of a service that has left the configuration and has no targets: nothing starts there.
+GONE_QUEUE = ServiceQueue(BatchLimits(0, 1, 0.0, 0.0, 0.0, 0.0), 0, 0.0, 0.0, 1.0)
+
+
 def rounded_ms(duration_ms: float) -> int | None:
     """Returns a duration for a log line; None for one without end, as without any target.
 
@@ -241,7 +246,8 @@
     def started_queue(self, service: str, cell: Cell, now: float) -> StartedQueue:
         """Returns the queue of one service without the pieces ahead."""
         pool = self.pools.pool(service, cell)
-        assert pool is not None
+        if pool is None:
+            return StartedQueue(now, GONE_QUEUE, 0)
         targets = [self.pools.target_status(pool, t, now) for t in self.pools.usable(pool, now)]
         started = sum(
             task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -71,7 +71,7 @@
         connections: Connections,
         wire: Wire,
         clock: Clock,
-        limits: Callable[[str], BatchLimits | None],
+        configured_limits: Callable[[str], BatchLimits | None],
         budget: Callable[[str], RetryBudget],
         background: BackgroundTasks,
         metrics: ForwardMetrics,
@@ -81,7 +81,8 @@
         self.connections = connections
         self.wire = wire
         self.clock = clock
-        self.limits = limits
+        self.configured_limits = configured_limits
+        self.known_limits: dict[str, BatchLimits] = {}
         self.budget = budget
         self.pools: dict[tuple[str, Cell], Pool] = {}
         self.task_numbers = itertools.count()
@@ -93,6 +94,19 @@
         """Returns the suspend-aware time in milliseconds."""
         return self.clock.monotonic_ms()
 
+    def limits(self, service: str) -> BatchLimits | None:
+        """Returns the limits of a service's targets; None if the service runs no stage work.
+
+        A service that has left the configuration keeps its last limits while its targets are there,
+        for the work that was admitted before.
+        """
+        limits = self.configured_limits(service)
+        if limits is not None:
+            self.known_limits[service] = limits
+        elif not self.registry.of_service(service):
+            self.known_limits.pop(service, None)
+        return self.known_limits.get(service)
+
     def pool(self, service: str, cell: Cell) -> Pool | None:
         """Returns the pool of a service in a cell; None if the service runs no stage work."""
         limits = self.limits(service)
@@ -152,6 +166,9 @@
         now = self.now()
         if not any(task.waiting for task in pool.tasks.values()):
             return
+        if self.limits(pool.service) is None:
+            self.refuse_waiting(pool)
+            return
         targets = {t.name: t for t in self.usable(pool, now)}
         if any(pool.is_idle(target, now) for target in targets.values()):
             tasks = [task.to_batching_task() for task in pool.tasks.values() if task.waiting]
@@ -163,6 +180,12 @@
             # targets that return.
             self.schedule_dispatch(pool, DISPATCH_RETRY_MS)
 
+    def refuse_waiting(self, pool: Pool) -> None:
+        """Fails the tasks that wait for a service that has gone, as no target will come."""
+        for task in pool.tasks.values():
+            if task.waiting:
+                task.finish(StageFailure.NO_TARGETS)
+
     def usable(self, pool: Pool, now: float) -> list[Target]:
         """Returns the healthy targets of a pool; those with a stuck call only if all have one."""
         targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
@@ -456,7 +479,9 @@
                 self.dispatch(pool)
 
     def remove_departed_targets(self) -> None:
-        """Drops the state of unregistered targets, and pools without tasks and targets."""
+        """Drops the state of departed targets and services, and pools without tasks and targets."""
+        for service in list(self.known_limits):
+            self.limits(service)
         for pool in self.pools.values():
             pool.remove_departed_targets(self.registry.of_service(pool.service))
         self.pools = {key: p for key, p in self.pools.items() if p.tasks or p.targets}
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -140,16 +140,21 @@
         replies = await asyncio.gather(*first, *later)
         assert replies[0].failure == "overloaded"
 
-    async def test_work_of_a_service_that_has_gone_is_refused(self, coordinator):
+    @pytest.mark.parametrize("change", ["targets have left", "service was removed"])
+    async def test_work_of_a_service_that_has_gone_is_refused(self, coordinator, change):
         """Guards against a review that fails on one request and leaves out all others.
 
-        An infinite expectation could not be logged; the work then waited until its deadline.
+        An infinite expectation could not be logged, and a service that a new configuration no
+        longer has was an assertion; the work then waited until its deadline.
         """
         pools = coordinator.pools
         tasks = await start(coordinator, 3)
         works = list(coordinator.active.values())
         pools.time = 1_700.0
-        pools.usable = lambda *_: []
+        if change == "targets have left":
+            pools.usable = lambda *_: []
+        else:
+            pools.pool = lambda *_: None
         await coordinator.refuse_unreachable_work()
         assert pools.refused == works
         pools.release.set()
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -7,7 +7,7 @@
 from savoryfork.forward.cells import UNDIVIDED
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.messages import StageResult
-from tests.forward.deployment import Deployment, until
+from tests.forward.deployment import Deployment, configuration, until
 
 TOKENS = {"Token_Usage": "100,2", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
 
@@ -66,6 +66,45 @@
             assert not any(replica.batch_sizes for replica in deployment.replicas["carri"])
 
 
+async def remove_stages(deployment: Deployment) -> None:
+    """Puts a configuration in force without the stage services and the route that uses them."""
+    config = configuration(2)
+    config["routes"] = [r for r in config["routes"] if r["name"] != "chat"]
+    config["services"] = [s for s in config["services"] if s["name"] in ("plain", "engine")]
+    deployment.store.put("keyed.op", "config", config)
+    await until(lambda: deployment.hosts[0].follower.catalog.version == 2)
+
+
+class TestRemovedServices:
+    async def test_work_in_hand_ends_with_its_answer(self):
+        """Guards against refusing admitted work whose later stage has left the configuration."""
+        async with Deployment() as deployment:
+            cave = deployment.replicas["cave"]
+            for replica in cave:
+                replica.delay_s = 0.3
+            task = asyncio.create_task(deployment.call("/chat/x", Pieces="1,8", **TOKENS))
+            await until(lambda: any(replica.batch_sizes for replica in cave))
+            await remove_stages(deployment)
+            assert (await task)[0] == 200
+
+    async def test_work_without_targets_is_refused_at_once(self):
+        """Guards against work that waits until its deadline for targets that will not come."""
+        async with Deployment() as deployment:
+            cave = deployment.replicas["cave"]
+            for replica in cave:
+                replica.refuse = True
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            task = asyncio.create_task(deployment.call("/chat/x", Pieces="1,8", **TOKENS))
+            await until(lambda: any(replica.refusals for replica in cave))
+            await remove_stages(deployment)
+            for replica in cave:
+                deployment.store.put("keyed.servers", replica.name, None)
+            status, _, headers = await task
+            assert status == 503 and float(headers["Retry-After"]) > 0
+            assert loop.time() - started < 1.5
+
+
 class TestResultSpace:
     async def test_targets_without_space_do_not_fail_a_request(self):
         """A new coordinator does not know the results that an earlier one had produced.
