Retry the pieces of a stage call that fails by a fault of the host

An unexpected exception in a stage call, such as the RecursionError of a deeply nested answer, ended its background task after one log line. Its pieces were neither called again nor failed, so every request in the batch kept its caller until the deadline (or until the call counted as stuck for others).

The call now ends as failed, is logged as stage_call_failed, and its pieces are called again within their attempts. Ruled out: cancellation, which is no Exception and still ends the call.

test_call_that_fails_by_a_fault_of_the_host_is_retried timed out before and passes now.

--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -280,6 +280,10 @@
             error = TargetError("timeout", sent=True)
         except TargetError as failure:
             error = failure
+        except Exception:
+            # A fault of this host; without a result its pieces would wait for their deadline.
+            logs.failure(log, "stage_call_failed", target=target.name, service=pool.service)
+            error = TargetError("internal", sent=True)
         finally:
             stuck_timer.cancel()
             state.calls -= 1
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -39,6 +39,21 @@
             status, _, _ = await asyncio.wait_for(task, 1.4)
             assert status == 200 and other.batch_sizes
 
+    async def test_call_that_fails_by_a_fault_of_the_host_is_retried(self, monkeypatch):
+        """Guards against pieces that nobody calls again, whose request waits for its deadline."""
+        async with Deployment() as deployment:
+            wire = deployment.hosts[0].wire
+            decode, failures = wire.decode_results, [RecursionError()]
+
+            def fail_once(*arguments):
+                if failures:
+                    raise failures.pop()
+                return decode(*arguments)
+
+            monkeypatch.setattr(wire, "decode_results", fail_once)
+            call = deployment.call("/chat/x", Pieces="1,8", **TOKENS)
+            assert (await asyncio.wait_for(call, 1.0))[0] == 200 and not failures
+
     async def test_duplicate_results_are_freed(self):
         async with Deployment() as deployment:
             first, second = deployment.replicas["cave"]
