Treat a control character in a target's header as a malformed answer

Callers got a closed connection: neither an answer nor a refusal. h11 lets control characters through in the value of a header, and aiohttp refuses to send them; by then the answer counted as begun, so the error could not be answered any more. For streams the error followed on a response that had been set up for chunks and could not be read.

Such a head now ends the attempt when it is read, like any other malformed one: requests that may be repeated go to another target, others get 502. Ruled out by trial: other statuses (204 to 999), empty and non-ASCII values, a reply's own Connection, Trailer, Date and Server, which are sent or refused properly.

TestUnsendableHeads: 8 of 8 failed before, none does now.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 from collections import deque
 from typing import NamedTuple, cast
@@ -48,6 +49,11 @@
 FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
 
 
+# Bytes that the value of a header must not hold and that h11 lets through. An answer with them
+# can't be passed on, so it counts as malformed.
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
 class TargetError(Exception):
     """A call without a complete response. `sent` is False if no byte of it was written."""
 
@@ -210,6 +216,9 @@
                 if self.transport is not None and self.transport.get_write_buffer_size():
                     # The target answered before it had read the entire request body.
                     self.answered_early = True
+                if any(CONTROL_CHARACTERS.search(value) for _, value in event.headers):
+                    self.abort()
+                    raise TargetError("protocol: control character in a header", sent=True)
                 names = {bytes(name).lower() for name, _ in event.headers}
                 self.framed = bool(names & FRAMING_HEADERS)
                 return Head(event.status_code, list(event.headers.raw_items()))
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -337,6 +337,26 @@
         assert status == 502 and "Response-Seal" not in answer_headers
 
 
+class TestUnsendableHeads:
+    """Guards against a closed connection instead of an answer: aiohttp refuses to send such a head,
+    which h11 accepts, and the answer counted as begun by then."""
+
+    @pytest.mark.parametrize("path", ["/book/x", "/view/x", "/ask/x", "/chat/x"])
+    @pytest.mark.parametrize("value", [b"a\x01b", b"a\x7fb"])
+    async def test_control_character_in_a_header_is_a_faulty_answer(self, scripted, path, value):
+        async def write_control_character(request, writer):
+            head = stream_head(request, "Transfer-Encoding: chunked", "X-Own: v")
+            writer.write(head.replace(b"X-Own: v", b"X-Own: " + value))
+            writer.write(chunk(EVENT % 1) + chunk(b""))
+
+        service = "engine" if path in ("/ask/x", "/chat/x") else "plain"
+        await scripted.replace(service, write_control_character, write_control_character)
+        headers = TOKENS if service == "engine" else {}
+        status, body, answer_headers = await scripted.deployment.call(path, **headers)
+        assert status == 502 and json.loads(body)["error"]["kind"] == "answer_incomplete"
+        assert "Response-Seal" not in answer_headers
+
+
 class TestUnframedStreams:
     """A stream without a length or chunks ends with its connection."""
 
