Forward the body of a request without decoding it

A caller's body with a Content-Encoding reached its target decompressed, beside the header that called it compressed; one that could not be decompressed was answered 500. The server decoded bodies by default.

TestEncodedBodies: 2 of 2 failed before, none does now.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -128,6 +128,7 @@
         return web.Server(
             self.handle,
             handler_cancellation=True,
+            auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGERING_S,
             max_line_size=MAX_LINE_BYTES,
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -337,6 +338,25 @@
         assert status == 502 and "Response-Seal" not in answer_headers
 
 
+class TestEncodedBodies:
+    @pytest.mark.parametrize("body", [b"body", gzip.compress(b"body")], ids=["invalid", "valid"])
+    async def test_body_with_an_encoding_is_forwarded_as_it_is(self, scripted, body):
+        """Guards against a body that the host decodes, or refuses since it can't be decoded."""
+
+        async def succeed(request, writer):
+            writer.write(answer("200 OK", request.id, b"done", "Response-Seal: s"))
+
+        (target,) = await scripted.replace("plain", succeed)
+        deployment = scripted.deployment
+        headers = {"Host": "a.example", "Request-Id": "r", "Key": "k1", "Content-Encoding": "gzip"}
+        async with deployment.session.post(
+            deployment.url("/book/x"), headers=headers, data=body
+        ) as response:
+            assert response.status == 200
+        (received,) = target.received
+        assert received.body == body and received.headers["content-encoding"] == "gzip"
+
+
 class TestUnsendableHeads:
     """Guards against a closed connection instead of an answer: aiohttp refuses to send such a head,
     which h11 accepts, and the answer counted as begun by then."""
