Take only a closed connection for a caller that has left

Any ConnectionError while a request was served counted as the caller's: the request was logged as abandoned without a traceback, and its caller, still there, got status 499. No code path is known that raises one for another connection (targets, peers and the store turn it into errors of their own); the test raises it in the place of such a path.

An error now counts as the caller's only if the caller's connection is closed; otherwise it is logged and answered 500 as any other fault. The test got 499 before.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -100,6 +100,11 @@
         assert self.response is not None
         await self.response.write_eof()
 
+    def caller_left(self) -> bool:
+        """Returns whether the caller's connection is closed."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
     def abort(self) -> None:
         """Closes the connection, which marks the answer as incomplete."""
         transport = self.request.transport
@@ -168,12 +173,12 @@
         except asyncio.CancelledError:
             abandoned = True
             raise
-        except ConnectionError:
-            abandoned = True
-        except Exception:
-            logs.failure(log, "request_failed", request=run.id)
-            ran = Ran.UNKNOWN if run.offers else Ran.NO
-            error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
+        except Exception as failure:
+            abandoned = isinstance(failure, ConnectionError) and reply.caller_left()
+            if not abandoned:
+                logs.failure(log, "request_failed", request=run.id)
+                ran = Ran.UNKNOWN if run.offers else Ran.NO
+                error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
         finally:
             self.record_outcome(run, error, abandoned)
         if error is not None:
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -58,6 +58,21 @@
         assert status == 200 and not any(r.received for r in deployment.replicas["carri"])
 
 
+class TestFailures:
+    async def test_lost_connection_that_is_not_the_callers_is_answered(self, deployment):
+        """Guards against taking a failure of the host's own for a caller that has left.
+
+        Such a request was answered with status 499.
+        """
+
+        async def lose(*_: object) -> None:
+            raise ConnectionResetError
+
+        deployment.hosts[0].forwarder.try_targets = lose
+        status, body, _ = await deployment.call("/book/x")
+        assert status == 500 and b'"internal"' in body
+
+
 class TestRefusals:
     async def test_unknown_routes_and_keys(self, deployment):
         assert (await deployment.call("/none/x"))[0] == 404
