Do not claim that nothing ran after an attempt that may have

If a key was revoked between two attempts of a request, its caller got 401 with "ran": "no", although the first target may have run it. The field came from the kind of the error, which knows only of its own attempt. The answer now takes earlier attempts into account, as the statuses of refusals do.

TestRevokedKeys got "no" before and gets "unknown" now.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -192,6 +192,9 @@
     def error_response(self, run: Run, error: ServiceError) -> web.Response:
         """Returns this host's own error response to a request."""
         status = error.answer.status
+        if run.possible_executions and error.ran is Ran.NO:
+            # The error is about this attempt; an earlier one may have run.
+            error.ran = Ran.UNKNOWN
         if run.possible_executions or (
             error.ran is Ran.UNKNOWN and status in NOT_EXECUTED_STATUSES
         ):
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -11,7 +11,7 @@
 import pytest
 
 from savoryfork.forward.run import NOT_EXECUTED_STATUSES
-from tests.forward.deployment import Deployment, until
+from tests.forward.deployment import Deployment, configuration, until
 from tests.forward.test_connection import reset
 
 EVENT = b"id: %d\ndata: x\n\n"
@@ -338,6 +338,22 @@
         assert status == 502 and "Response-Seal" not in answer_headers
 
 
+class TestRevokedKeys:
+    async def test_refusal_after_a_broken_attempt_does_not_claim_that_nothing_ran(self, scripted):
+        """Guards against "did not run" for a request whose key is revoked between two attempts."""
+        deployment = scripted.deployment
+        follower = deployment.hosts[0].follower
+
+        async def revoke_and_reset(request, writer):
+            deployment.store.put("keyed.op", "config", configuration(2, keys=("k2",)))
+            await until(lambda: follower.catalog.version == 2)
+            reset(writer)
+
+        await scripted.replace("plain", revoke_and_reset, revoke_and_reset)
+        status, body, _ = await deployment.call("/view/x")
+        assert status == 401 and json.loads(body)["error"]["ran"] == "unknown"
+
+
 class TestEncodedBodies:
     @pytest.mark.parametrize("body", [b"body", gzip.compress(b"body")], ids=["invalid", "valid"])
     async def test_body_with_an_encoding_is_forwarded_as_it_is(self, scripted, body):
