--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
 from savoryfork.forward.metrics import ForwardMetrics
+from savoryfork.forward.model import BatchLimits
 from savoryfork.forward.planning import AdmissionDecision, ServiceQueue
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -36,6 +38,19 @@
 START_CHECK_MS = 25.0
 
 
+# The queue of a service that has left the configuration and has no targets: nothing starts there.
+GONE_QUEUE = ServiceQueue(BatchLimits(0, 1, 0.0, 0.0, 0.0, 0.0), 0, 0.0, 0.0, 1.0)
+
+
+def rounded_ms(duration_ms: float) -> int | None:
+    """Returns a duration for a log line; None for one without end, as without any target.
+
+    >>> rounded_ms(1.6), rounded_ms(math.inf)
+    (2, None)
+    """
+    return round(duration_ms) if math.isfinite(duration_ms) else None
+
+
 class Arrival(NamedTuple):
     """Accepted work and its admission time."""
 
@@ -122,9 +137,9 @@
             request=work.request_id,
             priority=work.priority,
             pieces=",".join(map(str, work.pieces)),
-            expected_ms=round(on_time_at - now),
+            expected_ms=rounded_ms(on_time_at - now),
             margin_ms=round(margin_ms),
-            expected_late_ms=round(late_at - now),
+            expected_late_ms=rounded_ms(late_at - now),
             due_ms=round(work.aim_at - now),
             left_ms=round(work.deadline_at - now),
             active=len(self.active),
@@ -157,7 +172,7 @@
                     "work_given_up",
                     request=work.request_id,
                     priority=work.priority,
-                    expected_ms=round(end - now),
+                    expected_ms=rounded_ms(end - now),
                     left_ms=round(work.deadline_at - now),
                 )
                 self.metrics.stage_work.inc({"decision": "given_up"})
@@ -231,7 +246,8 @@
     def started_queue(self, service: str, cell: Cell, now: float) -> StartedQueue:
         """Returns the queue of one service without the pieces ahead."""
         pool = self.pools.pool(service, cell)
-        assert pool is not None
+        if pool is None:
+            return StartedQueue(now, GONE_QUEUE, 0)
         targets = [self.pools.target_status(pool, t, now) for t in self.pools.usable(pool, now)]
         started = sum(
             task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -100,6 +100,11 @@
         assert self.response is not None
         await self.response.write_eof()
 
+    def caller_left(self) -> bool:
+        """Returns whether the caller's connection is closed."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
     def abort(self) -> None:
         """Closes the connection, which marks the answer as incomplete."""
         transport = self.request.transport
@@ -128,6 +133,7 @@
         return web.Server(
             self.handle,
             handler_cancellation=True,
+            auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGERING_S,
             max_line_size=MAX_LINE_BYTES,
@@ -167,12 +173,12 @@
         except asyncio.CancelledError:
             abandoned = True
             raise
-        except ConnectionError:
-            abandoned = True
-        except Exception:
-            logs.failure(log, "request_failed", request=run.id)
-            ran = Ran.UNKNOWN if run.offers else Ran.NO
-            error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
+        except Exception as failure:
+            abandoned = isinstance(failure, ConnectionError) and reply.caller_left()
+            if not abandoned:
+                logs.failure(log, "request_failed", request=run.id)
+                ran = Ran.UNKNOWN if run.offers else Ran.NO
+                error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
         finally:
             self.record_outcome(run, error, abandoned)
         if error is not None:
@@ -186,6 +192,9 @@
     def error_response(self, run: Run, error: ServiceError) -> web.Response:
         """Returns this host's own error response to a request."""
         status = error.answer.status
+        if run.possible_executions and error.ran is Ran.NO:
+            # The error is about this attempt; an earlier one may have run.
+            error.ran = Ran.UNKNOWN
         if run.possible_executions or (
             error.ran is Ran.UNKNOWN and status in NOT_EXECUTED_STATUSES
         ):
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -10,7 +11,7 @@
 import pytest
 
 from savoryfork.forward.run import NOT_EXECUTED_STATUSES
-from tests.forward.deployment import Deployment, until
+from tests.forward.deployment import Deployment, configuration, until
 from tests.forward.test_connection import reset
 
 EVENT = b"id: %d\ndata: x\n\n"
@@ -20,11 +21,15 @@
 class Received:
     """A request as a target received it: headers, body, and its number on its connection.
 
-    `earlier` are the answers that the script has kept of the connection.
+    `earlier` are the answers that the script has kept of the connection, `reader` reads what comes
+    after the request.
     """
 
-    def __init__(self, number: int, head: bytes, earlier: list[bytes]) -> None:
+    def __init__(
+        self, number: int, head: bytes, earlier: list[bytes], reader: asyncio.StreamReader
+    ) -> None:
         self.number = number
+        self.reader = reader
         self.earlier = earlier
         lines = head.decode().split("\r\n")[1:]
         self.headers = {
@@ -54,7 +59,7 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                request = Received(number, head, earlier)
+                request = Received(number, head, earlier, reader)
                 request.body = await reader.readexactly(
                     int(request.headers.get("content-length", 0))
                 )
@@ -333,6 +338,61 @@
         assert status == 502 and "Response-Seal" not in answer_headers
 
 
+class TestRevokedKeys:
+    async def test_refusal_after_a_broken_attempt_does_not_claim_that_nothing_ran(self, scripted):
+        """Guards against "did not run" for a request whose key is revoked between two attempts."""
+        deployment = scripted.deployment
+        follower = deployment.hosts[0].follower
+
+        async def revoke_and_reset(request, writer):
+            deployment.store.put("keyed.op", "config", configuration(2, keys=("k2",)))
+            await until(lambda: follower.catalog.version == 2)
+            reset(writer)
+
+        await scripted.replace("plain", revoke_and_reset, revoke_and_reset)
+        status, body, _ = await deployment.call("/view/x")
+        assert status == 401 and json.loads(body)["error"]["ran"] == "unknown"
+
+
+class TestEncodedBodies:
+    @pytest.mark.parametrize("body", [b"body", gzip.compress(b"body")], ids=["invalid", "valid"])
+    async def test_body_with_an_encoding_is_forwarded_as_it_is(self, scripted, body):
+        """Guards against a body that the host decodes, or refuses since it can't be decoded."""
+
+        async def succeed(request, writer):
+            writer.write(answer("200 OK", request.id, b"done", "Response-Seal: s"))
+
+        (target,) = await scripted.replace("plain", succeed)
+        deployment = scripted.deployment
+        headers = {"Host": "a.example", "Request-Id": "r", "Key": "k1", "Content-Encoding": "gzip"}
+        async with deployment.session.post(
+            deployment.url("/book/x"), headers=headers, data=body
+        ) as response:
+            assert response.status == 200
+        (received,) = target.received
+        assert received.body == body and received.headers["content-encoding"] == "gzip"
+
+
+class TestUnsendableHeads:
+    """Guards against a closed connection instead of an answer: aiohttp refuses to send such a head,
+    which h11 accepts, and the answer counted as begun by then."""
+
+    @pytest.mark.parametrize("path", ["/book/x", "/view/x", "/ask/x", "/chat/x"])
+    @pytest.mark.parametrize("value", [b"a\x01b", b"a\x7fb"])
+    async def test_control_character_in_a_header_is_a_faulty_answer(self, scripted, path, value):
+        async def write_control_character(request, writer):
+            head = stream_head(request, "Transfer-Encoding: chunked", "X-Own: v")
+            writer.write(head.replace(b"X-Own: v", b"X-Own: " + value))
+            writer.write(chunk(EVENT % 1) + chunk(b""))
+
+        service = "engine" if path in ("/ask/x", "/chat/x") else "plain"
+        await scripted.replace(service, write_control_character, write_control_character)
+        headers = TOKENS if service == "engine" else {}
+        status, body, answer_headers = await scripted.deployment.call(path, **headers)
+        assert status == 502 and json.loads(body)["error"]["kind"] == "answer_incomplete"
+        assert "Response-Seal" not in answer_headers
+
+
 class TestUnframedStreams:
     """A stream without a length or chunks ends with its connection."""
 
