--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import re
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
@@ -12,15 +11,10 @@
 import msgspec
 
 from savoryfork.util import logs
+from savoryfork.util.untrusted import JSON_TOKENS, UndecodableError, decode_json
 
 log = logging.getLogger(__name__)
 
-# Records nested more deeply than this are ignored. The decoder's own limit depends on the stack
-# depth at the call, so it would differ between hosts.
-MAX_NESTING = 100
-
-JSON_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
-
 # Brackets around the value of a record: the response, its list of records, and the record.
 VALUE_NESTING = 3
 
@@ -70,20 +64,11 @@
     end: int
 
 
-def nesting_depth(value: bytes) -> int:
-    """Returns the nesting depth of a JSON text, without recursion.
+class Bounds(msgspec.Struct):
+    """The response body of a read whose offset is no longer retained."""
 
-    >>> nesting_depth(b'{"a": [1, "[["]}')
-    2
-    """
-    depth = deepest = 0
-    for token in JSON_TOKENS.finditer(value):
-        if token[0] in b"[{":
-            depth += 1
-            deepest = max(deepest, depth)
-        elif token[0] in b"]}":
-            depth -= 1
-    return deepest
+    start: int
+    end: int
 
 
 def decode_value(value: bytes) -> Any | None:
@@ -92,12 +77,9 @@
     >>> decode_value(b'{"a": 1}'), decode_value(b'{"a": "\\\\ud800"}')
     ({'a': 1}, None)
     """
-    brackets = value.count(b"[") + value.count(b"{")
-    if brackets > MAX_NESTING and nesting_depth(value) > MAX_NESTING:
-        return None
     try:
-        return msgspec.json.decode(value)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return decode_json(value)
+    except UndecodableError:
         return None
 
 
@@ -163,8 +145,8 @@
         body = msgspec.json.encode({"records": list(records)})
         answer = await self.call("POST", topic, timeout_ms or self.timeout_ms, data=body)
         try:
-            return int(msgspec.json.decode(answer)["first_offset"])
-        except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+            return int(decode_json(answer)["first_offset"])
+        except (LookupError, TypeError, ValueError, OverflowError) as error:
             raise LogUnavailable(f"{topic}: the response to an append can't be decoded") from error
 
     async def read(self, topic: str, offset: int, limit: int, wait_ms: float = 0) -> Page:
@@ -192,8 +174,11 @@
             raise LogUnavailable(f"{topic}: {type(error).__name__}") from error
         if status == 410:
             self.on_availability(True)
-            bounds = msgspec.json.decode(body)
-            raise OffsetExpired(bounds["start"], bounds["end"])
+            try:
+                bounds = decode_json(body, Bounds)
+            except UndecodableError as error:
+                raise LogUnavailable(f"{topic}: the bounds of the log can't be decoded") from error
+            raise OffsetExpired(bounds.start, bounds.end)
         if status != 200:
             self.on_availability(False)
             raise LogUnavailable(f"{topic}: the log responded with status {status}")
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -11,7 +11,6 @@
 from aiohttp.test_utils import TestServer
 
 from savoryfork.util.topic import (
-    MAX_NESTING,
     Fold,
     LogClient,
     LogUnavailable,
@@ -19,6 +18,7 @@
     TopicReader,
     decode_page,
 )
+from savoryfork.util.untrusted import MAX_NESTING
 from tests.standins import until
 
 
