Keep hosts running beside an odd entry among those of the replicas

Callers lost every host: one entry of 100,000 nested arrays, left by another writer among those of the replicas, ended all hosts of a deployment within 1.5 s, and a restarted one read it again and ended 14 ms later. Entries with slots of 4,000 digits or 10^23, born of 10^23, the port +80, a port in full-width digits or the address 999.0.0.1 were used as replicas.

Cause: strip_volatile_fields and decode_target caught msgspec.DecodeError, but deep nesting raises RecursionError. It ended the task that follows the list, and the end of that task stops the host. int() takes signs, underscores and digits of other scripts, and nothing bounded the numbers.

Change: both use util/untrusted. An entry names a replica only if it has a service, an IPv4 address with a port of 1 to 65535 in plain form, a zone, a known state and 1 to 100,000 slots; born is 0 if absent, else a whole number up to the year 2999; a version, if there is one, is a text. So slots of 0, negative or absent, and an absent zone, name no replica now (they counted as 1 slot and no zone). Entries over 64 KB are not decoded.

--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from ipaddress import IPv4Address
 from typing import Any
 
 import msgspec
@@ -18,6 +19,7 @@
     Workspace,
 )
 from savoryfork.util import logs
+from savoryfork.util.untrusted import UndecodableError, decode_json, parse_whole, text, whole
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +37,26 @@
 
 MB = 1_000_000
 
+# Bounds of what an entry may contain. They are far above any use: a value beyond them shows that
+# the entry is not what it seems, and it could not be encoded or computed with everywhere.
+MAX_TEXT = 1_024
+MAX_NUMBER = 1e12
+MAX_COUNT = 1_000_000
+
+# Size of a target's entry; those of replicas have some 300 bytes. Larger ones are not decoded,
+# since the time for that would be taken from requests.
+MAX_TARGET_BYTES = 65_536
+
+# Slots of a target; the largest engines on the sheets have 64.
+MAX_SLOTS = 100_000
+
+# The end of the year 2999 in Unix milliseconds.
+MAX_BORN_MS = 32_503_680_000_000
+
+# What a malformed row raises: UndecodableError is a ValueError, the others come from a value that
+# has another type than expected.
+MALFORMED = (LookupError, TypeError, ValueError, AttributeError, OverflowError)
+
 
 class CatalogDecoder:
     """Decodes configurations; rows of routes that are unchanged since the last one are reused.
@@ -171,26 +193,57 @@
     return ServiceInfo(str(row["name"]), batch)
 
 
+def parse_address(value: Any) -> str:
+    """Checks an `IP:PORT` as it is written by replicas; raises UndecodableError.
+
+    >>> parse_address("10.1.64.7:8080")
+    '10.1.64.7:8080'
+    >>> parse_address("999.0.0.1:8080")
+    Traceback (most recent call last):
+    savoryfork.util.untrusted.UndecodableError: address is not IP:PORT
+    """
+    ip, _, port = text(value, "address", MAX_TEXT).rpartition(":")
+    try:
+        # Only the usual form: a leading zero would have another meaning to other readers.
+        valid = str(IPv4Address(ip)) == ip and parse_whole(port, 65_535) > 0
+        valid = valid and str(int(port)) == port
+    except ValueError:
+        valid = False
+    if not valid:
+        raise UndecodableError("address is not IP:PORT")
+    return str(value)
+
+
+def parse_target(name: str, row: dict[str, Any]) -> Target:
+    """Builds a target from its entry; raises UndecodableError or LookupError if it is malformed.
+
+    All fields must be there that every replica writes and that are used here, except `born`, which
+    older replicas do not write. A target without a slot could run nothing.
+    """
+    state = row["state"]
+    if state not in ("ready", "draining"):
+        raise UndecodableError("state is unknown")
+    if "version" in row:
+        text(row["version"], "version", MAX_TEXT, 0)
+    return Target(
+        text(name, "id", MAX_TEXT),
+        text(row["service"], "service", MAX_TEXT),
+        parse_address(row["address"]),
+        text(row["zone"], "zone", MAX_TEXT, 0),
+        whole(row.get("born", 0), "born", 0, MAX_BORN_MS),
+        whole(row["slots"], "slots", 1, MAX_SLOTS),
+        state == "draining",
+    )
+
+
 def decode_target(name: str, value: bytes) -> Target | None:
     """Decodes a target's entry; logs a warning and returns None if it is not usable."""
     try:
-        row = msgspec.json.decode(value)
-        service, address, zone = row["service"], row["address"], row.get("zone") or ""
-        state = row["state"]
-        ip, _, port = address.rpartition(":")
-        born = row.get("born") or 0
-        if state not in ("ready", "draining") or not isinstance(service, str):
-            raise ValueError("state or service")
-        if not ip or not 0 < int(port) < 65536 or not isinstance(zone, str):
-            raise ValueError("address or zone")
-        if isinstance(born, bool) or not isinstance(born, int):
-            raise ValueError("born")
-        slots = row.get("slots", 1)
-        if isinstance(slots, bool) or not isinstance(slots, int):
-            raise ValueError("slots")
-        return Target(name, service, address, zone, born, max(1, slots), state == "draining")
-    except (msgspec.DecodeError, LookupError, TypeError, ValueError, AttributeError) as error:
+        if len(value) > MAX_TARGET_BYTES:
+            raise UndecodableError(f"over {MAX_TARGET_BYTES} bytes")
+        return parse_target(name, decode_json(value, dict[str, Any]))
+    except MALFORMED as error:
         logs.event(
-            log, "target_entry_ignored", logging.WARNING, target=name, error=repr(error)[:120]
+            log, "target_entry_ignored", logging.WARNING, target=name[:100], error=repr(error)[:120]
         )
         return None
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -13,7 +13,9 @@
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
+from savoryfork.platform.records import MAX_TARGET_BYTES
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
+from savoryfork.util.untrusted import decode_json
 
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
@@ -88,12 +90,12 @@
     (b'[1]', b'')
     """
     try:
-        row = msgspec.json.decode(value) if value else None
-    except msgspec.DecodeError:
+        row = decode_json(value) if 0 < len(value) <= MAX_TARGET_BYTES else None
+        if not isinstance(row, dict):
+            return value
+        return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
+    except (ValueError, OverflowError, RecursionError):
         return value
-    if not isinstance(row, dict):
-        return value
-    return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
 
 
 class PlatformStore:
--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -27,8 +27,11 @@
 
     def put(self, topic: str, key: str, value: Any) -> int:
         """Writes a value, or deletes the key if it is None; returns the offset."""
-        body = b"" if value is None else msgspec.json.encode(value)
-        self.topics[topic].append((key, body))
+        return self.put_bytes(topic, key, b"" if value is None else msgspec.json.encode(value))
+
+    def put_bytes(self, topic: str, key: str, value: bytes) -> int:
+        """Writes a value as it is, as another writer may; returns the offset."""
+        self.topics[topic].append((key, value))
         self.notify()
         return len(self.topics[topic]) - 1
 
