Leave the other rows of a configuration in force beside an odd one

Callers whose key a new version had removed were served on if that version also held one malformed row of a service or tenant: the whole configuration was refused and the former one stayed. A route that was open by "allow_anonymous": "false", with a negative timeout or with stages that wait for each other, was taken as it stood.

Change: rows are split without decoding them, and each is decoded and checked by itself. A malformed route does not exist, a service with malformed limits runs no stages, a tenant's malformed row gives no keys, nor does a key that is no text; tenants that can't be read at all deny every key. Nothing is taken over from the former version: hosts agree whenever they started, and what was removed stays removed. Only a document without readable outer levels, routes or version (a whole number) is refused as a whole, as it can't be ordered.

--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterator
 from ipaddress import IPv4Address
 from typing import Any
 
@@ -19,7 +20,15 @@
     Workspace,
 )
 from savoryfork.util import logs
-from savoryfork.util.untrusted import UndecodableError, decode_json, parse_whole, text, whole
+from savoryfork.util.untrusted import (
+    UndecodableError,
+    decode_json,
+    number,
+    parse_whole,
+    split_json,
+    text,
+    whole,
+)
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +42,6 @@
 DEFAULT_TIMEOUT_MS = 10_000.0
 DEFAULT_AIM_MS = 1_000.0
 DEFAULT_PRIORITY = 2
-LOWEST_PRIORITY = 9
 
 MB = 1_000_000
 
@@ -63,6 +71,10 @@
 
     Successive versions differ in a few of up to thousands of routes, and a weak host needs a
     noticeable time for all of them.
+
+    A malformed row is logged and leaves the others in force: its route does not exist, its service
+    runs no stages, its tenant has no keys. Nothing is taken over from an earlier version, so that
+    a key that was removed stays removed, and hosts agree whenever they started.
     """
 
     def __init__(self) -> None:
@@ -70,21 +82,16 @@
         self.parsed_routes = 0
 
     def decode(self, value: bytes) -> Catalog | None:
-        """Decodes a configuration; logs an error and returns None if it is malformed."""
+        """Decodes a configuration; logs an error and returns None if it is malformed as a whole."""
         try:
-            document = msgspec.json.decode(value, type=dict[str, msgspec.Raw])
-            return self.parse(document)
-        except (msgspec.DecodeError, LookupError, TypeError, ValueError, AttributeError) as error:
+            return self.parse(split_json(value, dict[str, msgspec.Raw]))
+        except MALFORMED as error:
             logs.event(log, "configuration_unreadable", logging.ERROR, error=repr(error)[:200])
             return None
 
     def parse(self, document: dict[str, msgspec.Raw]) -> Catalog:
-        """Builds the catalog of a configuration; skips malformed routes."""
-        fields: dict[str, Any] = {
-            name: msgspec.json.decode(document[name])
-            for name in ("version", "services", "tenants")
-            if name in document
-        }
+        """Builds the catalog of a configuration; skips malformed rows."""
+        version = whole(decode_json(document["version"]), "version")
         routes: dict[str, list[Route]] = {}
         known, self.routes = self.routes, {}
         for name, row in raw_rows(document.get("routes")):
@@ -95,102 +102,186 @@
             route = self.routes[key] = known[key]
             if route is not None:
                 routes.setdefault(route.host.lower(), []).append(route)
-        return build_catalog(fields, routes)
+        tenants = document.get("tenants")
+        return Catalog(
+            version=version,
+            routes={host: tuple(entries) for host, entries in routes.items()},
+            services={service.name: service for service in read_services(document.get("services"))},
+            keys=dict(read_keys(tenants)),
+            keyed=tenants is not None and bytes(tenants).strip() != b"null",
+        )
 
 
 def raw_rows(value: msgspec.Raw | None) -> list[tuple[str, msgspec.Raw]]:
     """Returns the undecoded rows of a list, or those of a table with their names."""
     if value is None:
         return []
-    rows = msgspec.json.decode(value, type=dict[str, msgspec.Raw] | list[msgspec.Raw] | None)
+    rows = split_json(bytes(value), dict[str, msgspec.Raw] | list[msgspec.Raw] | None)
     if isinstance(rows, dict):
         return list(rows.items())
     return [("", row) for row in rows or []]
 
 
+def optional_rows(section: str, value: msgspec.Raw | None) -> list[tuple[str, msgspec.Raw]]:
+    """Returns the rows of a section; logs a warning and returns none if it is malformed."""
+    try:
+        return raw_rows(value)
+    except UndecodableError as error:
+        log_row("section_unreadable", section, error)
+        return []
+
+
+def read_row(name: str, value: msgspec.Raw) -> dict[str, Any]:
+    """Decodes a row; `name` is its name in a table, empty for a row that holds its own."""
+    row = decode_json(value, dict[str, Any])
+    return {"name": name, **row} if name else row
+
+
+def log_row(event: str, name: str, error: Exception) -> None:
+    """Logs a malformed row."""
+    logs.event(log, event, logging.WARNING, row=name[:100] or None, error=repr(error)[:200])
+
+
 def read_route(name: str, value: msgspec.Raw) -> Route | None:
-    """Decodes the row of a route; logs a warning and returns None if it is malformed.
+    """Decodes the row of a route; logs a warning and returns None if it is malformed."""
+    found = name
+    try:
+        row = read_row(name, value)
+        found = str(row.get("name", name))
+        return parse_route(row)
+    except MALFORMED as error:
+        log_row("route_unreadable", found, error)
+        return None
+
+
+def read_services(value: msgspec.Raw | None) -> Iterator[ServiceInfo]:
+    """Decodes the rows of services; one with malformed limits can run no stages."""
+    for name, raw in optional_rows("services", value):
+        found = name
+        try:
+            row = read_row(name, raw)
+            found = text(row["name"], "name", MAX_TEXT)
+            yield ServiceInfo(found, parse_batch_limits(row.get("pieces")))
+        except MALFORMED as error:
+            log_row("service_unreadable", found, error)
+            if found:
+                yield ServiceInfo(found)
+
+
+def read_keys(value: msgspec.Raw | None) -> Iterator[tuple[str, Workspace]]:
+    """Decodes the keys of tenants; a malformed row, or a malformed key in one, gives none.
 
-    `name` is its name in a table, empty for a row that holds its own.
+    A malformed priority is that of the route, since the keys themselves are not in doubt.
     """
-    row: Any = None
+    for name, raw in optional_rows("tenants", value):
+        found = name
+        try:
+            row = read_row(name, raw)
+            found = text(row["name"], "name", MAX_TEXT)
+            workspace = Workspace(found, read_priority(row.get("priority"), found))
+            keys = row.get("api_keys") or []
+            if not isinstance(keys, list):
+                raise UndecodableError("api_keys is not a list")
+        except MALFORMED as error:
+            log_row("tenant_unreadable", found, error)
+            continue
+        for key in keys:
+            if isinstance(key, str) and key:
+                yield key, workspace
+            else:
+                log_row("tenant_unreadable", found, UndecodableError("a key is not a text"))
+
+
+def read_priority(value: Any, name: str) -> int | None:
+    """Returns a tenant's priority; logs a malformed one and returns None."""
     try:
-        row = msgspec.json.decode(value)
-        return parse_route({"name": name, **row} if name else row)
-    except (LookupError, TypeError, ValueError, AttributeError) as error:
-        found = str(row.get("name", name)) if isinstance(row, dict) else name
-        logs.event(
-            log, "route_unreadable", logging.WARNING, route=found or None, error=repr(error)[:200]
-        )
+        return whole(value, "priority", 0, MAX_COUNT) if value is not None else None
+    except UndecodableError as error:
+        log_row("tenant_unreadable", name, error)
         return None
 
 
-def named_rows(value: Any) -> list[dict[str, Any]]:
-    """Returns the entries of a list, or those of a table with their names added."""
-    if isinstance(value, dict):
-        return [{"name": name, **entry} for name, entry in value.items()]
-    return list(value or [])
-
-
-def build_catalog(document: dict[str, Any], routes: dict[str, list[Route]]) -> Catalog:
-    """Builds the catalog of a configuration from its other fields and its routes."""
-    tenants = document.get("tenants")
-    keys = {}
-    for tenant in named_rows(tenants):
-        workspace = Workspace(str(tenant["name"]), tenant.get("priority"))
-        for key in tenant.get("api_keys") or []:
-            keys[str(key)] = workspace
-    return Catalog(
-        version=int(document["version"]),
-        routes={host: tuple(entries) for host, entries in routes.items()},
-        services={s.name: s for s in map(parse_service, named_rows(document.get("services")))},
-        keys=keys,
-        keyed=tenants is not None,
-    )
+def amount(row: dict[str, Any], name: str, default: float = 0.0) -> float:
+    """Returns a number of a row; the default if it is absent or 0."""
+    value = row.get(name)
+    return (number(value, name, MAX_NUMBER) if value is not None else 0.0) or default
 
 
-def parse_route(row: dict[str, Any]) -> Route:
-    """Builds a route from its row."""
+def flag(row: dict[str, Any], name: str) -> bool:
+    """Returns a boolean of a row; False if it is absent."""
+    value = row.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise UndecodableError(f"{name} is not a boolean")
+    return bool(value)
+
+
+def parse_split(row: dict[str, Any]) -> tuple[tuple[str, float], ...]:
+    """Returns the services of a route with their weights."""
     split = row.get("traffic_split")
-    if split:
-        services = tuple((str(s["service"]), float(s["weight"])) for s in split)
-    else:
-        services = ((str(row["service"]), 1.0),)
+    if not split:
+        return ((text(row["service"], "service", MAX_TEXT), 1.0),)
+    services = tuple(
+        (text(s["service"], "service", MAX_TEXT), number(s["weight"], "weight", MAX_NUMBER))
+        for s in split
+    )
+    if not any(weight for _, weight in services):
+        raise UndecodableError("no service has a weight")
+    return services
+
+
+def parse_stages(rows: list[Any]) -> tuple[StagePlan, ...]:
+    """Returns the stages of a route; raises UndecodableError if one can never start."""
     stages = tuple(
-        StagePlan(str(s["service"]), tuple(s.get("after") or ()), int(s.get("payload_bytes") or 0))
-        for s in row.get("stages") or ()
+        StagePlan(
+            text(s["service"], "service", MAX_TEXT),
+            tuple(whole(n, "after", 0, len(rows) - 1) for n in s.get("after") or ()),
+            int(amount(s, "payload_bytes")),
+        )
+        for s in rows
     )
+    ready: set[int] = set()
+    while len(ready) < len(stages):
+        new = {n for n, s in enumerate(stages) if n not in ready and ready.issuperset(s.after)}
+        if not new:
+            raise UndecodableError("stages wait for each other")
+        ready |= new
+    return stages
+
+
+def parse_route(row: dict[str, Any]) -> Route:
+    """Builds a route from its row."""
+    priority = row.get("priority")
+    if priority is None:
+        priority = DEFAULT_PRIORITY
     return Route(
-        name=str(row["name"]),
-        host=str(row["host"]),
-        prefix=str(row["path_prefix"]),
+        name=text(row["name"], "name", MAX_TEXT),
+        host=text(row["host"], "host", MAX_TEXT),
+        prefix=text(row["path_prefix"], "path_prefix", MAX_TEXT),
         repeat=REPEATS.get(row.get("route_kind") or "", Repeat.NON_IDEMPOTENT),
-        timeout_ms=float(row.get("timeout_ms") or DEFAULT_TIMEOUT_MS),
-        aim_ms=float(row.get("target_latency_ms") or DEFAULT_AIM_MS),
-        priority=int(row["priority"]) if row.get("priority") is not None else DEFAULT_PRIORITY,
-        services=services,
-        max_targets=max(1, int(row.get("max_attempts") or 1)),
-        stages=stages,
-        anonymous=bool(row.get("allow_anonymous")),
-        resumable=bool(row.get("stream_resume")),
-        gap_ms=float(row.get("target_gap_ms") or 0.0),
+        timeout_ms=amount(row, "timeout_ms", DEFAULT_TIMEOUT_MS),
+        aim_ms=amount(row, "target_latency_ms", DEFAULT_AIM_MS),
+        priority=whole(priority, "priority", 0, MAX_COUNT),
+        services=parse_split(row),
+        max_targets=max(1, whole(row.get("max_attempts") or 0, "max_attempts", 0, MAX_COUNT)),
+        stages=parse_stages(row.get("stages") or []),
+        anonymous=flag(row, "allow_anonymous"),
+        resumable=flag(row, "stream_resume"),
+        gap_ms=amount(row, "target_gap_ms"),
     )
 
 
-def parse_service(row: dict[str, Any]) -> ServiceInfo:
-    """Builds a service from its row."""
-    batch = None
-    pieces = row.get("pieces")
-    if pieces:
-        batch = BatchLimits(
-            slots=int(pieces.get("slots") or 1),
-            batch=max(1, int(pieces["batch"])),
-            call_ms=float(pieces.get("call_ms") or 0.0),
-            piece_ms=float(pieces.get("item_ms") or 0.0),
-            room_bytes=float(pieces.get("headroom_mb") or 0.0) * MB,
-            keep_ms=float(pieces.get("handle_s") or 0.0) * 1000,
-        )
-    return ServiceInfo(str(row["name"]), batch)
+def parse_batch_limits(pieces: Any) -> BatchLimits | None:
+    """Builds the limits of a service's targets; None if it runs no stages."""
+    if not pieces:
+        return None
+    return BatchLimits(
+        slots=max(1, whole(pieces.get("slots") or 0, "slots", 0, MAX_SLOTS)),
+        batch=max(1, whole(pieces["batch"], "batch", 0, MAX_COUNT)),
+        call_ms=amount(pieces, "call_ms"),
+        piece_ms=amount(pieces, "item_ms"),
+        room_bytes=amount(pieces, "headroom_mb") * MB,
+        keep_ms=amount(pieces, "handle_s") * 1000,
+    )
 
 
 def parse_address(value: Any) -> str:
