Refuse settings files that can't be decoded, and numbers that aren't finite

A host whose settings file was nested deeply, was no UTF-8 or held an integer of over 4,300 digits ended with a traceback instead of the message of a settings error; while running, its reload raised. NaN, Infinity and 1e999 are decoded by the JSON module and pass every minimum of the schema, so that a grace period could be no number.

--- a/savoryfork/settings.py
+++ b/savoryfork/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -106,14 +107,29 @@
     return Settings(**fields)
 
 
+def finite(literal: str) -> float:
+    """Parses a number of a JSON file; rejects those that no schema can bound.
+
+    >>> finite("0.5")
+    0.5
+    """
+    value = float(literal)
+    if not math.isfinite(value):
+        raise ValueError(f"{literal[:20]} is not a finite number")
+    return value
+
+
 def read_json(path: str | Path) -> Any:
     """Reads a JSON file; raises UserError if it can't be read or is not JSON."""
     try:
-        return json.loads(Path(path).read_text())
+        text = Path(path).read_text(encoding="utf-8")
+        return json.loads(text, parse_float=finite, parse_constant=finite)
     except OSError as error:
         raise UserError(f"{path}: {error.strerror}") from error
     except json.JSONDecodeError as error:
         raise UserError(f"{path}:{error.lineno}: not JSON: {error.msg}") from error
+    except (ValueError, RecursionError) as error:
+        raise UserError(f"{path}: not JSON: {error}") from error
 
 
 def load(path: str | Path) -> Settings:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 
 from savoryfork.errors import UserError
 from savoryfork.forward import settings
+from tests.odd import NASTY_JSON
 
 ROOT = Path(__file__).parents[2]
 
@@ -110,3 +111,25 @@
             "assert 'aiohttp' not in sys.modules, 'the signal is set too late'\n"
         )
         subprocess.run([sys.executable, "-c", code], check=True, cwd=ROOT)
+
+
+class TestOddFiles:
+    """Guards against a settings file that ends a host by another error than UserError."""
+
+    @pytest.mark.parametrize(
+        "content",
+        [*NASTY_JSON.values(), b'{"a":\xff}'],
+    )
+    def test_odd_file(self, tmp_path, content):
+        path = tmp_path / "settings.json"
+        path.write_bytes(content)
+        with pytest.raises(UserError):
+            settings.load(str(path))
+
+    @pytest.mark.parametrize("value", ["NaN", "Infinity", "-Infinity", "1e999"])
+    def test_numbers_that_no_schema_bounds(self, tmp_path, value):
+        """Guards against a grace period that is no number: NaN is below no minimum."""
+        path = tmp_path / "settings.json"
+        path.write_text(f'{{"stop_grace_s": {value}}}')
+        with pytest.raises(UserError, match="finite"):
+            settings.load(str(path))
