Take an answer of another host that can't be decoded for none

A reply that was no message, was cut, was nested or came from a version with other fields raised msgspec's or zlib's own errors out of PeerClient.call. They are not PeerUnavailable, so they ended the task that follows the other host, and with it the process. An address that can't be called (no port, port 70000), as from a wrong list of seeds, did the same.

Change: MessageCodec.decode raises UndecodableError alone, and PeerClient takes it, and an unusable address, for an unavailable host: another one is followed.

--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -18,6 +18,7 @@
 from savoryfork.forward.members import Member
 from savoryfork.forward.model import StagePlan
 from savoryfork.peers import serve_unary
+from savoryfork.util.untrusted import UndecodableError, decode_msgpack
 
 MessageHandler = Callable[[Any], Awaitable[Any]]
 
@@ -129,13 +130,15 @@
     ok: bool = True
 
 
-class MessageTooLarge(ValueError):
+class MessageTooLarge(UndecodableError):
     """A message exceeds MAX_MESSAGE_BYTES when decompressed."""
 
 
 class MessageCodec(CodecBase):
     """Encodes MessagePack; decodes it with validation against the message's type.
 
+    Raises UndecodableError for a message that is malformed or of another type.
+
     Large messages are compressed: a configuration with thousands of routes shrinks to a twentieth,
     and weak hosts have links of 5 Mbit/s. The first byte tells which form follows.
 
@@ -166,10 +169,13 @@
         body = data[1:]
         if data[:1] == COMPRESSED:
             decompressor = zlib.decompressobj()
-            body = decompressor.decompress(body, MAX_MESSAGE_BYTES)
+            try:
+                body = decompressor.decompress(body, MAX_MESSAGE_BYTES)
+            except zlib.error as error:
+                raise UndecodableError(f"not compressed: {error}") from error
             if decompressor.unconsumed_tail:
                 raise MessageTooLarge(f"over {MAX_MESSAGE_BYTES} bytes")
-        return msgspec.msgpack.decode(body, type=message_type)
+        return decode_msgpack(body, message_type)
 
 
 METHODS: dict[str, tuple[Any, Any]] = {
--- a/savoryfork/peers.py
+++ b/savoryfork/peers.py
@@ -17,6 +17,7 @@
 
 from savoryfork.proto import peer_grpc, peer_pb2
 from savoryfork.settings import split_address
+from savoryfork.util.untrusted import UndecodableError
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -118,6 +119,8 @@
 
     def __init__(self, address: str, codec: CodecBase | None) -> None:
         ip, port = split_address(address)
+        if not 0 < port < 65_536:
+            raise ValueError("the port is out of range")
         self.channel = Channel(ip, port, codec=codec)
         self.calls = 0
         self.retired = False
@@ -155,8 +158,14 @@
         return shared
 
     async def call(self, address: str, method: str, request: Any, timeout_ms: float) -> Any:
-        """Calls `method` of the host at `address`; raises PeerUnavailable if no answer came."""
-        shared = self.channel_for(address)
+        """Calls `method` of the host at `address`; raises PeerUnavailable if no answer came.
+
+        An answer that can't be decoded is as good as none.
+        """
+        try:
+            shared = self.channel_for(address)
+        except ValueError as error:
+            raise PeerUnavailable(f"{address[:100]}: {method}: not an address") from error
         shared.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
@@ -165,6 +174,8 @@
         except GRPCError as error:
             # The host answered, so the connection is good.
             raise PeerUnavailable(f"{address}: {method}: {error.status.name}") from error
+        except UndecodableError as error:
+            raise PeerUnavailable(f"{address}: {method}: {error}") from error
         except (TimeoutError, OSError, ProtocolError, StreamTerminatedError) as error:
             self.retire(address, shared)
             raise PeerUnavailable(f"{address}: {method}: {type(error).__name__}") from error
