Bound the crash reports that a host judges, and decode them as all else

A report may have 64 parts, as many as hosts write; one of another writer with thousands would be judged on every host at each change. Such a report is ignored now.

Ruled out: that a report ends the hosts by deep nesting. Its types leave no place for it: [] where a number is expected is refused before the decoder goes deeper. The reports use util/untrusted now, so that this does not depend on their types.

--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -22,6 +22,7 @@
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.model import Prompt
 from savoryfork.util import logs
+from savoryfork.util.untrusted import UndecodableError, decode_json
 
 log = logging.getLogger(__name__)
 
@@ -232,22 +233,24 @@
         for entry in entries:
             try:
                 self.apply(entry, now)
-            except msgspec.MsgspecError as error:
+            except UndecodableError as error:
                 logs.event(log, "crash_report_unreadable", logging.WARNING, error=str(error)[:120])
         self.review()
 
     def apply(self, entry: Entry, now: float) -> None:
-        """Applies one entry of the topic; raises MsgspecError if it is malformed."""
+        """Applies one entry of the topic; raises UndecodableError if it is malformed."""
         if not entry.value:
             self.reports.pop(entry.key, None)
             part = self.clearance_keys.pop(entry.key, None)
             if part is not None:
                 self.cleared_through.pop(part, None)
         elif entry.key.startswith(REPORT_PREFIX):
-            report = msgspec.json.decode(entry.value, type=Report)
+            report = decode_json(entry.value, Report)
+            if len(report.parts) > MAX_PROMPT_PARTS:
+                raise UndecodableError(f"over {MAX_PROMPT_PARTS} parts")
             self.put(entry.key, report, entry.offset, now)
         elif entry.key.startswith(CLEARANCE_PREFIX):
-            clearance = msgspec.json.decode(entry.value, type=Clearance)
+            clearance = decode_json(entry.value, Clearance)
             self.clearance_keys[entry.key] = clearance.part
             known = self.cleared_through.get(clearance.part, -1)
             self.cleared_through[clearance.part] = max(known, clearance.through)
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -7,6 +7,8 @@
 import random
 
 import aiohttp
+import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -26,6 +28,7 @@
 )
 from standins.replicas import Replica
 from tests.forward.deployment import Deployment, until
+from tests.odd import NASTY_JSON, values
 
 # The bound on hosts in touch: more than three requests with a crashing part may not reach engines
 # later than this after the fifth crash.
@@ -242,6 +245,32 @@
         host.update([Entry(9, "clear/1", b"{}"), Entry(10, "other", b"[]")], 0.0)
         assert not host.reports and not host.cleared_through
 
+    @pytest.mark.parametrize("data", NASTY_JSON.values(), ids=NASTY_JSON)
+    def test_nasty_entries_leave_the_others(self, data):
+        """Guards against a report that ends every host that follows the topic."""
+        host = Quarantine()
+        good = msgspec.json.encode(Report("e", 1, (1, 2), True))
+        nested = b'["e",1,' + data + b",true]"
+        keys = ("report/0", "clear/0", "report/1", "report/2")
+        entries = [Entry(n, keys[n], v) for n, v in enumerate((data, data, nested, good))]
+        host.update(entries, 0.0)
+        assert set(host.reports) == {"report/2"}
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.sampled_from(["report/0", "clear/0", "x"]), st.binary(max_size=60), values)
+    def test_any_entry(self, key, data, value):
+        host = Quarantine()
+        host.update([Entry(0, key, data)], 0.0)
+        host.update([Entry(1, key, msgspec.json.encode(value))], 0.0)
+        host.update([Entry(2, key, msgspec.json.encode(["e", 1, value, True]))], 0.0)
+
+    def test_report_with_more_parts_than_hosts_send_is_ignored(self):
+        """Guards against a report whose judgement takes long on every host."""
+        host = Quarantine()
+        report = Report("e", 1, tuple(range(50_000)), True)
+        host.update([Entry(0, "report/0", msgspec.json.encode(report))], 0.0)
+        assert not host.reports
+
 
 class Traffic:
     """Sends streams to the hosts in turn, each with a prompt of three parts."""
