Keep hosts running beside a request with a prompt of any size

One request of a caller ended hosts: with "Token-Usage: 10^23,6", 2 of 3 hosts stopped while it waited at its engine (OverflowError out of run_sync), and the reader was left. Its load goes into the sums that hosts exchange, and MessagePack holds no integer over 64 bits. With 400 digits its own host answered 500, as the sum is no float either.

Cause: int() on the header, unbounded. It also takes signs, underscores and spaces, and float() took 1_0 and +1 as a deadline.

Change: numbers in headers are ASCII decimals within named bounds, others count as absent as before: up to 10^9 tokens, 10,000 pieces, 10^12 ms. Loads are bounded where they are encoded, too. Results of stages are checked one by one: a handle is 1 to 1,024 visible ASCII characters without a comma, since it is listed in a header; an entry without one is an error of its piece alone, where one entry of another type made the whole call fail or its handle was passed on. An answer nested deeply is no answer (RecursionError before). Names with spaces around them can't be sent in a header and are refused.

Ruled out: the deadline (numbers over 10^12 were ignored before).

--- a/savoryfork/forward/loads.py
+++ b/savoryfork/forward/loads.py
@@ -25,6 +25,9 @@
 # Prompt tokens are reported in units of this size.
 TOKEN_UNIT = 64
 
+# Largest number in a report; the sum over all hosts still fits into a message.
+MAX_LOAD = 2**40
+
 # Loads as sent: (units of prompt tokens, requests) by the hash of an engine's name.
 LoadTable = dict[int, tuple[int, int]]
 
@@ -51,7 +54,7 @@
     """
     table = {}
     for name, (tokens, requests) in loads.items():
-        row = (round(tokens / TOKEN_UNIT), round(requests))
+        row = (round(min(MAX_LOAD, tokens / TOKEN_UNIT)), round(min(MAX_LOAD, requests)))
         if any(row):
             table[engine_id(name)] = row
     return table
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 
 import msgspec
 
@@ -18,6 +19,7 @@
     Routing,
 )
 from savoryfork.util import logs
+from savoryfork.util.untrusted import UndecodableError, decode_json, parse_whole
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +66,19 @@
     "error": PieceFailure.ERROR,
 }
 
+# Bounds of numbers in callers' headers, far above any use. A prompt's size goes into sums and
+# messages between hosts, which can't hold every integer.
+MAX_PROMPT_TOKENS = 1_000_000_000
+MAX_PIECES = 10_000
+
+# Unlike `float`, takes neither signs, exponents, underscores nor NaN.
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+
+# A handle is the address of its maker and an id, some 40 characters. A comma would split it where
+# handles are listed in a header.
+MAX_HANDLE = 1_024
+HANDLE = re.compile(r"[!-+\--~]+")
+
 STAGE_PATH = b"/api/stage-run"
 FREE_PATH = b"/api/stage-free"
 
@@ -84,12 +99,14 @@
 
 
 def parse_non_negative(value: str | None) -> float | None:
-    """Parses a number from a header; None if it is absent, not a number, negative or too large."""
-    try:
-        number = float(value) if value is not None else -1.0
-    except ValueError:
+    """Parses a decimal number from a header; None if it is absent, malformed or too large.
+
+    >>> parse_non_negative("0.5"), parse_non_negative("1_0"), parse_non_negative("nan")
+    (0.5, None, None)
+    """
+    if value is None or not DECIMAL.fullmatch(value):
         return None
-    return number if 0 <= number < 1e12 else None
+    return float(value)
 
 
 def decode_prompt(tokens: str | None, parts: str | None) -> Prompt | None:
@@ -97,6 +114,8 @@
 
     >>> decode_prompt("1460,80", "5c1e07a2:800,91bd3f06:410").parts[1].tokens
     410
+    >>> decode_prompt("1" + "0" * 23 + ",80", "") is None
+    True
     """
     if tokens is None:
         return None
@@ -106,9 +125,9 @@
         for entry in (parts or "").split(","):
             if entry:
                 name, _, size = entry.strip().partition(":")
-                prompt_parts.append(PromptPart(name, int(size)))
-        return Prompt(int(input_tokens), tuple(prompt_parts))
-    except ValueError:
+                prompt_parts.append(PromptPart(name, parse_whole(size, MAX_PROMPT_TOKENS)))
+        return Prompt(parse_whole(input_tokens.strip(), MAX_PROMPT_TOKENS), tuple(prompt_parts))
+    except UndecodableError:
         return None
 
 
@@ -119,10 +138,10 @@
     ((3, 0, 16), (), ())
     """
     try:
-        pieces = tuple(int(part) for part in (value or "").split(",") if part.strip())
-    except ValueError:
+        parts = [part.strip() for part in (value or "").split(",")]
+        return tuple(parse_whole(part, MAX_PIECES) for part in parts if part)
+    except UndecodableError:
         return ()
-    return pieces if all(0 <= count <= 10_000 for count in pieces) else ()
 
 
 def decode_request(method: str, path: str, headers: Headers) -> CallerRequest:
@@ -213,21 +232,29 @@
     return msgspec.json.encode({"entries": entries})
 
 
+def decode_piece_result(entry: object) -> str | PieceFailure:
+    """Decodes the result of one piece; one that names no usable handle is an error."""
+    if not isinstance(entry, dict):
+        return PieceFailure.ERROR
+    handle, reason = entry.get("handle"), entry.get("reason")
+    if isinstance(handle, str) and len(handle) <= MAX_HANDLE and HANDLE.fullmatch(handle):
+        return handle
+    failed = "handle" not in entry and isinstance(reason, str)
+    return FAILURES.get(str(reason), PieceFailure.ERROR) if failed else PieceFailure.ERROR
+
+
 def decode_piece_results(body: bytes, count: int) -> list[PieceResult] | None:
-    """Decodes the results of `count` pieces; None if they are malformed or incomplete."""
+    """Decodes the results of `count` pieces; None if they are malformed or incomplete.
+
+    >>> decode_piece_results(b'{"entries":[{"handle":"10.1.64.7:80/1e"},{"handle":7}]}', 2)
+    ['10.1.64.7:80/1e', <PieceFailure.ERROR: 'error'>]
+    """
     try:
-        entries = msgspec.json.decode(body)["entries"]
-        if len(entries) != count:
-            raise ValueError("the number of entries differs")
-        return [
-            (
-                entry["handle"]
-                if "handle" in entry
-                else FAILURES.get(entry["reason"], FAILURES["error"])
-            )
-            for entry in entries
-        ]
-    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+        entries = decode_json(body)["entries"]
+        if not isinstance(entries, list) or len(entries) != count:
+            raise UndecodableError("the number of entries differs")
+        return [decode_piece_result(entry) for entry in entries]
+    except (LookupError, TypeError, ValueError) as error:
         logs.event(log, "piece_results_unreadable", logging.WARNING, error=type(error).__name__)
         return None
 
--- a/savoryfork/util/untrusted.py
+++ b/savoryfork/util/untrusted.py
@@ -28,8 +28,8 @@
 
 WHOLE = re.compile(r"[0-9]{1,16}")
 
-# Characters that would end a line or header if a text is passed on.
-CONTROL = re.compile(r"[\x00-\x1f\x7f-\x9f]")
+# What can't be passed on in a header: control characters, and spaces around a value.
+UNSENDABLE = re.compile(r"[\x00-\x1f\x7f-\x9f]|^\s|\s$")
 
 
 class UndecodableError(ValueError):
@@ -184,11 +184,11 @@
 
 
 def text(value: Any, name: str, most: int, least: int = 1) -> str:
-    """Checks that a decoded value is a text of sane length without control characters.
+    """Checks that a decoded value is a text of sane length that a header can hold.
 
     >>> text("zone-1", "zone", 100)
     'zone-1'
     """
-    if not isinstance(value, str) or not least <= len(value) <= most or CONTROL.search(value):
+    if not isinstance(value, str) or not least <= len(value) <= most or UNSENDABLE.search(value):
         raise UndecodableError(f"{name} is not a text of {least} to {most} characters")
     return value
--- a/tests/forward/test_odd_entries.py
+++ b/tests/forward/test_odd_entries.py
@@ -5,7 +5,9 @@
 import asyncio
 
 import msgspec
+import pytest
 
+from savoryfork.forward.loads import add, encode_loads
 from tests.forward.deployment import Deployment, until
 
 GOOD = {
@@ -138,3 +140,28 @@
     assert (await deployment.call("/view/x", host=number))[0] == 200
     assert not any(task.done() and task is not host.followers[-1] for task in host.followers)
     await asyncio.sleep(0)
+
+
+class TestOddHeaders:
+    """Guards against one request of a caller that ends the hosts."""
+
+    @pytest.mark.parametrize("tokens", ["1" + "0" * 23, "1" * 400, "1" * 5_000])
+    async def test_hosts_outlive_a_prompt_of_any_size(self, tokens):
+        """The load of a prompt of 10^23 tokens fitted into no message between hosts."""
+        async with Deployment(hosts=3) as deployment:
+            for replica in deployment.replicas["engine"]:
+                replica.delay_s = 0.6
+            headers = {"Token_Usage": f"{tokens},6", "Prefix_Hash": f"aa:{tokens}", "Model": "m"}
+            calls = [deployment.call("/ask/x", host=n, **headers) for n in range(3)]
+            statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+            assert statuses == [200, 200, 200]
+            assert not any(host.stopped.is_set() for host in deployment.hosts)
+            await deployment.add_replica("plain", "plain-late")
+            for number in range(3):
+                await check_follows(deployment, number, "plain-late")
+
+
+def test_loads_of_any_size_fit_into_a_message():
+    """Guards against a load that can't be sent to other hosts."""
+    loads = encode_loads({"e": (1e30, 10**30)})
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(add([loads] * 400)))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,8 +1,16 @@
 """Decoding and encoding of requests and answers in the platform's protocol."""
 
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from savoryfork.forward.model import PieceFailure, Routing, Target
 from savoryfork.platform import headers
 from savoryfork.platform.wire import PlatformWire
+from tests.odd import NASTY_JSON, values
+
+quick = settings(derandomize=True, max_examples=200, deadline=None)
 
 TARGET = Target("i-1", "s", "10.0.0.1:80", "z", 1, 4, False)
 
@@ -81,3 +89,71 @@
         body = b'{"entries":[{"handle":"h"},{"reason":"room"},{"reason":"new"}]}'
         results = headers.decode_piece_results(body, 3)
         assert results == ["h", PieceFailure.NO_ROOM, PieceFailure.ERROR]
+
+    @pytest.mark.parametrize(
+        "entry",
+        [
+            {"handle": 7},
+            {"handle": ["h"]},
+            {"handle": ""},
+            {"handle": "x" * 100_000},
+            {"handle": "a,b"},
+            {"handle": "a\r\nX: y"},
+            {"handle": "\uff18"},
+            {"reason": ["late"]},
+            {"reason": 10**23},
+            {},
+            [],
+            None,
+            "h",
+            10**400,
+        ],
+    )
+    def test_odd_entry_is_an_error_of_its_piece(self, entry):
+        """Guards against a handle that breaks the header that lists it, or all other pieces."""
+        body = msgspec.json.encode({"entries": [{"handle": "h"}, entry]})
+        assert headers.decode_piece_results(body, 2) == ["h", PieceFailure.ERROR]
+
+
+class TestOddInput:
+    """Guards against headers and answers that raise out of a decoder."""
+
+    @pytest.mark.parametrize("data", NASTY_JSON.values(), ids=NASTY_JSON)
+    def test_nasty_piece_results(self, data):
+        assert headers.decode_piece_results(data, 1) is None
+        headers.decode_piece_results(b'{"entries":[' + data + b"]}", 1)
+
+    @quick
+    @given(st.binary(max_size=100), values)
+    def test_any_piece_results(self, data, value):
+        assert headers.decode_piece_results(data, 1) is None
+        body = msgspec.json.encode({"entries": [value]})
+        for result in headers.decode_piece_results(body, 1):
+            assert isinstance(result, str | PieceFailure)
+
+    @quick
+    @given(
+        st.sampled_from(["Token-Usage", "Prefix-Hash", "Pieces", "Deadline-Ms", "Retry-After"]),
+        st.text(st.characters(max_codepoint=255), max_size=40)
+        | st.integers().map(str)
+        | st.sampled_from(["1" * 5_000, "1e999", "nan", "inf", "+1", "1_0", "-0", "1,,2", "a:9,b"]),
+    )
+    def test_any_number_in_a_header(self, name, value):
+        lines = [(b"Token-Usage", b"10,5"), (name.encode(), value.encode("latin-1"))]
+        decoded = headers.decode_request("GET", "/", lines[::-1])
+        headers.decode_answer(200, lines)
+        if decoded.prompt is not None:
+            assert 0 <= decoded.prompt.input_tokens <= headers.MAX_PROMPT_TOKENS
+            assert all(0 <= p.tokens <= headers.MAX_PROMPT_TOKENS for p in decoded.prompt.parts)
+        assert decoded.allowed_ms is None or 0 <= decoded.allowed_ms < 1e12
+
+    @pytest.mark.parametrize("value", ["1" + "0" * 23, "1" * 5_000, "+1", "1_0", "-1", "\xb2", ""])
+    def test_odd_numbers_count_as_absent(self, value):
+        """Guards against a prompt size whose sum with others fits into no message."""
+        line = value.encode("latin-1")
+        assert request((b"Token-Usage", line + b",80")).prompt is None
+        parts = (b"Prefix-Hash", b"aa:" + line)
+        assert request((b"Token-Usage", b"10,80"), parts).prompt is None
+        assert request((b"Pieces", b"1," + line)).pieces in ((), (1,))
+        decoded = headers.decode_request("GET", "/", [(b"Deadline-Ms", line)])
+        assert decoded.allowed_ms is None
--- a/tests/util/test_untrusted.py
+++ b/tests/util/test_untrusted.py
@@ -88,7 +88,7 @@
         with pytest.raises(UndecodableError):
             untrusted.number(value, "n", 1e9)
 
-    @pytest.mark.parametrize("value", ["", "a\nb", "a\x7f", "x" * 11, b"a", None, 1])
+    @pytest.mark.parametrize("value", ["", "a\nb", "a\x7f", " a", "a ", "x" * 11, b"a", None, 1])
     def test_no_sane_text(self, value):
         with pytest.raises(UndecodableError):
             untrusted.text(value, "t", 10)
