Take an odd page or record of the store for an outage or no change

A page of newest values that was nested deeply, or whose entries were no objects, raised RecursionError or AttributeError out of PlatformStore.newest and ended the host; an end of 1e300 went into messages between hosts. A record of no bytes made each read at its offset fail for good, so that the list was no longer followed.

Change: such a page is LogUnavailable, as other malformed ones; offsets are whole numbers up to 2^53; a record without a key is passed over. The page of the store itself holds values in base64, so that an odd entry can't do this.

--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -15,7 +15,7 @@
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.platform.records import MAX_TARGET_BYTES
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
-from savoryfork.util.untrusted import decode_json
+from savoryfork.util.untrusted import decode_json, whole
 
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
@@ -47,11 +47,13 @@
             (size,) = RECORD_LENGTH.unpack_from(body, position)
             position += RECORD_LENGTH.size
             record = body[position : position + size]
-            if len(record) != size or not record:
+            if len(record) != size:
                 raise LogUnavailable("a record is cut off")
             position += size
-            key = record[1 : 1 + record[0]]
-            changes.append(Entry(offset, key.decode("utf-8", "replace"), record[1 + record[0] :]))
+            if record:  # one without a key changes none
+                key = record[1 : 1 + record[0]]
+                value = record[1 + record[0] :]
+                changes.append(Entry(offset, key.decode("utf-8", "replace"), value))
             offset += 1
     except struct.error as error:
         raise LogUnavailable("the answer of a read can't be decoded") from error
@@ -132,15 +134,15 @@
             if total_bytes > self.limits.snapshot_bytes:
                 raise LogUnavailable(f"{TOPIC_NAMES[topic]}: the snapshot is too large")
             try:
-                page = msgspec.json.decode(body)
+                page = decode_json(body)
                 for row in page["entries"]:
                     value = base64.b64decode(row.get("value") or "")
-                    changes.append(Entry(int(row["offset"]), str(row["key"]), value))
-                start_offset = int(page["end"]) if start_offset is None else start_offset
+                    changes.append(Entry(whole(row["offset"], "offset"), str(row["key"]), value))
+                start_offset = whole(page["end"], "end") if start_offset is None else start_offset
                 if not page.get("has_more") or not page["entries"]:
                     return normalize_entries(topic, changes), start_offset
                 params = {**params, "after": str(page["entries"][-1]["key"])}
-            except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+            except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 raise LogUnavailable(
                     f"{TOPIC_NAMES[topic]}: the answer can't be decoded"
                 ) from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,17 +1,22 @@
 """Reads of the store: pages, expired offsets, outages and truncated responses."""
 
+import contextlib
 import struct
 
+import msgspec
 import pytest
 from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.limits import ReadLimits
-from savoryfork.platform.store import PlatformStore, decode_records
+from savoryfork.platform.store import PlatformStore, decode_records, strip_volatile_fields
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
 from standins.ports import free_port
 from tests.forward.deployment import RNG
+from tests.odd import NASTY_JSON, values
 
 
 @pytest.fixture
@@ -66,6 +71,66 @@
         with pytest.raises(LogUnavailable):
             decode_records(body, 0)
 
+    def test_record_without_a_key_changes_nothing(self):
+        """Guards against a record that stops the reader at its offset for good."""
+        records = struct.pack(">I", 0) + struct.pack(">I", 3) + b"\x01kv"
+        changes, next_offset, end = decode_records(struct.pack(">QQ", 7, 5) + records, 5)
+        assert [(c.offset, c.key, c.value) for c in changes] == [(6, "k", b"v")]
+        assert next_offset == end == 7
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=80))
+    def test_any_response(self, body):
+        """Guards against a response that ends the task that reads the topic."""
+        with contextlib.suppress(LogUnavailable):
+            decode_records(body, 0)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=80), values)
+    def test_any_entry_of_a_target(self, data, value):
+        """Guards against an entry that ends every host that reads it."""
+        assert strip_volatile_fields(data) == data
+        encoded = msgspec.json.encode({"sequence": 1, "slots": value})
+        assert b"sequence" not in strip_volatile_fields(encoded)
+
+    @pytest.mark.parametrize("data", NASTY_JSON.values(), ids=NASTY_JSON)
+    def test_nasty_entry_of_a_target(self, data):
+        strip_volatile_fields(data)
+        entry = b'{"sequence":1,"slots":' + data + b"}"
+        assert len(strip_volatile_fields(entry)) <= len(entry)
+
+
+class TestOddPages:
+    """Guards against a page of newest values that ends the task that reads it."""
+
+    @pytest.mark.parametrize(
+        "page",
+        [
+            *NASTY_JSON.values(),
+            b'{"end":1,"entries":' + NASTY_JSON["nested arrays"] + b"}",
+            b'{"end":1,"entries":[5],"has_more":false}',
+            b'{"end":1,"entries":[{"offset":1,"key":"k","value":7}],"has_more":false}',
+            b'{"end":1,"entries":[{"offset":1,"key":"k","value":"x"}],"has_more":false}',
+            b'{"end":1e300,"entries":"ab","has_more":false}',
+            b'{"end":1e300,"entries":[],"has_more":false}',
+            b'{"end":[],"entries":[],"has_more":false}',
+        ],
+    )
+    async def test_odd_page_is_an_outage(self, page):
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(body=page)
+
+        app = web.Application()
+        app.router.add_get("/api/log-newest", answer)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        client = PlatformStore(f"127.0.0.1:{port}")
+        with pytest.raises(LogUnavailable):
+            await client.newest(Topic.TARGETS)
+        await client.close()
+        await runner.cleanup()
+
 
 class TestEndlessAnswers:
     @pytest.fixture
