Scan long strings for their end faster when nesting is bounded

A page of 500 newest values (283 KB) is decoded in 7.8 ms, of which the scan takes nearly all; strings were scanned character by character before.

--- a/savoryfork/util/untrusted.py
+++ b/savoryfork/util/untrusted.py
@@ -21,7 +21,7 @@
 
 # A string, or a single bracket. Possessive, since a string without end would be tried from each of
 # its quotes again.
-JSON_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"?+|[\[\]{}]', re.DOTALL)
+JSON_TOKENS = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?+|[\[\]{}]', re.DOTALL)
 
 # Whole numbers up to this have the same value in JSON, MessagePack and as a float.
 MAX_WHOLE = 2**53
