Keep a host running after an exception in a task that follows the store

Any exception in one of five tasks (reading three topics, following another host, joining) ended the process, for the reason that it would get no further updates. With an input that all hosts read, all hosts ended, and a new process met the same input.

Change: keep_running starts such a task again after 0.5 s, the period of its usual work, so that a read which fails each time costs the store no more than one that succeeds. It logs one line in 10 s (task_failed). A decoder that raises is taken for a malformed input, so that the entries beside it are not lost. The host ends for lack of memory alone: without updates it already protects its callers, as its configuration ages, it is not ready after 4.7 s and refuses keyed requests, while unkeyed ones and those in hand go on. An exit would cut them and help only if the fault lay in the process.

Callbacks of the timer and background tasks were logged before and end nothing.

Before: TestFailingTasks failed for read, sync and apply_entries, each host stopped.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -27,6 +27,7 @@
 from savoryfork.peers import PeerCaller, PeerUnavailable
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
+from savoryfork.util.supervise import skip_failing
 from savoryfork.util.timer import Clock
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 
@@ -143,7 +144,8 @@
         self.metrics = metrics
         self.background = background
         self.tables = {topic: TopicTable() for topic in Topic}
-        self.registry = Registry(wire.decode_target)
+        self.registry = Registry(skip_failing(wire.decode_target, "target"))
+        self.decode_catalog = skip_failing(wire.decode_catalog, "configuration")
         self.catalog: Catalog | None = None
         self.quarantine = Quarantine(rng.random())
         self.changed = asyncio.Event()
@@ -264,7 +266,7 @@
         for entry in new:
             if entry.key != CONFIGURATION_KEY or not entry.value:
                 continue
-            catalog = self.wire.decode_catalog(entry.value)
+            catalog = self.decode_catalog(entry.value)
             if catalog is None or (self.catalog and catalog.version < self.catalog.version):
                 continue
             self.catalog = catalog
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import math
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import FrameType
 
 import aiomisc
@@ -47,6 +48,7 @@
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
 from savoryfork.util.signals import STOP_SIGNALS
+from savoryfork.util.supervise import keep_running
 from savoryfork.util.timer import TimerService, suspend_aware_clock
 
 log = logging.getLogger(__name__)
@@ -64,7 +66,7 @@
 
 
 class ForwardHost(aiomisc.Service):
-    """A forwarding host. `stopped` is set after a requested stop, or if a follower fails.
+    """A forwarding host. `stopped` is set after a requested stop, or if it lacks memory.
 
     `install_signal_handlers` is False where a process runs several hosts, as tests do.
     `settings_version` detects changes of the settings file that come without a signal.
@@ -97,12 +99,13 @@
         schedule("housekeeping", HOUSEKEEPING_PERIOD_MS, self.run_housekeeping)
         self.timer.start()
         loop = asyncio.get_running_loop()
+        follower = self.follower
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
+            f"read_{topic.value}": functools.partial(follower.run, topic) for topic in Topic
+        }
+        runs |= {"sync": follower.run_sync, "join": follower.join}
         self.followers = [
-            loop.create_task(self.follower.run(Topic.CONFIGURATION)),
-            loop.create_task(self.follower.run(Topic.TARGETS)),
-            loop.create_task(self.follower.run(Topic.CRASHES)),
-            loop.create_task(self.follower.run_sync()),
-            loop.create_task(self.follower.join()),
+            loop.create_task(keep_running(name, run), name=name) for name, run in runs.items()
         ]
         for task in self.followers:
             task.add_done_callback(self.handle_follower_end)
@@ -287,7 +290,11 @@
         self.crashes.run_housekeeping()
 
     def handle_follower_end(self, task: asyncio.Task[None]) -> None:
-        """Stops the host if a follower fails, since it would get no further updates."""
+        """Stops the host if a follower fails for good, as it does for lack of memory.
+
+        After any other failure it goes on (`keep_running`): a host without updates already says so,
+        since its configuration ages. It is not ready then and refuses what it can't judge.
+        """
         if not task.cancelled() and task.exception() is not None:
             log.error({"event": "follower_failed"}, exc_info=task.exception())
             self.loop.call_soon(self.stopped.set)
@@ -375,7 +382,7 @@
     reload: Callable[[], ForwardSettings],
     settings_version: Callable[[], int],
 ) -> None:
-    """Runs a host until it is asked to stop or a follower fails."""
+    """Runs a host until it is asked to stop or lacks memory."""
     logs.setup_bounded(config.host, config.log_level)
     service = ForwardHost(
         settings=config,
--- a/tests/forward/test_odd_entries.py
+++ b/tests/forward/test_odd_entries.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 import pytest
 
 from savoryfork.forward.loads import add, encode_loads
+from savoryfork.forward.model import Target
+from savoryfork.platform.wire import PlatformWire
+from savoryfork.util.supervise import skip_failing
 from tests.forward.deployment import Deployment, until
 
 GOOD = {
@@ -165,3 +170,54 @@
     """Guards against a load that can't be sent to other hosts."""
     loads = encode_loads({"e": (1e30, 10**30)})
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(add([loads] * 400)))
+
+
+class TestFailingTasks:
+    """Guards against an exception in a task of a host that ends the host, or its updates."""
+
+    @pytest.mark.parametrize("method", ["read", "sync", "apply_entries"])
+    async def test_host_goes_on_after_an_exception(self, method, monkeypatch, caplog):
+        async with Deployment(hosts=2) as deployment:
+            for host in deployment.hosts:
+                await until(lambda host=host: host.follower.joined.is_set())
+                broken = FailsAtFirst(getattr(host.follower, method), 3)
+                monkeypatch.setattr(host.follower, method, broken)
+            calls = deployment.store.calls
+            deployment.register("plain", deployment.replicas["plain"][1], "draining")
+            await asyncio.sleep(2.5)
+            await deployment.add_replica("plain", "plain-late")
+            for number in range(2):
+                await check_follows(deployment, number, "plain-late")
+            # Reads that fail may not be more frequent than those that succeed.
+            assert deployment.store.calls - calls < 40
+        failed = [r.msg for r in caplog.records if r.msg["event"] == "task_failed"]
+        assert 0 < len(failed) <= 8
+
+    async def test_an_entry_whose_decoding_fails_leaves_the_others(self, monkeypatch):
+        async with Deployment() as deployment:
+            registry = deployment.hosts[0].follower.registry
+            decode = PlatformWire.decode_target
+
+            def fail(name: str, value: bytes) -> Target | None:
+                if name == "odd":
+                    raise LookupError("unforeseen")
+                return decode(name, value)
+
+            monkeypatch.setattr(registry, "decode", skip_failing(fail, "target"))
+            deployment.store.topics["keyed.servers"].append(("odd", entry()))
+            await deployment.add_replica("plain", "plain-late")
+            await check_follows(deployment, 0, "plain-late")
+
+
+class FailsAtFirst:
+    """Raises for the first calls, then calls the method."""
+
+    def __init__(self, method: Callable[..., Any], failures: int) -> None:
+        self.method = method
+        self.failures = failures
+
+    def __call__(self, *args: Any, **kwargs: Any) -> Any:
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError("unforeseen")
+        return self.method(*args, **kwargs)
