Decide on a late request of a stopping host when it was read completely

Callers of a stopping host lost requests that came late in the grace: they were taken, passed on, and cut when the process ended. Reproduced in one form: the head of a request arrives within 2.5 s of the SIGTERM and its body after it. Admission compared the time of the head, so that the request was passed on with any deadline. In a second form a deadline just before the end was taken, whose answer by a late timer or a coordinator (up to 200 ms after the deadline) comes after the end.

Change: the present time decides; the deadline must be 300 ms before the end of the drain. The refusal says to retry after 0.05 s instead of 0.4 s, as any other host takes the request at once.

Ruled out, each with a test that passed before but for Retry-After: requests with no deadline, with a long one, streams and streams with stages on kept connections after 2.5 s (the route's timeout counts; a stream's covers its whole length); connections that were idle or waiting when the listener closed; a second stop and a SIGHUP with a grace of 0.1 s meanwhile; stage work of a stopping coordinator. Not tried: requests in the accept queue of the closed listener, which the process never read.

tests/forward/test_stop.py: test_body_that_ends_late and test_deadline_close_to_the_end failed before with 200 instead of 503.

--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -24,6 +24,13 @@
 # drain: the platform does not allow a stop to abort a request sent over 3 s after it began.
 DRAIN_ADMIT_MS = 2_500.0
 
+# Time between the latest deadline of those and the end of the drain. A coordinator may answer up to
+# 200 ms after the deadline (`stages.REPLY_MARGIN_MS`), and timers of a busy host fire late.
+FINISH_MARGIN_MS = 300.0
+
+# Retry-after of a request that is refused because this host stops: any other host can take it now.
+STOPPING_RETRY_MS = 50.0
+
 # Retry-after while no host reaches the store: outages last 4 to 9 s, of which over 3 s have passed
 # when keyed requests are first refused. Callers cap this at a third of their remaining time.
 OUTAGE_RETRY_MS = 2_500.0
@@ -41,6 +48,12 @@
     return DEFAULT_RETRY_MS if others_reach_store else OUTAGE_RETRY_MS
 
 
+def stopping_error(run: Run) -> ServiceError:
+    """Returns the refusal of a request by a host that stops."""
+    run.retry_ms = STOPPING_RETRY_MS
+    return ServiceError(ErrorKind.NOT_READY, "this host is stopping; try another host")
+
+
 class Gate:
     """Admits requests to this host. Keys are checked again before each send to a target."""
 
@@ -93,13 +106,21 @@
                 run.deadline_at, run.received_at + stream_idle_timeout_ms(route)
             )
         run.priority = route.priority
-        if run.received_at > self.admit_all_until and run.deadline_at > self.abort_at:
-            raise ServiceError(ErrorKind.NOT_READY, "this host is stopping; try another host")
+        self.check_draining(run)
         self.check_key(run, catalog)
         if not request.id:
             raise ServiceError(ErrorKind.MALFORMED_REQUEST, "the request has no id")
         run.service = catalogs.choose_service(route, run.id)
 
+    def check_draining(self, run: Run) -> None:
+        """Raises NOT_READY for a late request that may not end before this host does.
+
+        Its body may have arrived long after its head, so what counts is the present time.
+        """
+        late = self.follower.now() > self.admit_all_until
+        if late and run.deadline_at > self.abort_at - FINISH_MARGIN_MS:
+            raise stopping_error(run)
+
     def check_trusted(self, run: Run) -> None:
         """Raises STALE_CONFIGURATION if this host's configuration may be out of date."""
         run.config_age_ms = self.follower.config_age_ms()
