Answer the requests that are left when the grace period of a stop ends

Callers saw their connection cut: whatever was in flight at the end of the grace (streams, safe and unsafe requests at a target, requests waiting for stages, bodies still arriving) ended with the process. So did the rest of an answer that its caller had not read yet and that was still in the process.

Change: at the end, 0.7 s before the SIGKILL, each request in flight is interrupted and gets the answer that is true for it: 503 if no target may have run it, 502 if one may, an aborted stream if its head was sent. The host waits up to 0.25 s for that, and in a calm stop for its transports to be empty.

tests/forward/test_stop.py TestEndOfGrace, before: no answer within 0.1 s of the end for non-idempotent, idempotent, streamed requests, a begun stream and an unfinished body.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -11,6 +11,7 @@
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward.forwarder import Forwarder
+from savoryfork.forward.gate import stopping_error
 from savoryfork.forward.limits import ReadLimits
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Headers
@@ -41,6 +42,10 @@
 ABORT_FLUSH_MS = 1_000.0
 
 
+# Interval at which a stopping host checks whether its answers were sent.
+SENT_POLL_MS = 10.0
+
+
 async def read_body(content: aiohttp.StreamReader, max_bytes: int, timeout_ms: float) -> bytes:
     """Reads a caller's body; raises ServiceError if it is too large or takes too long."""
     body = bytearray()
@@ -59,6 +64,15 @@
     return bytes(body)
 
 
+def interrupted_error(run: Run) -> ServiceError:
+    """Returns the error for a request that did not end before this host has to."""
+    if run.may_have_run():
+        return ServiceError(
+            ErrorKind.ANSWER_INCOMPLETE, "this host stopped before the target had answered"
+        )
+    return stopping_error(run)
+
+
 class CallerResponse:
     """Writes the answer to one request; implements `run.Delivery`."""
 
@@ -122,10 +136,12 @@
         self.stopping = False
         self.idle = asyncio.Event()
         self.idle.set()
+        self.bounds: set[asyncio.Timeout] = set()
+        self.web_server: web.Server | None = None
 
     def server(self) -> web.Server:
         """Returns the HTTP server for the callers' port."""
-        return web.Server(
+        self.web_server = web.Server(
             self.handle,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_S,
@@ -134,6 +150,35 @@
             max_field_size=MAX_LINE_BYTES,
             access_log=None,
         )
+        return self.web_server
+
+    # Stopping.
+
+    async def wait_idle(self) -> None:
+        """Waits until no request is in flight."""
+        while self.inflight:
+            await self.idle.wait()
+
+    def interrupt(self) -> None:
+        """Ends every request in flight now, each with the answer that is true for it."""
+        now = asyncio.get_running_loop().time()
+        for bound in self.bounds:
+            if not bound.expired():
+                bound.reschedule(now)
+
+    def transports(self) -> list[asyncio.Transport]:
+        """Returns the transports of all connections of callers."""
+        connections = self.web_server.connections if self.web_server is not None else []
+        return [c.transport for c in connections if c.transport is not None]
+
+    def unsent_bytes(self) -> int:
+        """Returns the size of what the system has not yet taken from this process."""
+        return sum(transport.get_write_buffer_size() for transport in self.transports())
+
+    async def wait_sent(self) -> None:
+        """Waits until the system has taken all answers, which then outlive this process."""
+        while self.unsent_bytes():  # noqa: ASYNC110 (transports tell nobody)
+            await asyncio.sleep(SENT_POLL_MS / 1000)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request and counts it as in flight until its answer ends."""
@@ -155,13 +200,16 @@
         run = Run(decoded, None, reply, received_at)
         error: ServiceError | None = None
         abandoned = False
+        bound = asyncio.timeout(None)
         try:
-            if request.body_exists:
-                body_ms = self.limits.request_body_ms
-                if decoded.allowed_ms is not None:
-                    body_ms = min(body_ms, decoded.allowed_ms)
-                run.body = await read_body(request.content, self.limits.request_bytes, body_ms)
-            await self.forwarder.forward(run)
+            async with bound:
+                self.bounds.add(bound)
+                if request.body_exists:
+                    body_ms = self.limits.request_body_ms
+                    if decoded.allowed_ms is not None:
+                        body_ms = min(body_ms, decoded.allowed_ms)
+                    run.body = await read_body(request.content, self.limits.request_bytes, body_ms)
+                await self.forwarder.forward(run)
         except ServiceError as failure:
             error = failure
         except asyncio.CancelledError:
@@ -170,10 +218,14 @@
         except ConnectionError:
             abandoned = True
         except Exception:
-            logs.failure(log, "request_failed", request=run.id)
-            ran = Ran.UNKNOWN if run.offers else Ran.NO
-            error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
+            if bound.expired():
+                error = interrupted_error(run)
+            else:
+                logs.failure(log, "request_failed", request=run.id)
+                ran = Ran.UNKNOWN if run.offers else Ran.NO
+                error = ServiceError(ErrorKind.INTERNAL, "internal error", ran=ran)
         finally:
+            self.bounds.discard(bound)
             self.record_outcome(run, error, abandoned)
         if error is not None:
             if run.response_started:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -56,8 +56,10 @@
 # Maximum time until the balancer stops sending: it needs two failed probes, a second apart.
 BALANCER_REMOVAL_MS = 2_600.0
 
-# Part of the grace period that is reserved for the exit of the process.
+# Part of the grace period that is reserved for the exit of the process, and for the answers to
+# requests that have not ended by then.
 EXIT_RESERVE_MS = 700.0
+FINAL_ANSWERS_MS = 250.0
 
 MEMBERS_PERIOD_MS = 1_000.0
 HOUSEKEEPING_PERIOD_MS = 500.0
@@ -346,6 +348,12 @@
         grace_ms = self.settings.stop_grace_s * 1000 - EXIT_RESERVE_MS
         self.stopping = self.entry.stopping = True
         self.gate.start_draining(started, started + grace_ms)
+        await self.drain(started, grace_ms)
+        logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
+        self.stopped.set()
+
+    async def drain(self, started: float, grace_ms: float) -> None:
+        """Tells other hosts and finishes all requests; interrupts those left after `grace_ms`."""
         self.members.update_local(leaving=True)
         self.follower.notify()
         await self.follower.exchange_members()
@@ -354,16 +362,32 @@
         await self.caller_site.stop()
         try:
             async with asyncio.timeout((grace_ms - (self.follower.now() - started)) / 1000):
-                while self.entry.inflight:
-                    await self.entry.idle.wait()
+                await self.entry.wait_idle()
                 # A request that arrives on a keep-alive connection from now on would be interrupted
                 # by the exit of the process.
                 self.gate.close()
                 await self.pools.wait_drained()
+                await self.entry.wait_sent()
         except TimeoutError:
-            logs.event(log, "stop_cut", logging.WARNING, inflight=self.entry.inflight)
-        logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
-        self.stopped.set()
+            logs.event(
+                log,
+                "stop_cut",
+                logging.WARNING,
+                inflight=self.entry.inflight,
+                unsent_bytes=self.entry.unsent_bytes(),
+            )
+            await self.interrupt()
+
+    async def interrupt(self) -> None:
+        """Gives a final answer to each request that is left; what is not sent by then is lost."""
+        self.gate.close()
+        self.entry.interrupt()
+        try:
+            async with asyncio.timeout(FINAL_ANSWERS_MS / 1000):
+                await self.entry.wait_idle()
+                await self.entry.wait_sent()
+        except TimeoutError:
+            logs.event(log, "answers_unsent", logging.WARNING, inflight=self.entry.inflight)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the timer and the followers, and closes connections."""
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -156,6 +156,15 @@
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
         self.retry_ms = DEFAULT_RETRY_MS
 
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request, or runs it now."""
+        if self.possible_executions:
+            return True
+        attempt = self.attempt
+        if attempt is None or attempt.sent_at is None:
+            return False
+        return attempt.connection is not None  # else its answer was read, and was a refusal
+
     def repeatable(self) -> bool:
         """Whether the request may run on more than one target."""
         route = self.route
--- a/tests/forward/test_stop.py
+++ b/tests/forward/test_stop.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from typing import Any
 
+import aiohttp
 import pytest
 
 from savoryfork.forward.gate import FINISH_MARGIN_MS
@@ -77,6 +79,96 @@
     await until(host.stopped.is_set, GRACE_S + 1)
 
 
+class TestEndOfGrace:
+    """Guards against requests that the exit of the process cuts without an answer."""
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "status"),
+        [
+            ("/book/x", {}, 502),
+            ("/view/x", {}, 502),
+            ("/ask/x", TOKENS, 502),
+            ("/chat/x", {"Pieces": "0,0", **TOKENS}, 502),
+            ("/chat/x", {"Pieces": "1,8", "Piece_Key": "k", **TOKENS}, 503),
+        ],
+        ids=["non-idempotent", "idempotent", "stream", "resumable stream", "in its stages"],
+    )
+    async def test_request_still_running_gets_an_answer(self, deployment, path, headers, status):
+        """The answer says truly whether the request may have run."""
+        for replicas in deployment.replicas.values():
+            for replica in replicas:
+                replica.delay_s = 20.0
+        host = deployment.hosts[0]
+        call = asyncio.create_task(
+            deployment.call(path, Request_Id="r", Deadline_Ms=LONG_MS, **headers)
+        )
+        await until(lambda: host.entry.inflight == 1)
+        host.request_stop()
+        await wait_stopped(host)
+        async with asyncio.timeout(0.1):
+            got, _, answer_headers = await call
+        assert got == status and answer_headers["Connection"] == "close"
+        assert ("Retry-After" in answer_headers) == (status == 503)
+        assert (runs(deployment, "r") > 0) == (status == 502)
+
+    async def test_stream_is_aborted_visibly(self, deployment, monkeypatch):
+        monkeypatch.setattr("standins.replicas.EVENT_S", 1.0)
+        host = deployment.hosts[0]
+        headers = {**TOKENS, "Token_Usage": "100,60", "Deadline_Ms": LONG_MS}
+        call = asyncio.create_task(deployment.call("/ask/x", Request_Id="r", **headers))
+        await until(lambda: runs(deployment, "r") == 1)
+        host.request_stop()
+        await wait_stopped(host)
+        async with asyncio.timeout(0.1):
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await call
+
+    async def test_body_that_never_ends_is_refused(self, deployment):
+        host = deployment.hosts[0]
+        async with KeptConnection(deployment) as caller:
+            caller.send_head("/book/x", "r", f"Deadline-Ms: {LONG_MS}")
+            await until(lambda: host.entry.inflight == 1)
+            host.request_stop()
+            await wait_stopped(host)
+            assert (await caller.answer())[0] == 503
+
+    async def test_answer_that_its_caller_has_not_read_is_sent(self, deployment):
+        """Guards against an exit while a part of an answer waits in the process."""
+        host = deployment.hosts[0]
+        body = b"x" * 200_000
+        for replica in deployment.replicas["plain"]:
+            replica.status = 200
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.setblocking(False)
+            ip, _, port = host.settings.caller_address.rpartition(":")
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(caller, (ip, int(port)))
+            await until(lambda: bool(host.entry.transports()))
+            for transport in host.entry.transports():
+                transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096
+                )
+            head = "POST /book/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r\r\nKey: k1\r\n"
+            head += f"Content-Length: {len(body)}\r\n\r\n"
+            await loop.sock_sendall(caller, head.encode() + body)
+            await until(lambda: runs(deployment, "r") == 1)
+            host.request_stop()
+            received = 0
+            while host.entry.inflight:
+                received += len(await loop.sock_recv(caller, 4_096))
+                await asyncio.sleep(0.001)
+            # The request counts as done, but the process still holds a part of its answer.
+            await asyncio.sleep(BALANCER_REMOVAL_MS / 1000 + 0.2)
+            assert host.entry.unsent_bytes() and not host.stopped.is_set()
+            async with asyncio.timeout(1):
+                while received < len(body):
+                    received += len(await loop.sock_recv(caller, 65_536))
+                    await asyncio.sleep(0)
+            await until(host.stopped.is_set, 0.2)
+            assert not host.entry.unsent_bytes()
+
+
 class TestLateRequests:
     """Guards against requests that are taken late in a stop and can't end within it."""
 
