--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import math
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from types import FrameType
 
 import aiomisc
@@ -47,6 +48,7 @@
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
 from savoryfork.util.signals import STOP_SIGNALS
+from savoryfork.util.supervise import keep_running
 from savoryfork.util.timer import TimerService, suspend_aware_clock
 
 log = logging.getLogger(__name__)
@@ -54,8 +56,10 @@
 # Maximum time until the balancer stops sending: it needs two failed probes, a second apart.
 BALANCER_REMOVAL_MS = 2_600.0
 
-# Part of the grace period that is reserved for the exit of the process.
+# Part of the grace period that is reserved for the exit of the process, and for the answers to
+# requests that have not ended by then.
 EXIT_RESERVE_MS = 700.0
+FINAL_ANSWERS_MS = 250.0
 
 MEMBERS_PERIOD_MS = 1_000.0
 HOUSEKEEPING_PERIOD_MS = 500.0
@@ -64,7 +68,7 @@
 
 
 class ForwardHost(aiomisc.Service):
-    """A forwarding host. `stopped` is set after a requested stop, or if a follower fails.
+    """A forwarding host. `stopped` is set after a requested stop, or if it lacks memory.
 
     `install_signal_handlers` is False where a process runs several hosts, as tests do.
     `settings_version` detects changes of the settings file that come without a signal.
@@ -97,12 +101,13 @@
         schedule("housekeeping", HOUSEKEEPING_PERIOD_MS, self.run_housekeeping)
         self.timer.start()
         loop = asyncio.get_running_loop()
+        follower = self.follower
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
+            f"read_{topic.value}": functools.partial(follower.run, topic) for topic in Topic
+        }
+        runs |= {"sync": follower.run_sync, "join": follower.join}
         self.followers = [
-            loop.create_task(self.follower.run(Topic.CONFIGURATION)),
-            loop.create_task(self.follower.run(Topic.TARGETS)),
-            loop.create_task(self.follower.run(Topic.CRASHES)),
-            loop.create_task(self.follower.run_sync()),
-            loop.create_task(self.follower.join()),
+            loop.create_task(keep_running(name, run), name=name) for name, run in runs.items()
         ]
         for task in self.followers:
             task.add_done_callback(self.handle_follower_end)
@@ -290,7 +295,11 @@
         self.crashes.run_housekeeping()
 
     def handle_follower_end(self, task: asyncio.Task[None]) -> None:
-        """Stops the host if a follower fails, since it would get no further updates."""
+        """Stops the host if a follower fails for good, as it does for lack of memory.
+
+        After any other failure it goes on (`keep_running`): a host without updates already says so,
+        since its configuration ages. It is not ready then and refuses what it can't judge.
+        """
         if not task.cancelled() and task.exception() is not None:
             log.error({"event": "follower_failed"}, exc_info=task.exception())
             self.loop.call_soon(self.stopped.set)
@@ -342,24 +351,53 @@
         grace_ms = self.settings.stop_grace_s * 1000 - EXIT_RESERVE_MS
         self.stopping = self.entry.stopping = True
         self.gate.start_draining(started, started + grace_ms)
+        try:
+            await self.drain(started, grace_ms)
+        except Exception:
+            logs.failure(log, "stop_failed", inflight=self.entry.inflight)
+        logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
+        self.stopped.set()
+
+    async def drain(self, started: float, grace_ms: float) -> None:
+        """Tells other hosts and finishes all requests; interrupts those left after `grace_ms`."""
         self.members.update_local(leaving=True)
         self.follower.notify()
-        await self.follower.exchange_members()
+        try:
+            await self.follower.exchange_members()
+        except Exception:
+            # They learn of it from the next poll, or by the end of this host.
+            logs.failure(log, "leaving_not_announced")
         logs.event(log, "stopping", inflight=self.entry.inflight)
         await asyncio.sleep(BALANCER_REMOVAL_MS / 1000)
         await self.caller_site.stop()
         try:
             async with asyncio.timeout((grace_ms - (self.follower.now() - started)) / 1000):
-                while self.entry.inflight:
-                    await self.entry.idle.wait()
+                await self.entry.wait_idle()
                 # A request that arrives on a keep-alive connection from now on would be interrupted
                 # by the exit of the process.
                 self.gate.close()
                 await self.pools.wait_drained()
+                await self.entry.wait_sent()
         except TimeoutError:
-            logs.event(log, "stop_cut", logging.WARNING, inflight=self.entry.inflight)
-        logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
-        self.stopped.set()
+            logs.event(
+                log,
+                "stop_cut",
+                logging.WARNING,
+                inflight=self.entry.inflight,
+                unsent_bytes=self.entry.unsent_bytes(),
+            )
+            await self.interrupt()
+
+    async def interrupt(self) -> None:
+        """Gives a final answer to each request that is left; what is not sent by then is lost."""
+        self.gate.close()
+        self.entry.interrupt()
+        try:
+            async with asyncio.timeout(FINAL_ANSWERS_MS / 1000):
+                await self.entry.wait_idle()
+                await self.entry.wait_sent()
+        except TimeoutError:
+            logs.event(log, "answers_unsent", logging.WARNING, inflight=self.entry.inflight)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the timer and the followers, and closes connections."""
@@ -378,7 +416,7 @@
     reload: Callable[[], ForwardSettings],
     settings_version: Callable[[], int],
 ) -> None:
-    """Runs a host until it is asked to stop or a follower fails."""
+    """Runs a host until it is asked to stop or lacks memory."""
     logs.setup_bounded(config.host, config.log_level)
     service = ForwardHost(
         settings=config,
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -13,7 +13,9 @@
 from savoryfork.forward.follower import StoreRead, Topic
 from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
+from savoryfork.platform.records import MAX_TARGET_BYTES
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
+from savoryfork.util.untrusted import UndecodableError, decode_json, split_json, whole
 
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
@@ -28,9 +30,6 @@
 # Fields of a target's entry that change with every heartbeat and are not used here.
 VOLATILE_FIELDS = ("sequence", "warmup_left_ms")
 
-# Largest number in a revision; hosts exchange revisions as 64-bit integers.
-MAX_REVISION = 2**62
-
 # The header of every answer by which the store tells its era, 0 if it has none.
 ERA_HEADER = "Store-Era"
 MAX_ERA_DIGITS = 18
@@ -52,11 +51,13 @@
             (size,) = RECORD_LENGTH.unpack_from(body, position)
             position += RECORD_LENGTH.size
             record = body[position : position + size]
-            if len(record) != size or not record:
+            if len(record) != size:
                 raise LogUnavailable("a record is cut off")
             position += size
-            key = record[1 : 1 + record[0]]
-            changes.append(Entry(offset, key.decode("utf-8", "replace"), record[1 + record[0] :]))
+            if record:  # one without a key changes none
+                key = record[1 : 1 + record[0]]
+                value = record[1 + record[0] :]
+                changes.append(Entry(offset, key.decode("utf-8", "replace"), value))
             offset += 1
     except struct.error as error:
         raise LogUnavailable("the answer of a read can't be decoded") from error
@@ -117,8 +118,9 @@
     ((7, 0), (0, 0))
     """
     try:
-        return (msgspec.json.decode(value, type=ConfigVersion).version, 0)
-    except (msgspec.DecodeError, RecursionError):
+        document = split_json(value, ConfigVersion)
+        return (whole(document.version, "version"), 0)
+    except UndecodableError:
         return UNKNOWN_REVISION  # reported when it is decoded to be put into effect
 
 
@@ -129,12 +131,10 @@
     ((1700000000000, 9), (0, 0))
     """
     try:
-        row = msgspec.json.decode(value, type=TargetSequence)
-    except (msgspec.DecodeError, RecursionError):
+        row = split_json(value, TargetSequence)
+        return (whole(row.born, "born"), whole(row.sequence, "sequence"))
+    except UndecodableError:
         return UNKNOWN_REVISION  # reported when it is decoded to be used
-    if max(abs(row.born), abs(row.sequence)) > MAX_REVISION:
-        return UNKNOWN_REVISION
-    return (row.born, row.sequence)
 
 
 def strip_volatile_fields(value: bytes) -> bytes:
@@ -146,12 +146,12 @@
     (b'[1]', b'')
     """
     try:
-        row = msgspec.json.decode(value) if value else None
-    except (msgspec.DecodeError, RecursionError):
-        return value
-    if not isinstance(row, dict):
+        row = decode_json(value) if 0 < len(value) <= MAX_TARGET_BYTES else None
+        if not isinstance(row, dict):
+            return value
+        return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
+    except (ValueError, OverflowError, RecursionError):
         return value
-    return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
 
 
 class PlatformStore:
@@ -189,19 +189,20 @@
             if total_bytes > self.limits.snapshot_bytes:
                 raise LogUnavailable(f"{name}: the snapshot is too large")
             try:
-                page = msgspec.json.decode(body)
+                page = decode_json(body)
                 for row in page["entries"]:
                     value = base64.b64decode(row.get("value") or "")
-                    changes.append(Entry(int(row["offset"]), str(row["key"]), value))
+                    changes.append(Entry(whole(row["offset"], "offset"), str(row["key"]), value))
                 if start is None:
-                    start = StoreRead([], int(page["end"]), int(page["end"]), era)
+                    end = whole(page["end"], "end")
+                    start = StoreRead([], end, end, era)
                 if era != start.era:
                     raise LogUnavailable(f"{name}: the store was restored between two pages")
                 if not page.get("has_more") or not page["entries"]:
                     entries = normalize_entries(topic, changes, era, records=False)
                     return start._replace(entries=entries)
                 params = {**params, "after": str(page["entries"][-1]["key"])}
-            except (msgspec.DecodeError, LookupError, TypeError, ValueError) as error:
+            except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 raise LogUnavailable(f"{name}: the answer can't be decoded") from error
 
     async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
