Notice a log that came back from an older copy

A reader took a position beyond the end of the log for caught up: of a log that held a, x, y, z after it had come back from a copy with a alone, a host that had read a, b, c applied z only and kept b and c.

Cause: offsets were taken for versions, and a read beyond the end for a read at the end. Ruled out: an early wake-up of the long poll; the positions were wrong without any wait too.

The log's pages tell its eras, and each record the era of its append. A record is known by a number made of both, which is unique and only rises; in a log that was never restored it is the offset. The stand-in platform and the fakes can come back from an older copy.

Before: a script of these steps printed applied ['a', 'b', 'c', 'z'] and caught_up True with the end below the position. After: TestRestoredLog in test_topic.py passes.

--- a/savoryfork/burncheckpoint.py
+++ b/savoryfork/burncheckpoint.py
@@ -32,7 +32,14 @@
 from savoryfork.errors import ErrorKind, ServiceError
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, Record
+from savoryfork.util.topic import (
+    LogClient,
+    LogUnavailable,
+    OffsetExpired,
+    Record,
+    era_of,
+    raw_offset,
+)
 
 log = logging.getLogger(__name__)
 
@@ -174,7 +181,7 @@
 
 
 async def topic_bounds(client: LogClient, topic: str) -> tuple[int, int]:
-    """Returns the oldest retained offset of a topic and its next offset."""
+    """Returns the oldest retained offset of a topic, without an era, and its next number."""
     try:
         page = await client.read(topic, 0, 1)
     except OffsetExpired as expired:
@@ -186,17 +193,29 @@
     """Reads the newest records of the header topic, oldest first."""
     topic = defaults.BURN_CHECKPOINT_TOPIC
     start, end = await topic_bounds(client, topic)
-    offset = max(start, end - MAX_HEADERS_READ)
+    offset = max(start, raw_offset(end) - MAX_HEADERS_READ)
     records: list[Record] = []
-    while offset < end:
+    while offset < raw_offset(end):
         page = await client.read(topic, offset, MAX_HEADERS_READ)
         if not page.records:
             break
         records.extend(page.records)
-        offset = page.records[-1].offset + 1
+        offset = raw_offset(page.records[-1].offset) + 1
     return records
 
 
+def is_usable(record: Record, start: int) -> bool:
+    """Returns whether a record is a checkpoint of records that the log still has or continues.
+
+    A checkpoint that was being written while the log came back from an older copy covers records
+    that are gone; its `through` is of an earlier era than its header.
+    """
+    if not is_checkpoint(record):
+        return False
+    through = int(record.value["through"])
+    return raw_offset(through) + 1 >= start and era_of(through) == era_of(record.offset)
+
+
 def is_checkpoint(record: Record) -> bool:
     """Returns whether a record is a checkpoint header of a supported schema."""
     return record.value.get("schema") == SCHEMA and record.value.get("type") == "checkpoint"
@@ -225,7 +244,7 @@
     start, end = await topic_bounds(client, defaults.BURN_TOPIC)
     fold: BurnFold | None = None
     for record in reversed(await read_headers(client)):
-        if not is_checkpoint(record) or int(record.value["through"]) + 1 < start:
+        if not is_usable(record, start):
             continue
         try:
             fold = await restore(client, record.value, keep)
@@ -238,7 +257,7 @@
     if fold is None:
         fold = BurnFold(keep)
         fold.position = start
-    while fold.position < end:
+    while raw_offset(fold.position) < raw_offset(end):
         page = await client.read(defaults.BURN_TOPIC, fold.position, defaults.BURN_READ_LIMIT)
         if not page.records:
             break
@@ -247,6 +266,8 @@
         for record in page.records:
             fold.apply(record)
             await asyncio.sleep(0)
+    # A checkpoint of this fold then names the era in which it is written.
+    fold.position = max(fold.position, end)
     return fold
 
 
--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -233,7 +233,7 @@
                 continue
             for record in page.records:
                 self.fold.apply(record)
-            if self.fold.position >= page.end:
+            if self.fold.advance(page):
                 break
         self.read_ms = started_ms
         now = self.clock.monotonic_ms()
--- a/savoryfork/publication.py
+++ b/savoryfork/publication.py
@@ -36,7 +36,7 @@
     Workspace,
 )
 from savoryfork.util import logs
-from savoryfork.util.topic import Fold, Page, Record
+from savoryfork.util.topic import Fold, Page, Record, raw_offset
 
 log = logging.getLogger(__name__)
 
@@ -457,7 +457,7 @@
         These include records that precede the checkpoint's own record: they were appended while
         its writer was preparing it. Returns False if no checkpoint is usable.
         """
-        if self.position >= page.start:
+        if raw_offset(self.position) >= page.start:
             # Records or a snapshot from another host arrived while the page was being read.
             for record in page.records:
                 self.apply(record)
--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -1,4 +1,9 @@
-"""Client and reader for the topics of the platform's append-only log."""
+"""Client and reader for the topics of the platform's append-only log.
+
+The log may come back from an older copy: its newest records are gone and their offsets are given
+out again. Each time its era rises by one, and every record keeps the era in which it was appended.
+The rest of the program sees a number made of both, which is unique and only rises in a topic.
+"""
 
 from __future__ import annotations
 
@@ -25,8 +30,43 @@
 VALUE_NESTING = 3
 
 
+# Offsets of one era. 400 appends a second of up to 64 records take more than a year to use them up,
+# and numbers of the first 9,007 eras are exact in JSON readers that use 64-bit floats.
+ERA_SIZE = 10**12
+
+
+def record_number(era: int, offset: int) -> int:
+    """Returns the number of a record, which is its offset in a log that was never restored.
+
+    >>> record_number(0, 57), record_number(2, 57)
+    (57, 2000000000057)
+    """
+    return era * ERA_SIZE + offset
+
+
+def raw_offset(number: int) -> int:
+    """Returns the offset by which the log knows a record.
+
+    >>> raw_offset(2000000000057)
+    57
+    """
+    return number % ERA_SIZE
+
+
+def era_of(number: int) -> int:
+    """Returns the era in which a record was appended.
+
+    >>> era_of(2000000000057)
+    2
+    """
+    return number // ERA_SIZE
+
+
 class Record(NamedTuple):
-    """One record of a topic; `time_ms` is the Unix time at which the log appended it."""
+    """One record of a topic.
+
+    `offset` is its number, see `record_number`; `time_ms` is the Unix time of its append.
+    """
 
     offset: int
     time_ms: int
@@ -34,11 +74,16 @@
 
 
 class Page(NamedTuple):
-    """Records of one read; `start` is the oldest retained offset, `end` the next to be assigned."""
+    """Records of one read.
+
+    `start` is the oldest retained offset, without an era; `end` is the number of the next record.
+    `eras` are the Unix times in milliseconds at which the log came back from an older copy.
+    """
 
     records: list[Record]
     start: int
     end: int
+    eras: tuple[int, ...] = ()
 
 
 class LogUnavailable(Exception):
@@ -46,12 +91,17 @@
 
 
 class OffsetExpired(Exception):
-    """The requested offset is no longer retained; `start` is the oldest retained one."""
+    """The log doesn't have the requested offset; `start` is the oldest retained one."""
 
-    def __init__(self, start: int, end: int) -> None:
-        super().__init__(f"the log starts at offset {start}")
+    def __init__(self, start: int, end: int, eras: tuple[int, ...] = ()) -> None:
+        super().__init__(f"the log has offsets from {start} to {raw_offset(end)}")
         self.start = start
         self.end = end
+        self.eras = eras
+
+
+class LogRestored(OffsetExpired):
+    """The requested offset is beyond the end: the log came back from an older copy."""
 
 
 class RawRecord(msgspec.Struct):
@@ -60,6 +110,7 @@
     offset: int
     time_ms: int
     value: msgspec.Raw
+    era: int = 0
 
 
 class RawPage(msgspec.Struct):
@@ -68,6 +119,15 @@
     records: list[RawRecord]
     start: int
     end: int
+    eras: tuple[int, ...] = ()
+
+
+class Bounds(msgspec.Struct):
+    """The response body of a read of an offset that the log doesn't have."""
+
+    start: int
+    end: int
+    eras: tuple[int, ...] = ()
 
 
 def nesting_depth(value: bytes) -> int:
@@ -134,8 +194,8 @@
         if not isinstance(value, dict) or not value:
             value = {}
             logs.event(log, "record_unreadable", logging.WARNING, topic=topic, offset=raw.offset)
-        records.append(Record(raw.offset, raw.time_ms, value))
-    return Page(records, page.start, page.end)
+        records.append(Record(record_number(raw.era, raw.offset), raw.time_ms, value))
+    return Page(records, page.start, record_number(len(page.eras), page.end), page.eras)
 
 
 class LogClient:
@@ -156,7 +216,7 @@
     async def append(
         self, topic: str, records: Sequence[dict[str, Any]], timeout_ms: float | None = None
     ) -> int:
-        """Appends records atomically and returns the offset of the first.
+        """Appends records atomically and returns the offset of the first, without its era.
 
         Raises LogUnavailable without a valid response; the records may still have been appended.
         """
@@ -168,16 +228,26 @@
             raise LogUnavailable(f"{topic}: the response to an append can't be decoded") from error
 
     async def read(self, topic: str, offset: int, limit: int, wait_ms: float = 0) -> Page:
-        """Reads records from `offset` on, waiting up to `wait_ms` for the first.
+        """Reads records from `offset`, a number or an offset, waiting `wait_ms` for the first.
 
-        Raises OffsetExpired if the offset is no longer retained, else LogUnavailable.
+        Raises OffsetExpired if the offset is no longer retained, LogRestored if it is beyond the
+        end, else LogUnavailable.
         """
-        params = {"from": str(offset), "limit": str(limit), "wait_ms": str(int(wait_ms))}
-        answer = await self.call("GET", topic, self.timeout_ms + wait_ms, params=params)
+        raw = raw_offset(offset)
+        params = {"from": str(raw), "limit": str(limit), "wait_ms": str(int(wait_ms))}
+        try:
+            answer = await self.call("GET", topic, self.timeout_ms + wait_ms, params=params)
+        except OffsetExpired as error:
+            if raw > raw_offset(error.end):
+                raise LogRestored(error.start, error.end, error.eras) from error
+            raise
         try:
-            return decode_page(topic, answer)
+            page = decode_page(topic, answer)
         except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             raise LogUnavailable(f"{topic}: the response to a read can't be decoded") from error
+        if raw > raw_offset(page.end):
+            raise LogRestored(page.start, page.end, page.eras)
+        return page
 
     async def call(self, method: str, topic: str, timeout_ms: float, **kwargs: Any) -> bytes:
         """Makes one HTTP call; raises OffsetExpired, or LogUnavailable for any other failure."""
@@ -192,8 +262,12 @@
             raise LogUnavailable(f"{topic}: {type(error).__name__}") from error
         if status == 410:
             self.on_availability(True)
-            bounds = msgspec.json.decode(body)
-            raise OffsetExpired(bounds["start"], bounds["end"])
+            try:
+                bounds = msgspec.json.decode(body, type=Bounds)
+            except msgspec.MsgspecError as error:
+                raise LogUnavailable(f"{topic}: the bounds can't be decoded") from error
+            end = record_number(len(bounds.eras), bounds.end)
+            raise OffsetExpired(bounds.start, end, bounds.eras)
         if status != 200:
             self.on_availability(False)
             raise LogUnavailable(f"{topic}: the log responded with status {status}")
@@ -204,11 +278,22 @@
 class Fold:
     """State that is a pure function of a topic's records; see `publication` and `claims`.
 
-    `position` is the offset of the next record to apply. `apply` must ignore a record below it.
+    `position` is the number of the next record to apply. `apply` must ignore a record below it.
     """
 
     position: int = 0
 
+    def advance(self, page: Page) -> bool:
+        """Returns whether the records of the page's topic are all applied.
+
+        If so, the position enters the era of the log, so that it is higher than every position of
+        an earlier era, also while nothing has been appended in the new one.
+        """
+        if raw_offset(self.position) < raw_offset(page.end):
+            return False
+        self.position = max(self.position, page.end)
+        return True
+
     def apply(self, record: Record) -> None:
         """Applies one record and advances `position` past it."""
         raise TypeError(f"{type(self).__name__} does not define apply")
@@ -220,12 +305,22 @@
         """
         return False
 
+    def rebuild(self, page: Page) -> bool:
+        """Restarts from all records of a log that came back from an older copy.
+
+        Returns False and keeps the state if the page does not suffice.
+        """
+        return False
+
 
 class TopicReader:
     """Follows one topic by long polling and applies its records to a fold.
 
     `caught_up` is set once the fold has reached the end of the log. Each applied page notifies
-    `changed`. `start` is the oldest retained offset at the last read.
+    `changed`. `start` is the oldest retained offset at the last read, `era` the log's era then.
+
+    If the log came back from an older copy, the records from `position` on don't continue those
+    that were applied, so the fold is rebuilt from all of them.
     """
 
     def __init__(
@@ -250,6 +345,7 @@
         self.changed = asyncio.Condition()
         self.expired = False
         self.start = 0
+        self.era: int | None = None
 
     async def run(self) -> None:
         """Reads until cancelled; retries during an outage of the log."""
@@ -264,35 +360,82 @@
     async def step(self) -> None:
         """Reads one page and applies it to the fold."""
         wait_ms = self.wait_ms if self.caught_up.is_set() else 0
-        page = await self.client.read(self.topic, self.fold.position, self.limit, wait_ms)
+        try:
+            page = await self.client.read(self.topic, self.fold.position, self.limit, wait_ms)
+        except LogRestored as error:
+            await self.follow_restored(error)
+            return
+        if self.era is None and self.fold.position == 0:
+            self.era = len(page.eras)
+        if len(page.eras) > (era_of(self.fold.position) if self.era is None else self.era):
+            await self.follow_restored(LogRestored(page.start, page.end, page.eras))
+            return
+        self.era = len(page.eras)
         self.start = page.start
         for record in page.records:
             self.fold.apply(record)
-        if self.fold.position >= page.end:
+        if self.fold.advance(page):
             self.caught_up.set()
         if page.records:
             self.on_page()
             async with self.changed:
                 self.changed.notify_all()
 
-    async def restart(self, error: OffsetExpired) -> None:
-        """Reads all retained records and restarts the fold from a checkpoint among them."""
+    async def read_retained(self, start: int) -> Page | None:
+        """Reads all records from `start` on; returns None if the log can't be read."""
         records: list[Record] = []
-        offset = error.start
+        offset = start
         try:
             while True:
                 page = await self.client.read(self.topic, offset, self.limit)
                 records.extend(page.records)
                 offset = records[-1].offset + 1 if records else offset
-                if offset >= page.end:
-                    break
+                if raw_offset(offset) >= raw_offset(page.end):
+                    return Page(records, start, page.end, page.eras)
         except (LogUnavailable, OffsetExpired):
             await asyncio.sleep(self.retry_ms / 1000)
+            return None
+
+    async def restart(self, error: OffsetExpired) -> None:
+        """Reads all retained records and restarts the fold from a checkpoint among them."""
+        page = await self.read_retained(error.start)
+        if page is None:
             return
-        if self.fold.recover(Page(records, error.start, offset)):
+        if self.fold.recover(page):
             self.expired = False
             self.on_page()
             return
         self.expired = True
         logs.event(log, "topic_expired", logging.ERROR, topic=self.topic, start=error.start)
         await asyncio.sleep(1)
+
+    async def follow_restored(self, error: LogRestored) -> None:
+        """Rebuilds the fold after the log came back from an older copy."""
+        self.caught_up.clear()
+        report_restored(self.topic, self.fold.position, error)
+        page = await self.read_retained(error.start)
+        if page is None:
+            return
+        if not self.fold.rebuild(page):
+            logs.event(log, "topic_rebuild_failed", logging.ERROR, topic=self.topic)
+            await asyncio.sleep(1)
+            return
+        self.era, self.start = len(page.eras), page.start
+        if self.fold.advance(page):
+            self.caught_up.set()
+        self.on_page()
+        async with self.changed:
+            self.changed.notify_all()
+
+
+def report_restored(topic: str, position: int, error: OffsetExpired) -> None:
+    """Logs that a topic came back from an older copy."""
+    logs.event(
+        log,
+        "topic_restored",
+        logging.ERROR,
+        topic=topic,
+        position=raw_offset(position),
+        end=raw_offset(error.end),
+        era=len(error.eras),
+    )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -78,6 +78,15 @@
     hosts: list[HostEntry]
 
 
+class Restore(TypedDict):
+    """Body of `POST /control/restore`: the number of the newest records lost by topic.
+
+    Topics that are absent lose none. The era of the log rises by one.
+    """
+
+    lost: dict[str, int]
+
+
 class Topic:
     """The records of one topic; `start` is the offset of the oldest one retained."""
 
@@ -91,11 +100,12 @@
         """The offset of the next record."""
         return self.start + len(self.records)
 
-    def append(self, values: list[dict[str, Any]], time_ms: int) -> int:
+    def append(self, values: list[dict[str, Any]], time_ms: int, era: int = 0) -> int:
         """Appends all values atomically and returns the offset of the first."""
         first = self.end
         self.records.extend(
-            {"offset": first + i, "time_ms": time_ms, "value": v} for i, v in enumerate(values)
+            {"offset": first + i, "era": era, "time_ms": time_ms, "value": v}
+            for i, v in enumerate(values)
         )
         self.wake_readers()
         return first
@@ -120,6 +130,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self.settings = settings
         self.topics: dict[str, Topic] = {}
+        self.eras: list[int] = []
         self.hosts = server.Lagged([], -math.inf)
         self.weights = TokenBucket(
             settings.weights_per_minute / 60, max(1, settings.weights_per_minute / 10), 0.0
@@ -168,6 +179,7 @@
                 web.get("/healthz", server.healthz),
                 web.put("/control/hosts", self.put_hosts),
                 web.post("/control/faults", self.set_faults),
+                web.post("/control/restore", self.restore),
                 web.get("/control/state", self.state),
                 web.get("/control/topics/{topic}/records", self.dump),
             ]
@@ -232,7 +244,7 @@
         """Appends after a delay and returns the offset of the first record."""
         if delay_ms:
             await asyncio.sleep(delay_ms / 1000)
-        return self.topic(name).append(values, server.wall_ms())
+        return self.topic(name).append(values, server.wall_ms(), len(self.eras))
 
     async def read(self, request: web.Request) -> web.Response:
         """Reads records, waiting up to `wait_ms` for a first one."""
@@ -244,8 +256,8 @@
             if (refusal := await self.check_outage()) is not None:
                 return refusal
             topic = self.topic(request.match_info["topic"])
-            bounds = {"start": topic.start, "end": topic.end}
-            if offset < topic.start:
+            bounds = {"start": topic.start, "end": topic.end, "eras": self.eras}
+            if not topic.start <= offset <= topic.end:
                 return server.reply(bounds, 410)
             first = offset - topic.start
             records = topic.records[first : first + limit]
@@ -312,6 +324,17 @@
         names = set(Faults.__annotations__) - {"down", "reset"}
         return {"down": not self.up.is_set(), **{name: getattr(self, name) for name in names}}
 
+    async def restore(self, request: web.Request) -> web.Response:
+        """Brings the log back from an older copy, which lacks the newest records of topics."""
+        body = await server.read(request, Restore)
+        self.eras.append(server.wall_ms())
+        for name, lost in body["lost"].items():
+            topic = self.topic(name)
+            del topic.records[max(0, len(topic.records) - lost) :]
+        for topic in self.topics.values():
+            topic.wake_readers()
+        return server.reply({"era": len(self.eras)})
+
     async def state(self, request: web.Request) -> web.Response:
         """Returns topics, faults and the number of requests by route."""
         topics = {name: {"start": t.start, "end": t.end} for name, t in self.topics.items()}
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -10,7 +10,16 @@
 
 from savoryfork.util.bucket import TokenBucket
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, Page, Record
+from savoryfork.util.topic import (
+    LogClient,
+    LogRestored,
+    LogUnavailable,
+    OffsetExpired,
+    Page,
+    Record,
+    raw_offset,
+    record_number,
+)
 
 
 class FakeLog:
@@ -31,19 +40,34 @@
         self.refuse_appends = False
         self.limit: TokenBucket | None = None
         self.limit_refuses = False
+        self.eras: tuple[int, ...] = ()
 
     def append_records(self, topic: str, body: bytes) -> int:
         """Appends records at the log's current time."""
         retained = self.topics.setdefault(topic, [])
-        first = retained[-1].offset + 1 if retained else self.starts.get(topic, 0)
+        first = self.starts.get(topic, 0) + len(retained)
         for index, value in enumerate(msgspec.json.decode(body)):
-            retained.append(Record(first + index, int(self.clock.wall_ms()), value))
+            number = record_number(len(self.eras), first + index)
+            retained.append(Record(number, int(self.clock.wall_ms()), value))
         return first
 
+    def copy(self) -> dict[str, list[Record]]:
+        """Returns a copy of all records, for `restore`."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    async def restore(self, copy: dict[str, list[Record]], *, tells_era: bool = True) -> None:
+        """Brings an older copy back; without `tells_era` the log reuses the numbers."""
+        self.topics = {topic: list(records) for topic, records in copy.items()}
+        if tells_era:
+            self.eras = (*self.eras, int(self.clock.wall_ms()))
+        async with self.appended:
+            self.appended.notify_all()
+
     def trim(self, topic: str, start: int) -> None:
         """Drops the records before `start`."""
         self.starts[topic] = start
-        self.topics[topic] = [r for r in self.topics.get(topic, []) if r.offset >= start]
+        retained = self.topics.get(topic, [])
+        self.topics[topic] = [r for r in retained if raw_offset(r.offset) >= start]
 
     def values(self, kind: str | None = None) -> list[dict[str, Any]]:
         """Returns the values of all appended records by topic and offset."""
@@ -132,7 +156,10 @@
         """Returns the records from an offset on, without waiting."""
         retained = self.fake.topics.get(topic, [])
         start = self.fake.starts.get(topic, 0)
-        end = retained[-1].offset + 1 if retained else start
-        if offset < start:
-            raise OffsetExpired(start, end)
-        return Page(retained[offset - start : offset - start + limit], start, end)
+        end = record_number(len(self.fake.eras), start + len(retained))
+        first = raw_offset(offset) - start
+        if first < 0:
+            raise OffsetExpired(start, end, self.fake.eras)
+        if first > len(retained):
+            raise LogRestored(start, end, self.fake.eras)
+        return Page(retained[first : first + limit], start, end, self.fake.eras)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -15,7 +15,15 @@
 from savoryfork.publication import ConfigFold
 from savoryfork.settings import Settings
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogUnavailable, OffsetExpired, Page, Record
+from savoryfork.util.topic import (
+    LogRestored,
+    LogUnavailable,
+    OffsetExpired,
+    Page,
+    Record,
+    raw_offset,
+    record_number,
+)
 
 
 class FakeLog:
@@ -27,9 +35,20 @@
         self.down = False
         self.lose_answers = 0
         self.reads_down = False
+        self.eras: tuple[int, ...] = ()
+
+    @property
+    def end(self) -> int:
+        """The number of the next record."""
+        return record_number(len(self.eras), self.start + len(self.records))
+
+    def restore(self, count: int) -> None:
+        """Comes back from an older copy, which has the first `count` retained records."""
+        self.records = self.records[:count]
+        self.eras = (*self.eras, 0)
 
     def add(self, value: Any) -> int:
-        offset = self.start + len(self.records)
+        offset = self.end
         self.records.append(Record(offset, 0, msgspec.json.decode(msgspec.json.encode(value))))
         return offset
 
@@ -52,11 +71,12 @@
         await asyncio.sleep(0.002 if wait_ms else 0)
         if self.down or self.reads_down:
             raise LogUnavailable(topic)
-        end = self.start + len(self.records)
-        if offset < self.start:
-            raise OffsetExpired(self.start, end)
-        index = offset - self.start
-        return Page(self.records[index : index + limit], self.start, end)
+        index = raw_offset(offset) - self.start
+        if index < 0:
+            raise OffsetExpired(self.start, self.end, self.eras)
+        if index > len(self.records):
+            raise LogRestored(self.start, self.end, self.eras)
+        return Page(self.records[index : index + limit], self.start, self.end, self.eras)
 
 
 class FakeClock:
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired
+from savoryfork.util.topic import LogClient, LogRestored, LogUnavailable, OffsetExpired, era_of
 from standins.platform import Platform, PlatformSettings
 from tests.standins import Client, serve, until
 
@@ -49,6 +49,21 @@
             page = await log.read("t", 5, 10)
             assert (page.records, page.start, page.end) == ([], 5, 5)
 
+    async def test_older_copy_ends_a_long_poll_and_starts_an_era(self) -> None:
+        """Guards against a stand-in whose restored log can't be told from one that only waits."""
+        async with serve(Platform(PlatformSettings()).app()) as client:
+            log = log_client(client)
+            await log.append("t", [{"n": n} for n in range(5)])
+            reading = asyncio.create_task(log.read("t", 5, 10, wait_ms=5000))
+            await asyncio.sleep(0.05)
+            await client.post("/control/restore", json={"lost": {"t": 2}})
+            with pytest.raises(LogRestored) as restored:
+                await asyncio.wait_for(reading, 2)
+            assert era_of(restored.value.end) == len(restored.value.eras) == 1
+            assert await log.append("t", [{"n": "new"}]) == 3
+            records = (await log.read("t", 2, 10)).records
+            assert [(era_of(r.offset), r.value["n"]) for r in records] == [(0, 2), (1, "new")]
+
     async def test_lost_answer_leaves_the_records(self) -> None:
         """Guards against a lost answer that also drops the append."""
         platform = Platform(PlatformSettings())
--- a/tests/test_topic.py
+++ b/tests/test_topic.py
@@ -10,15 +10,20 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from savoryfork.util.timer import system_clock
 from savoryfork.util.topic import (
     MAX_NESTING,
     Fold,
     LogClient,
     LogUnavailable,
+    Page,
     Record,
     TopicReader,
     decode_page,
+    era_of,
+    raw_offset,
 )
+from tests.fakelog import FakeClient, FakeLog
 from tests.standins import until
 
 
@@ -53,9 +58,17 @@
         self.ids: list[str | None] = []
 
     def apply(self, record: Record) -> None:
+        if record.offset < self.position:
+            return
         self.position = record.offset + 1
         self.ids.append(record.value.get("id"))
 
+    def rebuild(self, page: Page) -> bool:
+        self.position, self.ids = 0, []
+        for record in page.records:
+            self.apply(record)
+        return True
+
 
 class TestDecodePage:
     @pytest.mark.parametrize("name", UNDECODABLE)
@@ -124,3 +137,60 @@
                 await client.append("t", [{}])
             with pytest.raises(LogUnavailable):
                 await client.read("t", 0, 10)
+
+
+class TestRestoredLog:
+    @pytest.mark.parametrize("tells_era", [True, False])
+    async def test_reader_follows_a_log_that_went_back(
+        self, caplog: pytest.LogCaptureFixture, tells_era: bool
+    ) -> None:
+        """Guards against taking a position beyond the end for caught up, and skipping the records
+        written at the offsets that are given out again."""
+        fake = FakeLog(system_clock())
+        client = FakeClient(fake)
+        await client.append("t", [{"id": "a"}])
+        copy = fake.copy()
+        await client.append("t", [{"id": "b"}, {"id": "c"}])
+        reader = TopicReader(client, "t", fold := IdFold(), wait_ms=5_000, limit=100)
+        task = asyncio.create_task(reader.run())
+        await until(lambda: fold.ids == ["a", "b", "c"])
+        await fake.restore(copy, tells_era=tells_era)
+        await until(lambda: fold.ids == ["a"])
+        await client.append("t", [{"id": name} for name in "xyz"])
+        await until(lambda: fold.ids == ["a", "x", "y", "z"])
+        assert "'topic_restored', 'topic': 't', 'position': 3, 'end': 1" in caplog.text
+        assert reader.caught_up.is_set() and raw_offset(fold.position) == 4
+        assert era_of(fold.position) == int(tells_era)
+        task.cancel()
+
+    async def test_reader_notices_a_log_that_grew_past_its_position(self) -> None:
+        """Guards against a reader that was frozen until the offsets given out again passed its
+        position: it would take the next one for a continuation."""
+        fake = FakeLog(system_clock())
+        client = FakeClient(fake)
+        await client.append("t", [{"id": name} for name in "abc"])
+        reader = TopicReader(client, "t", fold := IdFold(), wait_ms=0, limit=2)
+        await reader.step()
+        await reader.step()
+        copy = {"t": fake.topics["t"][:1]}
+        await fake.restore(copy)
+        await fake.restore(copy)
+        await client.append("t", [{"id": name} for name in "vwxyz"])
+        while raw_offset(fold.position) < 6:
+            await reader.step()
+        assert fold.ids == ["a", "v", "w", "x", "y", "z"]
+
+    async def test_numbers_of_all_readers_agree_and_rise(self) -> None:
+        """Guards against one record that two hosts know by different numbers, and against a number
+        that is given out twice: configurations and fencing numbers would go back."""
+        fake = FakeLog(system_clock())
+        client = FakeClient(fake)
+        await client.append("t", [{"id": "a"}])
+        copy = fake.copy()
+        await client.append("t", [{"id": "b"}])
+        lost = fake.topics["t"][-1].offset
+        await fake.restore(copy)
+        await client.append("t", [{"id": "c"}])
+        numbers = [record.offset for record in (await client.read("t", 0, 10)).records]
+        assert numbers == sorted(numbers) and numbers[0] == 0 and numbers[1] > lost
+        assert raw_offset(numbers[1]) == raw_offset(lost)
