Keep accepted publications that the log lost

After the log had come back from an older copy, hosts that had read the lost version and hosts that had started from the copy judged the next publications differently: of two operators, one based on what an old host showed and one on a new host, each won at some hosts. What the log had lost stayed in effect at the old hosts and never reached new ones, and records of a peer that had not noticed mixed with new ones.

Cause: the fold went on from a state that was no longer that of the log, and offsets were exchanged as versions. Ruled out: the bound on kept ids and the tail, which were far from full.

The state is now computed anew from the log, so that all hosts agree, while the configuration in effect stays until each accepted publication that the host knows has a verdict again. Hosts append them again under their ids, one by one, rebased on their new numbers; one that can't be, or that lost against a newer one, is logged as publication_lost.

Before: a script of these steps gave publication-2 and publication-3 accepted, each at one part of three hosts.

--- a/savoryfork/gossip.py
+++ b/savoryfork/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable, Iterable
@@ -20,7 +21,14 @@
 from savoryfork.settings import Settings
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogClient, LogUnavailable, Record, TopicReader
+from savoryfork.util.topic import (
+    LogClient,
+    LogUnavailable,
+    Record,
+    TopicReader,
+    era_of,
+    raw_offset,
+)
 
 log = logging.getLogger(__name__)
 
@@ -103,7 +111,7 @@
     def refresh(self) -> None:
         """Writes the fold's state to the board and wakes the tasks that wait for a change."""
         board, fold = self.board, self.fold
-        if fold.configuration.offset > board.configuration.offset:
+        if fold.configuration.offset > board.configuration.offset and not fold.lost:
             board.configuration = fold.configuration
             logs.event(
                 log,
@@ -124,6 +132,32 @@
             self.board.config_ready = True
             logs.event(log, "config_ready", source=source, position=self.fold.position)
 
+    # Publications that the log lost.
+
+    async def repeat_lost(self) -> None:
+        """Appends publications again that the log lost when it came back from an older copy.
+
+        One at a time, as a later one may be based on the new number of an earlier one. All hosts
+        that hold them do so, at the random phases of their ticks; the fold ignores repeated ids.
+        """
+        fold = self.fold
+        for publication_id in sorted(fold.lost, key=lambda known: fold.lost[known].offset):
+            if publication_id not in fold.lost or not self.reader.caught_up.is_set():
+                continue
+            record = fold.record_to_repeat(publication_id)
+            try:
+                await self.client.append(defaults.CONFIG_TOPIC, [record])
+            except LogUnavailable:
+                return
+            logs.event(log, "publication_repeated", logging.WARNING, id=publication_id)
+            await self.wait_for(
+                functools.partial(self.settled, publication_id), defaults.LOG_TIMEOUT_MS
+            )
+
+    def settled(self, publication_id: str) -> bool | None:
+        """Returns True if the log has a verdict of a publication that it lost, else None."""
+        return True if publication_id not in self.fold.lost else None
+
     async def wait_for(self, probe: Callable[[], T | None], timeout_ms: float | None) -> T | None:
         """Waits until `probe` returns a value other than None; returns None on timeout."""
         try:
@@ -143,7 +177,7 @@
         due when a quarter of the retained records is not yet covered by one.
         """
         fold = self.fold
-        if fold.position == 0 or fold.stopped_at is not None:
+        if raw_offset(fold.position) == 0 or fold.stopped_at is not None:
             return None
         if not (self.board.config_ready and self.board.log.available):
             return None
@@ -152,7 +186,7 @@
             self.checkpoint_seen, self.checkpoint_seen_ms = fold.checkpoint_through, now
             self.checkpoint_due_ms = None
         uncovered = fold.position - 1 - fold.checkpoint_through
-        retained = fold.position - self.reader.start
+        retained = raw_offset(fold.position) - self.reader.start
         if self.reader.start > 0 and uncovered >= max(8, retained // 2):
             return defaults.CHECKPOINT_URGENT_DELAY_MS
         interval = defaults.CHECKPOINT_EVERY_RECORDS
@@ -163,7 +197,11 @@
         return None
 
     async def tick(self) -> None:
-        """Writes a checkpoint after a random delay unless another host has written one."""
+        """Repeats lost publications, then writes a checkpoint after a random delay unless another
+        host has written one.
+        """
+        if self.fold.lost:
+            await self.repeat_lost()
         delay_ms = self.checkpoint_delay_ms()
         now = self.clock.monotonic_ms()
         if delay_ms is None:
@@ -240,7 +278,8 @@
             incarnation=self.incarnation,
             config_position=self.fold.position,
             config_offset=self.fold.configuration.offset + 1,
-            ready=self.board.config_ready,
+            # A host that starts must not take over a configuration that lacks what the log lost.
+            ready=self.board.config_ready and not self.fold.lost,
         )
         received = {(mark.target, mark.incarnation) for mark in request.leaving}
         reply.leaving.extend(self.select_marks(received, all_marks=wants_all))
@@ -266,8 +305,12 @@
         return offset - 1
 
     def add_records(self, reply: peer_pb2.ExchangeReply, position: int) -> None:
-        """Adds the records from `position` on, or a snapshot if they are no longer kept."""
-        records = self.fold.records_from(position, REPLY_BYTES)
+        """Adds the records from `position` on, or a snapshot if they are no longer kept.
+
+        The records of a newer era may not continue those that the requester has.
+        """
+        same_era = era_of(position) == era_of(self.fold.position)
+        records = self.fold.records_from(position, REPLY_BYTES) if same_era else None
         if records is None:
             reply.snapshot = self.fold.snapshot()
             return
--- a/savoryfork/operator.py
+++ b/savoryfork/operator.py
@@ -163,6 +163,9 @@
         if self.fold.stopped_at is not None:
             reason = "this host does not know the newest schema version; publish at another host"
             raise ServiceError(ErrorKind.NOT_READY, reason)
+        if self.fold.lost:
+            reason = "publications that the log lost are appended again first; repeat the same id"
+            raise ServiceError(ErrorKind.LOG_UNAVAILABLE, reason, ran=Ran.UNKNOWN)
         state = self.board.log
         unavailable_ms = self.clock.monotonic_ms() - state.changed_ms
         # A single lost response marks the log as unavailable briefly, but is not an outage.
--- a/savoryfork/publication.py
+++ b/savoryfork/publication.py
@@ -36,7 +36,7 @@
     Workspace,
 )
 from savoryfork.util import logs
-from savoryfork.util.topic import Fold, Page, Record, raw_offset
+from savoryfork.util.topic import Fold, Page, Record, era_of, raw_offset
 
 log = logging.getLogger(__name__)
 
@@ -110,6 +110,13 @@
     value: bytes
 
 
+class LostPublication(NamedTuple):
+    """An accepted publication that the log lost: its number in an earlier era, and its record."""
+
+    offset: int
+    value: dict[str, Any]
+
+
 class InvalidSnapshot(Exception):
     """Raised for a snapshot or checkpoint that this program can't read."""
 
@@ -201,6 +208,12 @@
 
     A removed file keeps the offset of its removal as its base. Otherwise a publication appended
     again after the removal would pass the conflict check and restore the file.
+
+    If the log came back from an older copy, the state is computed anew from the records that it
+    has, so all hosts still agree. `lost` holds the accepted publications that this host knows and
+    that the log has no verdict of; while there are any, the configuration of the fold must not take
+    effect. `moved` maps the numbers of lost publications to those at which they were appended
+    again. Neither is part of the agreed state.
     """
 
     def __init__(self) -> None:
@@ -216,6 +229,8 @@
         self.tail_start = 0
         self.tail_bytes = 0
         self.snapshot_cache: tuple[int, bytes] | None = None
+        self.lost: dict[str, LostPublication] = {}
+        self.moved: dict[int, int] = {}
 
     # Applying records.
 
@@ -268,6 +283,8 @@
             self.verdicts.popitem(last=False)
         if changes is not None:
             self.apply_changes(offset, value["files"], changes)
+        if publication_id in self.lost:
+            self.settle_lost(publication_id, verdict)
 
     def evaluate(self, offset: int, value: dict[str, Any]) -> tuple[Verdict, Changes | None]:
         """Evaluates a publish record against the current state without changing the state."""
@@ -406,8 +423,9 @@
     def install_snapshot(self, snapshot: bytes) -> bool:
         """Replaces the state by another host's snapshot if that is ahead; returns whether it was.
 
-        Neither the position nor the offset in effect ever decreases. The files of a snapshot were
-        validated by the host that wrote it, so they are parsed but not validated again.
+        The position never decreases, and the offset only if the log came back from an older copy.
+        The files of a snapshot were validated by the host that wrote it, so they are parsed but not
+        validated again.
         """
         if self.stopped_at is not None:
             return False
@@ -416,8 +434,12 @@
         except InvalidSnapshot as error:
             logs.event(log, "config_snapshot_refused", logging.WARNING, reason=str(error))
             return False
-        if state.position <= self.position or state.offset < self.configuration.offset:
+        restored = era_of(state.position) > era_of(self.position)
+        if state.position <= self.position:
+            return False
+        if state.offset < self.configuration.offset and not restored:
             return False
+        known, verdicts = self.accepted_publications(), self.verdicts
         items = {path: parse_file(path, document) for path, _, document in state.documents}
         self.position = state.position
         self.files = {path: Entry(offset, encode(doc)) for path, offset, doc in state.documents}
@@ -437,6 +459,8 @@
         self.tail_bytes = 0
         self.tail_start = self.position
         self.snapshot_cache = None
+        if restored:
+            self.keep_lost(known, verdicts)
         return True
 
     def checkpoint(self, record_id: str) -> dict[str, Any]:
@@ -463,7 +487,12 @@
                 self.apply(record)
             return True
         candidates = sorted(
-            (record for record in page.records if is_usable_checkpoint(record, page.start)),
+            (
+                record
+                for record in page.records
+                if is_usable_checkpoint(record, page.start)
+                and is_prefix(page.records, record.value["through"])
+            ),
             key=lambda record: record.value["through"],
             reverse=True,
         )
@@ -476,6 +505,74 @@
             return True
         return False
 
+    # A log that came back from an older copy.
+
+    def rebuild(self, page: Page) -> bool:
+        """Computes the state anew, and remembers the accepted publications that the log lost."""
+        fresh = ConfigFold()
+        if page.start > 0:
+            if not fresh.recover(page):
+                return False
+        else:
+            for record in page.records:
+                fresh.apply(record)
+        known, verdicts, moved = self.accepted_publications(), self.verdicts, self.moved
+        vars(self).update(vars(fresh))
+        self.moved = moved
+        self.keep_lost(known, verdicts)
+        return True
+
+    def accepted_publications(self) -> dict[str, LostPublication]:
+        """Returns the accepted publications whose records this host still holds, by id."""
+        found = dict(self.lost)
+        for record in self.tail:
+            value = msgspec.json.decode(record.value)
+            publication_id = value.get("id")
+            if value.get("type") != "publish" or not isinstance(publication_id, str):
+                continue
+            verdict = self.verdicts.get(publication_id, Verdict("", -1))
+            if verdict.state == "accepted" and verdict.offset == record.offset:
+                found[publication_id] = LostPublication(record.offset, value)
+        return found
+
+    def keep_lost(
+        self, known: Mapping[str, LostPublication], verdicts: Mapping[str, Verdict]
+    ) -> None:
+        """Remembers what the log lost of the publications that were accepted before."""
+        self.lost = {i: item for i, item in known.items() if i not in self.verdicts}
+        for publication_id, verdict in verdicts.items():
+            if verdict.state != "accepted" or publication_id in self.verdicts:
+                continue
+            held = publication_id in self.lost
+            logs.event(
+                log,
+                "publication_missing" if held else "publication_lost",
+                logging.WARNING if held else logging.ERROR,
+                id=publication_id,
+                offset=verdict.offset,
+            )
+
+    def settle_lost(self, publication_id: str, verdict: Verdict) -> None:
+        """Notes the new verdict of a publication that the log had lost."""
+        lost = self.lost.pop(publication_id)
+        if verdict.state == "accepted":
+            self.moved[lost.offset] = verdict.offset
+            return
+        logs.event(
+            log,
+            "publication_lost",
+            logging.ERROR,
+            id=publication_id,
+            offset=lost.offset,
+            verdict=verdict.state,
+        )
+
+    def record_to_repeat(self, publication_id: str) -> dict[str, Any]:
+        """Returns the record of a lost publication, based on the new numbers of earlier ones."""
+        value = self.lost[publication_id].value
+        base = {path: self.moved.get(offset, offset) for path, offset in value["base"].items()}
+        return {**value, "base": base}
+
 
 def references(path: str, configuration: Configuration) -> set[str]:
     """Returns the paths that a file of this configuration refers to."""
@@ -543,7 +640,20 @@
         type(value.get("schema")) is int
         and value["schema"] == SCHEMA
         and type(through) is int
-        and start <= through + 1 <= record.offset
+        and start <= raw_offset(through) + 1
+        and through < record.offset
+    )
+
+
+def is_prefix(records: Iterable[Record], through: int) -> bool:
+    """Returns whether the records up to `through` are those that its offset separates.
+
+    They are not if a checkpoint was written by a host that had not noticed that the log lost the
+    records that the checkpoint covers.
+    """
+    return all(
+        (record.offset <= through) == (raw_offset(record.offset) <= raw_offset(through))
+        for record in records
     )
 
 
--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -346,6 +346,7 @@
         self.expired = False
         self.start = 0
         self.era: int | None = None
+        self.position = fold.position
 
     async def run(self) -> None:
         """Reads until cancelled; retries during an outage of the log."""
@@ -365,17 +366,18 @@
         except LogRestored as error:
             await self.follow_restored(error)
             return
-        if self.era is None and self.fold.position == 0:
-            self.era = len(page.eras)
-        if len(page.eras) > (era_of(self.fold.position) if self.era is None else self.era):
+        era = len(page.eras)
+        # A host that has not noticed the restoration may have passed on records that are gone.
+        moved = self.fold.position != self.position and era_of(self.fold.position) < era
+        if moved or (self.era is not None and self.era < era):
             await self.follow_restored(LogRestored(page.start, page.end, page.eras))
             return
-        self.era = len(page.eras)
-        self.start = page.start
+        self.era, self.start = era, page.start
         for record in page.records:
             self.fold.apply(record)
         if self.fold.advance(page):
             self.caught_up.set()
+        self.position = self.fold.position
         if page.records:
             self.on_page()
             async with self.changed:
@@ -423,6 +425,7 @@
         self.era, self.start = len(page.eras), page.start
         if self.fold.advance(page):
             self.caught_up.set()
+        self.position = self.fold.position
         self.on_page()
         async with self.changed:
             self.changed.notify_all()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -6,11 +6,13 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from savoryfork import defaults, gossip
 from savoryfork.board import LogState
 from savoryfork.publication import publication_record
-from tests.fakes import FakeClock, FakeLog, FakeNetwork
+from tests.fakes import FakeClock, FakeHost, FakeLog, FakeNetwork
 from tests.test_files import ENC, files
 
 NAMES = [f"h{i}" for i in range(1, 9)]
@@ -284,3 +286,214 @@
     """Guards against "no version yet" decoded as the version at offset 0."""
     request: Any = cluster(["h1"])[0].hosts["h1"].gossip.build_request(want_records=True)
     assert gossip.Gossip.decode_offset(request.config_offset) == -1
+
+
+def change(name: str, base: int, limit: int) -> dict[str, Any]:
+    """Returns a publication that sets `max_inflight` of one service."""
+    value = publication_record(f"publication-{name}", "o", {ENC: base}, {})
+    value["files"] = {ENC: {**files()[ENC], "max_inflight": limit}}
+    return value
+
+
+def limit_of(host: FakeHost) -> int:
+    """Returns the `max_inflight` in effect at a host."""
+    return host.board.configuration.services["enc"].max_inflight
+
+
+async def settle(hosts: list[FakeHost]) -> None:
+    """Lets hosts read the log and append again what it lost, until all have read everything."""
+    for _ in range(3):
+        for host in hosts:
+            await host.read_log()
+            reading = asyncio.create_task(host.controller.reader.run())
+            await host.controller.tick()
+            reading.cancel()
+    for host in hosts:
+        await host.read_log()
+
+
+class TestRestoredLog:
+    async def test_accepted_publications_are_appended_again(self) -> None:
+        """Guards against a configuration that goes back, and hosts that disagree on the bases of
+        files, after the log lost publications of which the second is based on the first."""
+        network, log, _ = cluster(["h1", "h2", "h3"])
+        old, other, new = (network.hosts[name] for name in ("h1", "h2", "h3"))
+        first = log.add(change("zero-0", -1, 5))
+        second = log.add(change("one-1", first, 6))
+        log.add(change("two-2", second, 7))
+        for host in (old, other):
+            await host.read_log()
+        in_effect = old.board.configuration.offset
+        log.restore(1)
+        await new.read_log()
+        await old.read_log()
+        assert limit_of(old) == 7 and old.board.configuration.offset == in_effect
+        assert set(old.fold.lost) == {"publication-one-1", "publication-two-2"}
+        await settle([old, other, new])
+        assert {limit_of(host) for host in network.hosts.values()} == {7}
+        assert old.fold.files == other.fold.files == new.fold.files
+        assert old.fold.verdicts == other.fold.verdicts == new.fold.verdicts
+        assert old.board.configuration.offset == new.board.configuration.offset > in_effect
+        assert not old.fold.lost
+
+    async def test_newer_version_does_not_hide_a_lost_one(self) -> None:
+        """Guards against a publication of another file, accepted before the lost one is appended
+        again, that takes a change out of effect."""
+        network, log, _ = cluster(["h1"])
+        host = network.hosts["h1"]
+        first = log.add(change("zero-0", -1, 5))
+        log.add(change("one-1", first, 6))
+        await host.read_log()
+        log.restore(1)
+        other = change("new-1", -1, 3)
+        other["files"] = {"service/other.json": other["files"].pop(ENC)}
+        other["base"] = {}
+        log.add(other)
+        await host.read_log()
+        assert limit_of(host) == 6 and set(host.fold.lost) == {"publication-one-1"}
+        await settle([host])
+        assert limit_of(host) == 6 and set(host.board.configuration.services) == {"enc", "other"}
+
+    async def test_host_that_noticed_the_restoration_is_ahead_of_one_that_has_not(self) -> None:
+        """Guards against lost records that come back, because the position of a host that has read
+        the shorter log is lower than that of one that has not."""
+        network, log, _ = cluster(["h1", "h2"])
+        old, new = network.hosts["h1"], network.hosts["h2"]
+        log.add(change("one-1", log.add(change("zero-0", -1, 5)), 6))
+        await old.read_log()
+        log.restore(1)
+        await new.read_log()
+        assert new.fold.position > old.fold.position
+        await new.gossip.exchange("h1:1", "h1")
+        assert set(new.fold.verdicts) == {"publication-zero-0"}
+
+    async def test_one_of_the_operators_who_race_after_a_restoration_wins(self) -> None:
+        """Guards against two winners: one operator had seen the lost version at a host that
+        remembers it, the other an older one at a host that started from the copy."""
+        network, log, _ = cluster(["h1", "h2"])
+        old, new = network.hosts["h1"], network.hosts["h2"]
+        first = log.add(change("zero-0", -1, 5))
+        lost = log.add(change("one-1", first, 6))
+        await old.read_log()
+        log.restore(1)
+        await new.read_log()
+        log.add(change("late-2", lost, 8))
+        log.add(change("late-3", first, 9))
+        await settle([old, new])
+        verdicts = {name: verdict.state for name, verdict in new.fold.verdicts.items()}
+        assert verdicts["publication-late-2"] == "conflict"
+        assert verdicts["publication-late-3"] == "accepted"
+        assert old.fold.verdicts == new.fold.verdicts
+        assert limit_of(old) == limit_of(new) == 9
+
+    async def test_records_that_are_gone_do_not_come_back_from_a_peer(self) -> None:
+        """Guards against a host that mixes the lost records of a peer that has not noticed the
+        restoration with those written since."""
+        network, log, _ = cluster(["h1", "h2"])
+        old, new = network.hosts["h1"], network.hosts["h2"]
+        first = log.add(change("zero-0", -1, 5))
+        log.add(change("one-1", first, 6))
+        await old.read_log()
+        log.restore(1)
+        log.add(change("new-1", first, 7))
+        log.add(change("new-2", log.records[-1].offset, 8))
+        new.fold.apply(log.records[0])
+        await new.gossip.exchange("h1:1", "h1")
+        await settle([new, old])
+        assert set(new.fold.verdicts) >= {"publication-new-1", "publication-new-2"}
+        assert new.fold.files == old.fold.files and limit_of(new) == limit_of(old) == 8
+
+    async def test_newer_era_reaches_a_host_that_can_not_read_the_log(self) -> None:
+        """Guards against a host without the log that applies records of the newer era to a state
+        that they don't continue."""
+        network, log, _ = cluster(["h1", "h2"])
+        reader, cut = network.hosts["h1"], network.hosts["h2"]
+        first = log.add(change("zero-0", -1, 5))
+        log.add(change("one-1", first, 6))
+        for host in (reader, cut):
+            await host.read_log()
+        log.restore(1)
+        log.add(change("new-1", first, 7))
+        log.add(change("new-2", log.records[-1].offset, 8))
+        await settle([reader])
+        log.down = True
+        await cut.gossip.exchange("h1:1", "h1")
+        assert cut.fold.files == reader.fold.files and limit_of(cut) == 8
+
+    async def test_host_without_the_lost_record_raises_an_alarm(
+        self, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Guards against a lost publication that nobody can append again and nobody hears of."""
+        monkeypatch.setattr(defaults, "CONFIG_TAIL_RECORDS", 0)
+        network, log, _ = cluster(["h1"])
+        host = network.hosts["h1"]
+        log.add(change("one-1", log.add(change("zero-0", -1, 5)), 6))
+        await host.read_log()
+        log.restore(1)
+        await host.read_log()
+        assert "publication_lost" in caplog.text and "publication-one-1" in caplog.text
+        assert limit_of(host) == 6
+
+    async def test_checkpoint_of_lost_records_is_not_used(self) -> None:
+        """Guards against a checkpoint that a host appended before it noticed the restoration: a
+        reader past retention would start from publications that are gone."""
+        network, log, _ = cluster(["h1", "h2"])
+        old, new = network.hosts["h1"], network.hosts["h2"]
+        first = log.add(change("zero-0", -1, 5))
+        log.add(old.fold.checkpoint("early") | {"through": 0})
+        log.add(change("one-1", first, 6))
+        await old.read_log()
+        log.restore(2)
+        for number in range(2):
+            log.add(change(f"new-{number}", log.records[-1].offset if number else first, 7))
+        log.add(old.fold.checkpoint("late"))
+        log.retain(len(log.records) - 2)
+        fold = new.fold
+        page = await log.read("config", log.start, 100)
+        assert not fold.recover(page) and fold.position == 0
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.just("read"), st.integers(0, 2)),
+                st.tuples(st.just("publish"), st.integers(0, 2)),
+                st.tuples(st.just("restore"), st.integers(0, 3)),
+                st.tuples(st.just("exchange"), st.integers(0, 2)),
+                st.tuples(st.just("settle"), st.integers(0, 2)),
+            ),
+            max_size=25,
+        )
+    )
+    def test_hosts_agree_and_nothing_goes_back(self, steps: list[tuple[str, int]]) -> None:
+        """Guards against hosts that disagree for good, and a configuration that goes back, in any
+        order of reads, publications, exchanges and restorations."""
+
+        async def play() -> None:
+            network, log, _ = cluster(["h1", "h2", "h3"])
+            hosts = list(network.hosts.values())
+            newest = [-1] * len(hosts)
+            for count, (step, number) in enumerate(steps):
+                host = hosts[number % len(hosts)]
+                if step == "read":
+                    await host.read_log()
+                elif step == "publish":
+                    log.add(change(f"step-{count}", host.fold.base_offset(ENC), 1 + count))
+                elif step == "restore":
+                    log.restore(max(0, len(log.records) - number))
+                elif step == "exchange":
+                    await host.gossip.tick()
+                else:
+                    await settle([host])
+                for index, each in enumerate(hosts):
+                    assert each.board.configuration.offset >= newest[index]
+                    newest[index] = each.board.configuration.offset
+            await settle(hosts)
+            assert len({tuple(sorted(host.fold.files.items())) for host in hosts}) == 1
+            verdicts = [dict(host.fold.verdicts) for host in hosts]
+            assert verdicts[0] == verdicts[1] == verdicts[2]
+            in_effect = {host.board.configuration.offset for host in hosts}
+            assert in_effect == {max(newest + list(in_effect))}
+            assert not any(host.fold.lost for host in hosts)
+
+        asyncio.run(play())
