Run no key again whose claim the log lost

A key that was claimed before the log came back from an older copy was won once more at another host.

Cause: the fold of a claims topic took the records that it had read for all that were ever appended. Ruled out: reading back and the order of claims, which held in both eras.

The log's pages tell when it came back. A new claim does not win, by the fold's rule, if the time of its key is not later than that plus the permitted difference of clocks (10 s); callers get idempotency_key_expired, not known to have run. This needs no host that remembers. Owners that read the lost claims and outcomes append them again, so that retries get their answers; such a claim holds its key but starts no run.

Before: a script that claimed a key, took the log back and claimed it at another host printed Won twice. After: TestRestoredLog in test_claims.py.

--- a/savoryfork/claimfold.py
+++ b/savoryfork/claimfold.py
@@ -3,23 +3,28 @@
 Records are JSON objects with `schema`, `type`, `id`, `workspace` and `key`, plus by type:
 
 * `claim`: `pipeline`, `digest`, `claimant`, `deadline_ms` (Unix time). `id` is the claim's id.
+  `restored` is true if the claim had won before the log lost it.
 * `release`: `claim`.
 * `outcome`: `claim`, `state` (done, rejected or unknown), `answer`.
 
 A key is a UUIDv7. Its timestamp bounds how long its state has to be kept: by the log's clock, no
 claim wins more than `KEY_MAX_AHEAD_MS` before or `KEY_RETENTION_MS` after that time.
+
+If the log came back from an older copy, a claim of an older key may be gone although its run took
+effect. So no new claim of a key wins whose time is not later than the restoration.
 """
 
 from __future__ import annotations
 
 import math
 import sys
+import uuid
 from typing import Any, NamedTuple
 
 import msgspec
 
 from savoryfork import defaults
-from savoryfork.util.topic import Fold, Record
+from savoryfork.util.topic import Fold, OffsetExpired, Record, era_of
 
 SCHEMA = 1
 
@@ -36,6 +41,7 @@
 RUNNING = "running"
 RELEASED = "released"
 EXPIRED = "expired"
+LOST = "lost"
 OUTCOMES = frozenset({"done", "rejected", "unknown"})
 NO_IDS: frozenset[str] = frozenset()
 
@@ -43,7 +49,7 @@
 
 
 class KeyState(NamedTuple):
-    """State of a key: running, done, rejected, unknown, released or expired.
+    """State of a key: running, done, rejected, unknown, released, expired or lost.
 
     `claim` is the record id of the claim that holds or last held the key, `claimant` the process
     that made that claim. `claimed_ms` is the log's time; `deadline_wall_ms` is Unix time.
@@ -140,6 +146,7 @@
         self.entries: dict[KeyId, Entry] = {}
         self.recent: list[tuple[str, KeyId]] = []
         self.unsupported = False
+        self.entries_before: dict[KeyId, Entry] = {}
         self.restart(0)
 
     def restart(self, start: int) -> None:
@@ -150,7 +157,7 @@
         fold is incomplete.
         """
         self.position = start
-        self.entries.clear()
+        self.entries = {}
         self.buckets: dict[int, list[KeyId]] = {}
         self.now_ms = 0
         self.complete_from_ms = 0.0 if start == 0 else math.inf
@@ -159,6 +166,14 @@
         """True if no relevant record of the key can precede the records that this fold read."""
         return not self.unsupported and key_time(key) > self.complete_from_ms
 
+    def lost(self, key: str, era: int | None = None) -> bool:
+        """True if a claim of the key may have been lost when an era of the log began.
+
+        That is the newest era unless `era` is given.
+        """
+        last = len(self.eras) if era is None else era
+        return last > 0 and key_time(key) <= self.eras[last - 1] + KEY_MAX_AHEAD_MS
+
     def expired(self, key: str) -> bool:
         """True if no claim of the key can win any more, so that its state may be dropped."""
         return key_time(key) + KEY_RETENTION_MS < self.now_ms
@@ -216,7 +231,8 @@
         claim = value["id"]
         if entry.is_decided(claim):
             return
-        if entry.state not in ("", RELEASED) or self.ahead(value["key"]):
+        lost = self.lost(value["key"], era_of(record.offset)) and value.get("restored") is not True
+        if entry.state not in ("", RELEASED) or self.ahead(value["key"]) or lost:
             entry.retire(claim)
             return
         fields = (value["pipeline"], value["digest"], value["claimant"], int(value["deadline_ms"]))
@@ -256,6 +272,47 @@
             self.buckets.setdefault(key_time(key_id[1]) // BUCKET_MS, []).append(key_id)
         return found
 
+    def restart_restored(self, error: OffsetExpired) -> None:
+        """Restarts after the log came back from an older copy, and remembers the entries."""
+        self.entries_before = {**self.entries_before, **self.entries}
+        self.eras = error.eras
+        self.restart(error.start)
+
+    def records_to_repeat(self) -> list[dict[str, Any]]:
+        """Returns records of claims and outcomes that were read before the log lost them."""
+        records: list[dict[str, Any]] = []
+        for (workspace, key), before in self.entries_before.items():
+            entry = self.get(workspace, key) or Entry()
+            if before.state in ("", RELEASED) or self.expired(key):
+                continue
+            header = {"schema": SCHEMA, "workspace": workspace, "key": key}
+            if not entry.is_decided(before.claim) and entry.state in ("", RELEASED):
+                fields = {
+                    "type": "claim",
+                    "id": before.claim,
+                    "pipeline": before.pipeline,
+                    "digest": before.digest,
+                    "claimant": before.claimant,
+                    "deadline_ms": before.deadline_ms,
+                    "restored": True,
+                }
+                records.append({**header, **fields})
+            elif entry.claim != before.claim or entry.state != RUNNING:
+                continue
+            if before.state in OUTCOMES:
+                answer = msgspec.json.decode(before.answer) if before.answer is not None else None
+                records.append(
+                    {
+                        **header,
+                        "type": "outcome",
+                        "id": str(uuid.uuid4()),
+                        "claim": before.claim,
+                        "state": before.state,
+                        "answer": answer,
+                    }
+                )
+        return records
+
     def forget_expired(self) -> None:
         """Drops the keys past the window, in buckets of a minute."""
         for bucket in [
--- a/savoryfork/claimowner.py
+++ b/savoryfork/claimowner.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import logging
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -13,6 +14,7 @@
 from savoryfork import defaults
 from savoryfork.claimfold import (
     EXPIRED,
+    LOST,
     RELEASED,
     RUNNING,
     ClaimFold,
@@ -25,14 +27,25 @@
 from savoryfork.proto import peer_pb2
 from savoryfork.util import logs
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired, TopicReader
+from savoryfork.util.topic import (
+    LogClient,
+    LogRestored,
+    LogUnavailable,
+    OffsetExpired,
+    TopicReader,
+    report_restored,
+)
 
 log = logging.getLogger(__name__)
 
 # Delay before a failed append is retried, unless its records have been read by then.
 APPEND_RETRY_MS = 100
 
+# Delay before claims that the log lost and that could not be appended again are tried once more.
+REPEAT_RETRY_MS = 1_000
+
 EXPIRED_STATE = KeyState(EXPIRED, "", "", "", "", 0, 0, None)
+LOST_STATE = KeyState(LOST, "", "", "", "", 0, 0, None)
 
 
 class Status(enum.IntEnum):
@@ -69,7 +82,12 @@
 
 
 class ClaimReader(TopicReader):
-    """Follows a claims topic; restarts at the oldest record after falling behind retention."""
+    """Follows a claims topic; restarts at the oldest record after falling behind retention.
+
+    `on_restored` is called when the log came back from an older copy.
+    """
+
+    on_restored: Callable[[], None] = staticmethod(lambda: None)
 
     async def restart(self, error: OffsetExpired) -> None:
         """Rebuilds the fold from the retained records; the fold tracks which keys they cover."""
@@ -77,6 +95,15 @@
         self.caught_up.clear()
         self.fold.restart(error.start)
 
+    async def follow_restored(self, error: LogRestored) -> None:
+        """Reads the topic again from its start; the partition then repeats what the log lost."""
+        assert isinstance(self.fold, ClaimFold)
+        self.caught_up.clear()
+        report_restored(self.topic, self.fold.position, error)
+        self.fold.restart_restored(error)
+        self.era, self.position = len(error.eras), self.fold.position
+        self.on_restored()
+
 
 class Partition:
     """One partition while this host serves it.
@@ -98,6 +125,7 @@
             limit=defaults.LOG_READ_LIMIT,
             on_page=self.on_page,
         )
+        self.reader.on_restored = self.start_repeating
         self.last_used_ms = clock.monotonic_ms()
         self.queue: list[Queued] = []
         self.unconfirmed: dict[str, asyncio.Future[None]] = {}
@@ -105,6 +133,7 @@
         self.unread_ids: set[str] = set()
         self.batch_read = asyncio.Event()
         self.appender: asyncio.Task[None] | None = None
+        self.repeater: asyncio.Task[None] | None = None
         self.task = asyncio.get_running_loop().create_task(self.reader.run(), name=self.topic)
 
     def on_page(self) -> None:
@@ -121,6 +150,32 @@
         if not self.unread_ids:
             self.batch_read.set()
 
+    def start_repeating(self) -> None:
+        """Starts to append claims again that the log lost, unless that is going on."""
+        if self.repeater is None or self.repeater.done():
+            self.repeater = asyncio.get_running_loop().create_task(self.repeat_lost())
+
+    async def repeat_lost(self) -> None:
+        """Appends claims and outcomes again that the log lost, until they are read back."""
+        while True:
+            await self.reader.caught_up.wait()
+            records = self.fold.records_to_repeat()
+            if not records:
+                self.fold.entries_before = {}
+                return
+            logs.event(
+                log, "claims_repeated", logging.WARNING, topic=self.topic, records=len(records)
+            )
+            until_ms = self.clock.monotonic_ms() + defaults.CLAIM_TIMEOUT_MS
+            landed = await asyncio.gather(
+                *(
+                    self.append(record, len(msgspec.json.encode(record)), until_ms)
+                    for record in records
+                )
+            )
+            if not all(landed):
+                await asyncio.sleep(REPEAT_RETRY_MS / 1000)
+
     async def caught_up(self, until_ms: float) -> bool:
         """Waits until the reader has caught up since its last start; False on time-out."""
         if self.reader.caught_up.is_set():
@@ -235,7 +290,7 @@
 
     async def stop(self) -> None:
         """Stops reading and appending."""
-        tasks = [self.task] if self.appender is None else [self.task, self.appender]
+        tasks = [t for t in (self.task, self.appender, self.repeater) if t is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -273,7 +328,9 @@
         """Stops partitions unused for `defaults.CLAIM_IDLE_MS`; to be called periodically."""
         now = self.clock.monotonic_ms()
         for number, partition in list(self.partitions.items()):
-            idle = not partition.unconfirmed and not partition.watchers
+            idle = not (
+                partition.unconfirmed or partition.watchers or partition.fold.entries_before
+            )
             if idle and now - partition.last_used_ms >= defaults.CLAIM_IDLE_MS:
                 del self.partitions[number]
                 await partition.stop()
@@ -303,7 +360,7 @@
             entry = fold.get(*key_id)
         held = entry is not None and entry.state not in ("", RELEASED)
         decided = entry is not None and entry.is_decided(record["id"])
-        if not (held or decided or fold.expired(record["key"])):
+        if not (held or decided or fold.expired(record["key"]) or fold.lost(record["key"])):
             # An empty fold is not refused: the append itself shows from when it is complete.
             if not fold.complete(record["key"]) and fold.now_ms:
                 return Reply(Status.NOT_OWNER)
@@ -353,11 +410,16 @@
     async def reply(self, partition: Partition, key_id: KeyId, until_ms: float) -> Reply:
         """Builds the reply for a key from the current fold."""
         workspace, key = key_id
+        if not await partition.caught_up(until_ms):
+            return Reply(Status.LOG_UNAVAILABLE)
         if partition.fold.expired(key):
             return Reply(Status.SETTLED, EXPIRED_STATE)
         if not partition.fold.complete(key):
             return Reply(Status.LOG_UNAVAILABLE)
         entry = partition.fold.get(workspace, key)
+        free = entry is None or entry.state in ("", RELEASED)
+        if free and partition.fold.lost(key):
+            return Reply(Status.SETTLED, LOST_STATE)
         state = entry.view() if entry is not None else None
         if entry is not None and state is not None and entry.answer_offset >= 0:
             found, answer = await self.stored_answer(partition, entry, until_ms)
--- a/savoryfork/claims.py
+++ b/savoryfork/claims.py
@@ -16,7 +16,7 @@
 
 from savoryfork import defaults
 from savoryfork.board import Board
-from savoryfork.claimfold import EXPIRED, RELEASED, RUNNING, KeyId, KeyState, key_time
+from savoryfork.claimfold import EXPIRED, LOST, RELEASED, RUNNING, KeyId, KeyState, key_time
 from savoryfork.claimowner import ClaimOwner, partition_of
 from savoryfork.claimpeers import MIN_WAIT_MS, AskResult, Owners, PeerCall
 from savoryfork.errors import ErrorKind, Ran, ServiceError
@@ -199,6 +199,9 @@
         if state.state == EXPIRED:
             self.start_release(request, claim)
             raise expired_key()
+        if state.state == LOST:
+            self.start_release(request, claim)
+            raise lost_key()
         return state
 
     async def release(self, request: ClaimRequestData, claim: str) -> None:
@@ -271,6 +274,8 @@
         state = result.reply.state
         if state is not None and state.state == EXPIRED:
             raise expired_key()
+        if state is not None and state.state == LOST:
+            raise lost_key()
         return state
 
     def pending(self) -> int:
@@ -438,6 +443,15 @@
     )
 
 
+def lost_key() -> ServiceError:
+    """Returns the error for a key whose claim may be among the records that the log lost."""
+    return ServiceError(
+        ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+        "the platform's log lost records of the time of this Idempotency-Key; check whether the "
+        "request ran, and use a new key for a new request",
+    )
+
+
 def log_unavailable() -> ServiceError:
     """Returns the error for a claim or lookup that the log did not answer."""
     return ServiceError(
--- a/savoryfork/util/topic.py
+++ b/savoryfork/util/topic.py
@@ -279,9 +279,11 @@
     """State that is a pure function of a topic's records; see `publication` and `claims`.
 
     `position` is the number of the next record to apply. `apply` must ignore a record below it.
+    `eras` are those of the log at the last read, as in `Page`.
     """
 
     position: int = 0
+    eras: tuple[int, ...] = ()
 
     def advance(self, page: Page) -> bool:
         """Returns whether the records of the page's topic are all applied.
@@ -373,6 +375,7 @@
             await self.follow_restored(LogRestored(page.start, page.end, page.eras))
             return
         self.era, self.start = era, page.start
+        self.fold.eras = page.eras
         for record in page.records:
             self.fold.apply(record)
         if self.fold.advance(page):
@@ -423,6 +426,7 @@
             await asyncio.sleep(1)
             return
         self.era, self.start = len(page.eras), page.start
+        self.fold.eras = page.eras
         if self.fold.advance(page):
             self.caught_up.set()
         self.position = self.fold.position
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,6 +12,7 @@
 
 from savoryfork import defaults
 from savoryfork.board import LogState
+from savoryfork.claimfold import KEY_MAX_AHEAD_MS
 from savoryfork.claimowner import ClaimOwner, Reply, Status, partition_of, topic_of
 from savoryfork.claimpeers import AskResult
 from savoryfork.claims import Existing, KeyState, Won, omitted
@@ -493,3 +494,120 @@
         with pytest.raises(AssertionError, match="sent twice"):
             for seed in range(10):
                 simulate(seed, OwnerWithoutReadBack)
+
+
+@pytest.mark.looptime
+class TestRestoredLog:
+    async def won(self, cluster: Cluster, key: str) -> tuple[Host, Won]:
+        """Claims a key at the first owner of its partition."""
+        host = cluster.by_rank(key)[0]
+        won = await host.claims.claim(cluster.request(key))
+        assert isinstance(won, Won)
+        return host, won
+
+    @pytest.mark.parametrize("gone", [False, True])
+    async def test_key_whose_claim_was_lost_does_not_run_again(self, gone: bool) -> None:
+        """Guards against a second run of a key whose claim the log lost, also if every host that
+        knew of it is gone."""
+        cluster = Cluster("a", "b", "c")
+        key = make_key(1)
+        first, _ = await self.won(cluster, key)
+        if gone:
+            first.killed = True
+            for host in cluster.hosts.values():
+                if host is first:
+                    await host.owner.stop()
+                host.board.hosts = {
+                    name: view
+                    for name, view in host.board.hosts.items()
+                    if cluster.hosts[name] is not first
+                }
+        await cluster.log.restore({})
+        other = cluster.by_rank(key)[1]
+        await asyncio.sleep(0.5)
+        if gone:
+            with pytest.raises(ServiceError) as caught:
+                await other.claims.claim(cluster.request(key))
+            assert caught.value.kind == ErrorKind.IDEMPOTENCY_KEY_EXPIRED
+            assert caught.value.ran == Ran.UNKNOWN
+            with pytest.raises(ServiceError):
+                await other.claims.lookup("w", key, 0)
+        else:
+            found = await other.claims.claim(cluster.request(key))
+            assert isinstance(found, Existing) and found.state.state == "running"
+        await cluster.stop()
+
+    async def test_lost_outcome_is_answered_again(self) -> None:
+        """Guards against a retry that gets no answer although a host still holds it."""
+        cluster = Cluster("a", "b")
+        key = make_key(1)
+        request = cluster.request(key)
+        host, won = await self.won(cluster, key)
+        copy = cluster.log.copy()
+        assert await host.claims.settle(request, won.claim, "done", {"answer": 7})
+        for records in (copy, {}):
+            await cluster.log.restore(records)
+            await asyncio.sleep(0.5)
+            found = await cluster.by_rank(key)[1].claims.claim(request)
+            assert isinstance(found, Existing)
+            assert (found.state.state, found.state.answer) == ("done", {"answer": 7})
+        await cluster.stop()
+
+    async def test_claim_of_a_host_that_has_not_noticed_does_not_win(self) -> None:
+        """Guards against an owner that appends a claim before it has noticed that the log came back
+        without the claim that holds the key."""
+        cluster = Cluster("a", "b")
+        key = make_key(1)
+        first, late = cluster.by_rank(key)
+        late.owner.partition(partition_of("w", key))
+        await asyncio.sleep(0.1)
+        await self.won(cluster, key)
+        first.killed = True
+        await first.owner.stop()
+        late.board.hosts = {}
+        # The restored log has other records, so that its end is not below the reader's position.
+        topic = topic_of(partition_of("w", key))
+        filler = [{"schema": 1, "type": "none", "id": str(n)} for n in range(3)]
+        await cluster.log.restore({})
+        record = {
+            "schema": 1,
+            "type": "claim",
+            "id": "late-claim",
+            "workspace": "w",
+            "pipeline": "p",
+            "key": key,
+            "digest": "d",
+            "claimant": "b/b-1",
+            "deadline_ms": 0,
+        }
+        await late.client.append(topic, [*filler, record])
+        await asyncio.sleep(0.5)
+        entry = late.owner.partition(partition_of("w", key)).fold.get("w", key)
+        assert entry is None or entry.claim != "late-claim"
+        await cluster.stop()
+
+    async def test_keys_made_after_the_restoration_run(self) -> None:
+        """Guards against a restoration that stops keyed work for longer than the clocks may
+        differ, in partitions that hosts use and in those that they don't."""
+        cluster = Cluster("a", "b")
+        await self.won(cluster, make_key(1))
+        await cluster.log.restore({})
+        await asyncio.sleep((KEY_MAX_AHEAD_MS + 1_000) / 1000)
+        for number in range(20):
+            key = make_key(100 + number, -(KEY_MAX_AHEAD_MS + 1_000))
+            assert isinstance(await cluster.hosts["a"].claims.claim(cluster.request(key)), Won)
+        await cluster.stop()
+
+    async def test_claimant_keeps_its_run_and_a_release_frees_nothing(self) -> None:
+        """Guards against a released key that runs again: an earlier claim of it may be lost."""
+        cluster = Cluster("a", "b")
+        key = make_key(1)
+        host, won = await self.won(cluster, key)
+        copy = cluster.log.copy()
+        await cluster.log.restore(copy)
+        await asyncio.sleep(0.5)
+        await host.claims.release(cluster.request(key), won.claim)
+        with pytest.raises(ServiceError) as caught:
+            await host.claims.claim(cluster.request(key))
+        assert caught.value.kind == ErrorKind.IDEMPOTENCY_KEY_EXPIRED
+        await cluster.stop()
