Wait out leases that the log lost

After the log had come back from an older copy, the offset of a lost lease was given to a later one: an engine that had seen 5 was sent 3, and would have refused it. A host that started then could send orders beside a holder that still counted on the lost lease.

Cause: the fencing number was an offset alone, and the copy may show a lease as released or none at all. Ruled out: the holder's own clock, which ends its lease in time; it only doesn't know that it is lost.

--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -42,7 +42,13 @@
 from savoryfork.pipeline import Service
 from savoryfork.util import logs, rendezvous
 from savoryfork.util.timer import TimerService
-from savoryfork.util.topic import LogClient, LogUnavailable, OffsetExpired
+from savoryfork.util.topic import (
+    LogClient,
+    LogRestored,
+    LogUnavailable,
+    OffsetExpired,
+    report_restored,
+)
 
 log = logging.getLogger(__name__)
 
@@ -112,6 +118,8 @@
         self.fold = LeaseFold()
         self.read_ms = 0.0
         self.settled_ms = 0.0
+        self.era: int | None = None
+        self.restored_wait_until_ms = 0.0
         self.services: dict[str, ServiceOrders] = {}
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=order_socket),
@@ -227,10 +235,19 @@
                 page = await self.client.read(
                     defaults.LEASE_TOPIC, self.fold.position, defaults.LOG_READ_LIMIT
                 )
+            except LogRestored as gone:
+                self.follow_restored(gone)
+                continue
             except OffsetExpired as gone:
                 self.fold.restart(gone.start)
                 self.settled_ms = self.clock.monotonic_ms() + SETTLE_MS
                 continue
+            if self.era is None and page.eras:
+                self.wait_for_lost_leases(page.eras[-1])
+            if self.era is not None and self.era < len(page.eras):
+                self.follow_restored(LogRestored(page.start, page.end, page.eras))
+                continue
+            self.era = len(page.eras)
             for record in page.records:
                 self.fold.apply(record)
             if self.fold.advance(page):
@@ -241,8 +258,31 @@
             orders.local_lease.update(self.fold.leases.get(name), now)
             self.update_lease_state(name, orders, orders.local_lease.remaining_ms(now) > 0)
         settled = self.fold.settled or now >= self.settled_ms
+        if now < self.restored_wait_until_ms:
+            return False
         return settled and not self.fold.unsupported
 
+    def follow_restored(self, error: LogRestored) -> None:
+        """Reads the leases anew after the log came back from an older copy.
+
+        A lease that the log lost may still be held by a host that has not noticed, and the copy may
+        show it as released. So no order is sent until the lost lease has surely ended.
+        """
+        report_restored(defaults.LEASE_TOPIC, self.fold.position, error)
+        self.fold.restart(error.start)
+        if error.start > 0:
+            self.settled_ms = self.clock.monotonic_ms() + SETTLE_MS
+        self.era = len(error.eras)
+        wait_ms = defaults.LEASE_TTL_MS + defaults.LEASE_MARGIN_MS
+        self.restored_wait_until_ms = self.clock.monotonic_ms() + wait_ms
+
+    def wait_for_lost_leases(self, restored_wall_ms: int) -> None:
+        """Waits out lost leases on a host that starts shortly after the log came back."""
+        longest_ms = defaults.LEASE_TTL_MS + defaults.LEASE_MARGIN_MS + defaults.CLOCK_SKEW_MS
+        left_ms = restored_wall_ms + longest_ms - self.clock.wall_ms()
+        wait_ms = max(0.0, min(left_ms, longest_ms))
+        self.restored_wait_until_ms = self.clock.monotonic_ms() + wait_ms
+
     async def append(self, services: Iterable[Service]) -> None:
         """Acquires, renews and releases leases in one append, then reads the outcome."""
         now = self.clock.monotonic_ms()
@@ -324,6 +364,8 @@
             return "stopping"
         if self.board.configuration.offset != config:
             return "configuration_changed"
+        if now < self.restored_wait_until_ms:
+            return "log_restored"
         if now - self.read_ms > defaults.ORDER_MAX_LEASE_AGE_MS or self.timer.paused_since(
             self.read_ms
         ):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -259,6 +259,36 @@
             assert len(calls) == 2
         assert len(engine.received) == (fault == "none")
 
+    async def test_lease_that_the_log_lost(self, caplog: pytest.LogCaptureFixture) -> None:
+        """Guards against fencing numbers that are given out again, which engines refuse, and orders
+        beside a holder that has not noticed that its lease is gone."""
+        engine = Engine(*[202] * 9)
+        async with running_controller(engine) as (controller, _, tick):
+            await tick(0)
+            lost = engine.received[0]["fencing"]
+            controller.client.restore(0)
+            # Orders would be repeated only after a delay that is longer than the wait.
+            controller.services["s"].sent.clear()
+            for _ in range(10):
+                await tick(1_000)
+            assert len(engine.received) == 1
+            assert "topic_restored" in caplog.text
+            for _ in range(8):
+                await tick(1_000)
+            assert len(engine.received) > 1
+            assert all(order["fencing"] > lost for order in engine.received[1:])
+
+    @pytest.mark.parametrize(("age_ms", "waits"), [(1_000, True), (60_000, False)])
+    async def test_host_that_starts_after_a_restoration(self, age_ms: int, waits: bool) -> None:
+        """Guards against a new host that sends orders beside the holder of a lost lease: the copy
+        may show no lease at all."""
+        engine = Engine(*[202] * 9)
+        async with running_controller(engine) as (controller, clock, tick):
+            controller.client.eras = (int(clock.now_ms) - age_ms,)
+            for _ in range(4):
+                await tick(1_000)
+            assert bool(engine.received) == (not waits)
+
     async def test_retry_after_is_respected(self) -> None:
         """Guards against sending orders before the target's Retry-After has passed."""
         engine = Engine(429, 202)
