Let the soak restore its store, silence replicas and write odd entries

The soak could not show three faults that were reported: its store never went back, its replicas were never silent in mid-stream, and all entries were sound.

The stand-in store has copies, an era in all answers, and 410 for a read beyond the end. A run loses three versions of the configuration, which the operator writes again; others follow. New checks: a published key works, one process never goes back, a stream of a silent target is not cut, an odd entry is not used.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 flags.DEFINE_integer("seed", 1, "seed of the faults and of the callers")
 flags.DEFINE_float("seconds", 10.0, "faults begin within this many seconds")
 flags.DEFINE_integer("faults", 14, "number of faults")
+flags.DEFINE_list("kinds", list(faults.KINDS), "kinds of faults")
 flags.DEFINE_integer("hosts", 3, "forwarding hosts")
 flags.DEFINE_integer("callers", 12, "concurrent callers")
 flags.DEFINE_string("folder", "run/soak", "directory for the settings and logs of the hosts")
@@ -35,7 +36,7 @@
     seed, seconds = FLAGS.seed, FLAGS.seconds
     folder = Path(FLAGS.folder) / str(seed)
     folder.mkdir(parents=True, exist_ok=True)
-    plan = faults.plan(seed, seconds, FLAGS.faults)
+    plan = faults.plan(seed, seconds, FLAGS.faults, FLAGS.kinds)
     async with Site(FLAGS.hosts, folder) as site:
         callers = Callers(site, seed, FLAGS.callers)
         sending = asyncio.create_task(callers.run())
@@ -57,7 +58,15 @@
             runs.update(replica.run_counts)
         requests = [request for _, replica in site.replicas for request in replica.received]
         violations = promises.check(callers.attempts, runs, requests, site.revoked)
+        violations += promises.check_incarnations(callers.attempts, runs, site.revoked)
+        violations += promises.check_applied(
+            callers.attempts, site.published, site.revoked, site.outages
+        )
+        violations += promises.check_pauses(callers.attempts, site.streams_broken_off())
         violations += [promises.Break("exit", None, text) for text in site.unexpected_exits]
+        if site.odd_connections:
+            text = f"{site.odd_connections} connections to addresses of odd entries"
+            violations.append(promises.Break("odd_entry_used", None, text))
     statuses = Counter(str(attempt.status) for attempt in callers.attempts)
     return {
         "seed": seed,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -74,7 +74,7 @@
         method = "GET" if kind == "view" else "POST"
         body = None if kind == "view" else request_id.encode()
         calm = self.calm
-        sent_at = loop.time()
+        sent_at, incarnation = loop.time(), host.started_at
         status, right, whole, connected = None, False, False, True
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + TIMEOUT_MARGIN_S)
         url = f"http://{host.callers}/{kind}/{request_id}"
@@ -106,6 +106,7 @@
             connected,
             disturbed,
             calm,
+            incarnation if incarnation == host.started_at else None,
         )
 
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 from typing import Any, NamedTuple
 
 # Statuses that guarantee that a request has not run and never will.
@@ -21,6 +22,9 @@
 # A revoked key stops working on every host within this time.
 KEY_REVOCATION_S = 5.0
 
+# A published key works on every undisturbed host within this time, while the store is there.
+CONFIG_APPLY_S = 5.0
+
 # Fraction of the requests after the last fault that the platform's rules require to be served.
 MIN_SERVED_SHARE = 0.25
 
@@ -29,7 +33,8 @@
     """One request as its caller saw it; `status` is None without a complete response head.
 
     `connected` is False if connecting failed. `disturbed` is True if, during the request, its host
-    was killed, frozen or restarting, or the event loop of this process was delayed.
+    was killed, frozen or restarting, or the event loop of this process was delayed. `incarnation`
+    is the start of the host's process, None if it was restarted during the request.
     """
 
     id: str
@@ -45,6 +50,7 @@
     connected: bool
     disturbed: bool
     calm: bool
+    incarnation: float | None = None
 
 
 class Break(NamedTuple):
@@ -106,6 +112,76 @@
     return violations
 
 
+def check_incarnations(
+    attempts: Sequence[Attempt], runs: Mapping[str, int], revoked: Mapping[str, float]
+) -> list[Break]:
+    """Returns where one incarnation of a host went back to an older configuration.
+
+    That is, where it refused a key that it had served and that is still valid, or ran a request
+    with a key that it had refused since the key was revoked.
+    """
+    violations = []
+    served: dict[tuple[int, float, str], float] = {}
+    refused: dict[tuple[int, float, str], float] = {}
+    for attempt in sorted(attempts, key=lambda a: a.ended_at):
+        if attempt.incarnation is None:
+            continue
+        scope = (attempt.host, attempt.incarnation, attempt.key)
+        revoked_at = revoked.get(attempt.key, math.inf)
+        ran = runs.get(attempt.id, 0) > 0
+        if attempt.status == 200 and attempt.whole:
+            served.setdefault(scope, attempt.ended_at)
+        if attempt.status == 401 and attempt.sent_at > revoked_at:
+            refused.setdefault(scope, attempt.ended_at)
+        valid = attempt.ended_at < revoked_at
+        if attempt.status == 401 and valid and served.get(scope, math.inf) < attempt.sent_at:
+            violations.append(Break("went_back", attempt, "a valid key that was served before"))
+        if ran and refused.get(scope, math.inf) < attempt.sent_at:
+            violations.append(Break("went_back", attempt, "a revoked key that was refused before"))
+    return violations
+
+
+def check_applied(
+    attempts: Sequence[Attempt],
+    published: Mapping[str, float],
+    revoked: Mapping[str, float],
+    outages: Sequence[tuple[float, float]],
+) -> list[Break]:
+    """Returns the requests with a valid key that a host refused too long after it was published.
+
+    `published` has the time of each key, `outages` the times at which the store was disturbed.
+    """
+    violations = []
+    for attempt in attempts:
+        since = attempt.sent_at - CONFIG_APPLY_S
+        valid = published[attempt.key] < since and attempt.ended_at < revoked.get(
+            attempt.key, math.inf
+        )
+        reached = not any(began <= attempt.ended_at and since <= ended for began, ended in outages)
+        if attempt.status == 401 and valid and reached and not attempt.disturbed:
+            age_s = attempt.sent_at - published[attempt.key]
+            violations.append(
+                Break("not_applied", attempt, f"{age_s:.2f} s after its key was published")
+            )
+    return violations
+
+
+def check_pauses(attempts: Sequence[Attempt], broken_off: Set[str]) -> list[Break]:
+    """Returns the streams that were cut because their sound target was silent for a moment.
+
+    `broken_off` are the requests whose host left their target during such a pause.
+    """
+    return [
+        Break("silence", attempt, "cut while its target was silent")
+        for attempt in attempts
+        if attempt.id in broken_off
+        and attempt.status == 200
+        and not attempt.whole
+        and not attempt.disturbed
+        and attempt.ended_at - attempt.sent_at < attempt.deadline_s
+    ]
+
+
 def check_recovery(calm: Sequence[Attempt]) -> list[Break]:
     """Checks that enough requests are served after the last fault."""
     served = sum(attempt.status == 200 and attempt.whole for attempt in calm)
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from savoryfork.platform.wire import PlatformWire
-from soak.faults import Fault
+from soak.faults import STORE_FAULTS, TARGET_FAULTS, Fault
 from soak.proxy import Proxy
 from standins.keyedstore import KeyedStore
 from standins.ports import Ports
@@ -41,6 +41,18 @@
 
 PROBE_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 
+# How long the store is away before it comes back from an older copy, and the time within which the
+# operator and the replicas then write again, as the platform states them.
+RESTORE_AWAY_S = 2.0
+REWRITE_S = 2.0
+
+# Versions published between the copy and the outage. More than are written again at first, so that
+# offsets are given out again below those that hosts have seen.
+LOST_VERSIONS = 3
+
+# How long a replica falls silent in the middle of a stream, shortest and longest.
+PAUSE_S = (1.0, 1.5)
+
 STAGE = {"slots": 1, "queue": 2, "call_ms": 10.0, "item_ms": 1.0, "handle_s": 4.0}
 ROUTES: list[dict[str, Any]] = [
     {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
@@ -139,13 +151,23 @@
         self.runners: list[web.AppRunner] = []
         self.version = 0
         self.keys = ["key-0"]
+        self.published = {"key-0": 0.0}
         self.revoked: dict[str, float] = {}
+        self.outages: list[tuple[float, float]] = []
+        self.registrations: dict[str, tuple[str, Replica, str]] = {}
+        self.store_outages = 0
+        self.store_present = asyncio.Event()
+        self.store_present.set()
+        self.drill = asyncio.Lock()
+        self.harmed: list[tuple[str, float, float]] = []
+        self.odd_connections = 0
         self.supervisors: list[asyncio.Task[None]] = []
         self.unexpected_exits: list[str] = []
 
     async def __aenter__(self) -> Site:
         self.session = aiohttp.ClientSession()
         store = await self.serve(self.store.app())
+        self.odd_server = await asyncio.start_server(self.count_odd, "127.0.0.1", 0)
         for service in SERVICES:
             for number in range(REPLICAS):
                 replica = Replica(f"{service}-{number}")
@@ -179,6 +201,7 @@
                 await host.process.wait()
             host.log.close()
         await self.session.close()
+        self.odd_server.close()
         for proxy in self.proxies.values():
             await proxy.stop()
         for runner in self.runners:
@@ -231,12 +254,17 @@
 
     def register(self, service: str, replica: Replica, state: str) -> None:
         """Writes a target's registration to the store."""
+        self.registrations[replica.name] = (service, replica, state)
         row = {"service": service, "address": replica.address, "zone": "z0", "state": state}
         self.store.put("keyed.servers", replica.name, {**row, "slots": 64, "born": 1})
 
     def publish(self) -> None:
         """Writes the next version of the configuration to the store."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Writes the current version of the configuration to the store."""
         defaults = {"host": "a.example", "timeout_ms": DEADLINE_MS, "target_latency_ms": 500}
         pieces = {"cave": {"batch": 4, "headroom_mb": 22}, "carri": {"batch": 18, "headroom_mb": 3}}
         self.store.put(
@@ -260,17 +288,102 @@
     def rotate_keys(self) -> None:
         """Adds a key and, if there are more than two, revokes the oldest."""
         self.keys = [*self.keys, f"key-{self.version}"]
+        self.published[self.keys[-1]] = asyncio.get_running_loop().time()
         if len(self.keys) > 2:
             self.revoked[self.keys.pop(0)] = asyncio.get_running_loop().time()
         self.publish()
 
+    def write_again(self) -> None:
+        """Writes what the operator and the replicas last wrote, if the store lost it."""
+        self.write_configuration()
+        for service, replica, state in list(self.registrations.values()):
+            self.register(service, replica, state)
+
+    def write_odd_entries(self) -> list[str]:
+        """Writes entries of another writer, which name no target to use; returns their keys."""
+        port = self.odd_server.sockets[0].getsockname()[1]
+        row = {"service": "plain", "address": f"127.0.0.1:{port}", "zone": "z0", "state": "ready"}
+        start = json.dumps(row)[:-1].encode()
+        entries = {
+            "odd-nested": b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+            "odd-objects": b'{"a":' * 50_000 + b"1" + b"}" * 50_000,
+            "odd-slots": start + b', "slots": 1' + b"0" * 23 + b', "born": 1}',
+            "odd-born": start + b', "slots": 64, "born": 1' + b"0" * 23 + b"}",
+            "odd-port": json.dumps({**row, "address": "127.0.0.1:70000", "slots": 64}).encode(),
+            "odd-bytes": b"\xff{",
+        }
+        for key, value in entries.items():
+            self.store.topics["keyed.servers"].append((key, value))
+        self.store.notify()
+        return list(entries)
+
+    async def count_odd(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Counts a connection to the address of an odd entry."""
+        self.odd_connections += 1
+        writer.close()
+
+    def streams_broken_off(self) -> set[str]:
+        """Returns the streams that hosts left while their target was silent but sound."""
+        return {
+            request_id
+            for _, replica in self.replicas
+            for request_id, began_at, ended_at in replica.broken_off
+            if not any(
+                name == replica.name and began_at <= until and since <= ended_at
+                for name, since, until in self.harmed
+            )
+        }
+
     # Fault injection.
 
+    async def take_store_down(self, duration_s: float) -> None:
+        """Makes the store fail for a time; such times may overlap."""
+        self.store_outages += 1
+        self.store.down = True
+        await asyncio.sleep(duration_s)
+        self.store_outages -= 1
+        self.store.down = self.store_outages > 0
+
+    async def restore_store(self, lost_s: float) -> None:
+        """Brings the store back from a copy that is `lost_s` older than its outage.
+
+        The operator publishes versions that are lost, writes the newest again, and then another
+        one. Without the store, nobody writes.
+        """
+        async with self.drill:
+            copy = self.store.copy()
+            for _ in range(LOST_VERSIONS):
+                self.rotate_keys()
+                await asyncio.sleep(lost_s / LOST_VERSIONS)
+            self.store_present.clear()
+            await self.take_store_down(RESTORE_AWAY_S)
+            self.store.restore(copy)
+            self.store_present.set()
+            await asyncio.sleep(lost_s / 3.0 * REWRITE_S)
+            self.write_again()
+            self.rotate_keys()
+
     async def inject(self, fault: Fault) -> None:
+        """Injects a fault and returns when it is over; notes whom it disturbs, and when."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        if fault.kind in TARGET_FAULTS:
+            # A connection ends a moment after the fault that broke it.
+            until = began_at + fault.duration_s + 0.5
+            self.harmed.append((self.select(fault)[1].name, began_at, until))
+        await self.inject_fault(fault)
+        if fault.kind in (*STORE_FAULTS, "restored"):
+            self.outages.append((began_at, loop.time()))
+
+    def select(self, fault: Fault) -> tuple[str, Replica]:
+        """Returns the target that a fault affects, and its service."""
+        return self.replicas[fault.selector % len(self.replicas)]
+
+    async def inject_fault(self, fault: Fault) -> None:
         """Injects a fault and returns when it is over."""
         loop = asyncio.get_running_loop()
         host = self.hosts[fault.selector % len(self.hosts)]
-        service, replica = self.replicas[fault.selector % len(self.replicas)]
+        service, replica = self.select(fault)
         proxy = self.proxies[replica.address]
         match fault.kind:
             case "kill":
@@ -291,9 +404,23 @@
                 await asyncio.sleep(fault.duration_s)
                 host.send(signal.SIGCONT)
             case "store_down":
-                self.store.down = True
+                await self.take_store_down(fault.duration_s)
+            case "restored":
+                await self.restore_store(fault.duration_s)
+            case "odd_entries":
+                await self.store_present.wait()
+                keys = self.write_odd_entries()
+                await asyncio.sleep(fault.duration_s)
+                await self.store_present.wait()
+                for key in keys:
+                    self.store.put("keyed.servers", key, None)
+            case "pause":
+                share = fault.duration_s / 3.0
+                engines = [r for name, r in self.replicas if name == "engine"]
+                engine = engines[fault.selector % len(engines)]
+                engine.pause_s = PAUSE_S[0] + share * (PAUSE_S[1] - PAUSE_S[0])
                 await asyncio.sleep(fault.duration_s)
-                self.store.down = False
+                engine.pause_s = 0.0
             case "store_silent":
                 self.store_proxy.silent = True
                 await asyncio.sleep(fault.duration_s)
@@ -315,8 +442,11 @@
                 await asyncio.sleep(fault.duration_s)
                 replica.refuse = False
             case "leave":
+                await self.store_present.wait()
                 self.register(service, replica, "draining")
                 await asyncio.sleep(fault.duration_s)
+                await self.store_present.wait()
                 self.register(service, replica, "ready")
             case "rotate_keys":
+                await self.store_present.wait()
                 self.rotate_keys()
--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -15,7 +15,8 @@
 class KeyedStore:
     """Keyed topics in memory, created on first use.
 
-    `down` makes every call fail; `calls` counts all calls.
+    `down` makes every call fail; `calls` counts all calls. `era` rises by one each time the store
+    comes back from an older copy.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,19 @@
         self.changed = asyncio.Event()
         self.down = False
         self.calls = 0
+        self.era = 1
+
+    def copy(self) -> dict[str, list[tuple[str, bytes]]]:
+        """Returns a copy of all records, for `restore`."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
+        """Comes back from a copy: what was written since is gone, and so are its offsets."""
+        self.topics = defaultdict(list, {topic: list(records) for topic, records in copy.items()})
+        for topic, first in self.first_offsets.items():
+            self.first_offsets[topic] = min(first, len(self.topics[topic]))
+        self.era += 1
+        self.notify()
 
     def put(self, topic: str, key: str, value: Any) -> int:
         """Writes a value, or deletes the key if it is None; returns the offset."""
@@ -44,11 +58,16 @@
     def app(self) -> web.Application:
         """Returns the web application."""
         app = web.Application()
+        app.on_response_prepare.append(self.add_era)
         app.router.add_get("/api/log-newest", self.newest)
         app.router.add_get("/api/log-read", self.read)
         app.router.add_post("/api/log-append", self.append)
         return app
 
+    async def add_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Adds the era to every answer."""
+        response.headers["Store-Era"] = str(self.era)
+
     async def newest(self, request: web.Request) -> web.Response:
         """Returns the newest value of each key."""
         self.calls += 1
@@ -84,7 +103,7 @@
         self.calls += 1
         topic, start = request.query["topic"], int(request.query["from"])
         end_s = asyncio.get_running_loop().time() + int(request.query.get("wait_ms", 0)) / 1000
-        while start >= len(self.topics[topic]) and not self.down:
+        while start == len(self.topics[topic]) and not self.down:
             remaining_s = end_s - asyncio.get_running_loop().time()
             if remaining_s <= 0:
                 break
@@ -95,7 +114,7 @@
                 break
         if self.down:
             return web.Response(status=503)
-        if start < self.first_offsets[topic]:
+        if not self.first_offsets[topic] <= start <= len(self.topics[topic]):
             return web.json_response({"first": self.first_offsets[topic]}, status=410)
         records = self.topics[topic]
         body = struct.pack(">QQ", len(records), self.first_offsets[topic])
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -14,6 +14,9 @@
 EVENT_S = 0.005
 CALL_S = 0.01
 
+# Number of events after which a stream is silent while `pause_s` is set.
+PAUSE_AFTER = 3
+
 
 async def reset_nothing() -> None:
     """Crashes no replica."""
@@ -28,7 +31,10 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`. While
+    `pause_s` is set, its streams are silent for that time after `PAUSE_AFTER` events. `broken_off`
+    lists the streams whose connection ended during such a pause: the request id, the time at which
+    the pause began and the time at which it ended.
     """
 
     def __init__(self, name: str) -> None:
@@ -49,6 +55,8 @@
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
+        self.pause_s = 0.0
+        self.broken_off: list[tuple[str, float, float]] = []
 
     def app(self) -> web.Application:
         """Returns the web application."""
@@ -97,8 +105,18 @@
                 return response
             await response.write(b"id: %d\ndata: %s\n\n" % (number, request_id.encode()))
             await asyncio.sleep(EVENT_S)
+            if self.pause_s and number == PAUSE_AFTER:
+                await self.pause(request)
         return response
 
+    async def pause(self, request: web.Request) -> None:
+        """Stays silent in the middle of a stream, and notes if its connection ends meanwhile."""
+        began_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(self.pause_s)
+        if request.transport is None or request.transport.is_closing():
+            ended_at = asyncio.get_running_loop().time()
+            self.broken_off.append((request.headers["Request-Id"], began_at, ended_at))
+
     async def stage_run(self, request: web.Request) -> web.Response:
         """Runs pieces and holds their results."""
         if (refusal := self.find_refusal(request)) is not None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,9 @@
 """Reads of the store: pages, expired offsets, outages and truncated responses."""
 
+import asyncio
 import struct
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -53,6 +55,33 @@
         with pytest.raises(OffsetExpired):
             await client.read(Topic.CONFIGURATION, 0, 0.0)
 
+    async def test_store_that_comes_back_from_an_older_copy(self, store):
+        """Guards against a stand-in whose restored store can't be told from one that waits."""
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 1})
+        copy = fake.copy()
+        fake.put("keyed.op", "config", {"version": 2})
+        fake.put("keyed.op", "config", {"version": 3})
+        waiting = asyncio.create_task(client.read(Topic.CONFIGURATION, 3, 5_000.0))
+        await asyncio.sleep(0.05)
+        fake.restore(copy)
+        with pytest.raises(OffsetExpired):
+            await asyncio.wait_for(waiting, 2.0)
+        assert fake.put("keyed.op", "config", {"version": 4}) == 1
+        changes, _, _ = await client.read(Topic.CONFIGURATION, 0, 0.0)
+        assert [c.value for c in changes] == [b'{"version":1}', b'{"version":4}']
+
+    @pytest.mark.parametrize("down", [False, True])
+    async def test_every_answer_names_the_era(self, store, down):
+        """Guards against a stand-in that names its era in some answers only."""
+        fake, client = store
+        fake.restore(fake.copy())
+        fake.down = down
+        async with aiohttp.ClientSession() as session:
+            for call in ("log-newest?", "log-read?from=0&", "log-read?from=9&"):
+                async with session.get(f"{client.url}/{call}topic=t&part=0") as response:
+                    assert response.headers["Store-Era"] == str(fake.era) == "2"
+
     async def test_outage(self, store):
         fake, client = store
         fake.down = True
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -3,7 +3,7 @@
 import pytest
 
 from soak import faults
-from soak.promises import Attempt, check
+from soak.promises import Attempt, check, check_applied, check_incarnations, check_pauses
 
 GOOD = Attempt(
     id="r1",
@@ -79,6 +79,41 @@
         assert [b.promise for b in check([refused], {}, [], {})] == ["recovery"]
 
 
+class TestConfiguration:
+    def test_valid_key_that_was_served_before(self):
+        """Guards against a soak that overlooks a host that forgets a configuration."""
+        served = GOOD._replace(incarnation=1.0)
+        refused = served._replace(id="r2", status=401, sent_at=101.0, ended_at=101.1)
+        found = check_incarnations([served, refused], {"r1": 1}, {})
+        assert [b.promise for b in found] == ["went_back"]
+        other = refused._replace(incarnation=2.0)
+        assert check_incarnations([served, other], {"r1": 1}, {"k": 200.0}) == []
+        assert check_incarnations([served, refused], {"r1": 1}, {"k": 100.5}) == []
+
+    def test_revoked_key_that_was_refused_before(self):
+        """Guards against a soak that overlooks a key that comes back within the time to revoke."""
+        refused = GOOD._replace(id="r0", status=401, incarnation=1.0)
+        ran = GOOD._replace(sent_at=101.0, ended_at=101.1, incarnation=1.0)
+        found = check_incarnations([refused, ran], {"r1": 1}, {"k": 99.0})
+        assert [b.promise for b in found] == ["went_back"]
+        assert check_incarnations([refused, ran], {"r1": 1}, {"k": 100.05}) == []
+
+    @pytest.mark.parametrize(
+        ("published", "outages", "count"),
+        [(94.0, [], 1), (96.0, [], 0), (94.0, [(90.0, 96.0)], 0), (94.0, [(90.0, 94.5)], 1)],
+    )
+    def test_published_key_that_is_refused(self, published, outages, count):
+        """Guards against a soak that overlooks a configuration that never takes effect."""
+        refused = GOOD._replace(status=401)
+        assert len(check_applied([refused], {"k": published}, {}, outages)) == count
+
+    def test_stream_cut_while_its_target_was_silent(self):
+        """Guards against a soak that overlooks streams of sound targets that were cut."""
+        cut = GOOD._replace(kind="chat", whole=False, right=False)
+        assert [b.promise for b in check_pauses([cut], {"r1"})] == ["silence"]
+        assert check_pauses([cut], set()) == check_pauses([GOOD], {"r1"}) == []
+
+
 class TestPlan:
     def test_same_seed_gives_the_same_faults(self):
         assert faults.plan(7, 10.0, 30) == faults.plan(7, 10.0, 30) != faults.plan(8, 10.0, 30)
