Say what holds on a log that may lose its newest records

Real daemons show it too: an accepted version that the log lost twice stays in effect, also where a host is killed and starts from the copy, and keys whose claims were lost do not run again, with the hosts that knew them and with all of them replaced.

The test of burn checkpoints guards the rule that a header and its content are of one era; with the rule taken out it fails.

--- a/standins/launch.py
+++ b/standins/launch.py
@@ -347,6 +347,10 @@
         """Sets faults of the platform or of a target."""
         return await self.call("POST", f"{self.url(name)}/control/faults", fields)
 
+    async def restore_log(self, lost: Mapping[str, int]) -> None:
+        """Brings the log back without the newest records of topics; see `platform.Restore`."""
+        await self.call("POST", f"{self.url(PLATFORM)}/control/restore", {"lost": dict(lost)})
+
     async def state(self, name: str) -> Any:
         """Returns the state of a target or of the platform."""
         path = "/control/state" if name == PLATFORM else "/state"
--- a/tests/failure/test_at_most_once.py
+++ b/tests/failure/test_at_most_once.py
@@ -372,3 +372,31 @@
     await deployment.faults(PLATFORM, down=True, down_mode=mode)
     await pause(keyed, 0.3, 1.5)
     await deployment.faults(PLATFORM, reset=True, down=False)
+
+
+class TestRestoredLog:
+    async def test_keys_whose_claims_the_log_lost(self) -> None:
+        """Guards against a key that runs again after the log came back without its claim: with the
+        hosts that knew it still there, and after all of them were replaced."""
+        async with running(17) as (deployment, keyed):
+            keys = [key_owned_by(keyed, HOSTS[n % 3]) for n in range(6)]
+            for number, key in enumerate(keys):
+                assert (await keyed.send(key, HOSTS[number % 2])).status == 200
+            lost = {topic_of(number): 1_000 for number in range(defaults.CLAIM_PARTITIONS)}
+            await deployment.restore_log(lost)
+
+            async def answered() -> bool:
+                return all([(await keyed.send(key, HOSTS[2])).status == 200 for key in keys])
+
+            await eventually(answered, 5, "the hosts have appended the answers again")
+            for host in HOSTS:
+                deployment.kill(host)
+            await deployment.restore_log(lost)
+            for host in HOSTS:
+                await deployment.restart(host)
+            await deployment.wait_ready()
+            for number, key in enumerate(keys):
+                answer = await keyed.send(key, HOSTS[number % 3])
+                assert (answer.kind, answer.ran) == ("idempotency_key_expired", "unknown")
+            ran = [entry["key"] for entry in await check_ledger(keyed)]
+            assert sorted(ran) == sorted(keys)
--- a/tests/failure/test_configuration.py
+++ b/tests/failure/test_configuration.py
@@ -188,6 +188,33 @@
             await assert_content(deployment, 3)
 
 
+class TestRestoredLog:
+    async def test_version_that_the_log_lost_stays_in_effect(self) -> None:
+        """Guards against an accepted version that is forgotten, by the hosts that had it or by one
+        that starts from the older copy, and against two winners after that."""
+        async with running() as (deployment, sampler, offset):
+            status, body = await publish_share(deployment, 2, offset)
+            assert status == 200, body
+            status, body = await publish_share(deployment, 3, body["offset"])
+            assert status == 200, body
+            for _ in range(2):
+                since = time.monotonic()
+                await deployment.restore_log({"config": 2})
+                deployment.kill("host-2")
+                await deployment.restart("host-2")
+                await sampler.wait_everywhere(body["offset"] + 1, since)
+                await assert_content(deployment, 3)
+                offset = sampler.offset("host-0")
+                answers = await asyncio.gather(
+                    publish_share(deployment, 4, offset, "host-1"),
+                    publish_share(deployment, 5, offset, "host-2"),
+                )
+                assert sorted(status for status, _ in answers) == [200, 409]
+                body = next(answer for status, answer in answers if status == 200)
+                status, body = await publish_share(deployment, 3, body["offset"], "host-2")
+                assert status == 200, body
+
+
 async def assert_content(deployment: Deployment, share: int) -> None:
     """Checks the file's content at every daemon."""
     for host in deployment.host_names:
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -20,6 +20,7 @@
 from savoryfork.ui import burnview
 from savoryfork.util.timer import Clock
 from savoryfork.util.topic import LogUnavailable, OffsetExpired, Page, Record
+from tests.fakelog import FakeClient, FakeLog
 
 NOW = 29_000_160  # minutes; a multiple of every bin width
 
@@ -367,6 +368,34 @@
         assert fold.since_ms == log.topics["burn"][run_before + 2].time_ms
         assert window_sums(fold.totals)[0][("p", "")] == (3, 0)
 
+    async def test_checkpoint_of_records_that_the_log_lost(self):
+        """Guards against a checkpoint that was being written while the log came back from an older
+        copy: its offset would hide the records written since at the same offsets."""
+        time = Time()
+        fake = FakeLog(time.clock)
+        log = FakeClient(fake)
+        controller = make_controller(log, time, "a")
+
+        async def run_minutes(count):
+            for _ in range(count):
+                record_run(controller, time)
+                time.minute += 1
+                await controller.tick()
+
+        await run_minutes(4)
+        copy = fake.copy()
+        await run_minutes(6)
+        old = await load(log)
+        await fake.restore(copy)
+        await run_minutes(8)
+        expected = fold_state(await load(log))
+        assert window_sums((await load(log)).totals)[0][("p", "")] == (12, 0)
+        await save(log, old)
+        assert fold_state(await load(log)) == expected
+        await save(log, await load(log))
+        fake.trim("burn", 6)
+        assert fold_state(await load(log)) == expected
+
     async def test_one_host_writes_each_checkpoint(self):
         """Guards against every host reading an hour of records for the same checkpoint."""
         time, log = await self.log_with_runs()
