--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -28,13 +28,14 @@
         self.era = 1
 
     def copy(self) -> dict[str, list[tuple[str, bytes]]]:
-        """Returns a copy of all topics, for `restore`."""
+        """Returns a copy of all records, for `restore`."""
         return {topic: list(records) for topic, records in self.topics.items()}
 
     def restore(self, copy: dict[str, list[tuple[str, bytes]]]) -> None:
-        """Goes back to a copy: newer records are lost and their offsets are given out again."""
+        """Comes back from a copy: what was written since is gone, and so are its offsets."""
         self.topics = defaultdict(list, {topic: list(records) for topic, records in copy.items()})
-        self.first_offsets.clear()
+        for topic, first in self.first_offsets.items():
+            self.first_offsets[topic] = min(first, len(self.topics[topic]))
         self.era += 1
         self.notify()
 
