Let the stand-in replica leave and push back in its answers

The platform's replicas now say in all answers that they are leaving, and may turn requests away for a time. The stand-in could do neither, so no test could show what callers see then.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -15,6 +15,9 @@
 CALL_S = 0.01
 
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
 async def reset_nothing() -> None:
     """Crashes no replica."""
 
@@ -28,7 +31,10 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`. While
+    `leaving` is set, every answer says so; `leaving` is the value of the header. While `push_back`
+    is set, it turns every request away with that value of `Retry-After`. `arrivals` are the times
+    of all requests by the event loop's clock, those to free results included.
     """
 
     def __init__(self, name: str) -> None:
@@ -49,15 +55,31 @@
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
+        self.leaving: str | None = None
+        self.push_back: str | None = None
+        self.push_back_mark = True
+        self.arrivals: list[float] = []
 
     def app(self) -> web.Application:
         """Returns the web application."""
-        app = web.Application()
+        app = web.Application(middlewares=[self.record_arrival])
+        app.on_response_prepare.append(self.add_mark)
         app.router.add_post("/api/stage-run", self.stage_run)
         app.router.add_post("/api/stage-free", self.stage_free)
         app.router.add_route("*", "/{path:.*}", self.run)
         return app
 
+    @web.middleware
+    async def record_arrival(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Records the time of a request."""
+        self.arrivals.append(asyncio.get_running_loop().time())
+        return await handler(request)
+
+    async def add_mark(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Adds the mark of a replica that is leaving to an answer."""
+        if self.leaving is not None:
+            response.headers["Server-Leaving"] = self.leaving
+
     def find_refusal(self, request: web.Request) -> web.Response | None:
         """Returns the refusal of a request for another incarnation, or if the replica is full."""
         if request.headers.get("Expect-Instance") not in (None, self.name):
@@ -65,6 +87,12 @@
         if self.refuse:
             self.refusals += 1
             return web.Response(status=503, headers={"Not-Executed": "1"})
+        if self.push_back is not None:
+            self.refusals += 1
+            headers = {"Retry-After": self.push_back}
+            if self.push_back_mark:
+                headers["Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
         return None
 
     async def run(self, request: web.Request) -> web.StreamResponse:
