Take targets out of use that say in an answer that they are leaving

Seen: a replica that wrote Server-Leaving: 1 got requests, pieces and retries until its entry in the store said so, and for good if the entry stayed as it was. Nothing read the mark.

Cause: the entry in the store was the only source of this belief, and a later entry that said ready brought the target back.

Change: departures.py holds which incarnations leave, with source (store, answer, peer) and age; the registry asks it. The mark is read from the head of every answer that belongs to a request: successes, failures, refusals, heads of streams, calls of pieces and calls that free results, which now name the expected target. A 421 says nothing about the expected incarnation, and an answer to another request is not read. Idle connections to the target are closed. If all targets of a service leave, callers are refused before their stages, and waiting pieces at once.

Ruled out: telling others by a topic of the store, which costs a long poll of the reader and is no faster than the answers that each host reads itself; the store follows within seconds.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -324,6 +324,11 @@
             if not idle:
                 del self.idle[address]
 
+    def close_idle_to(self, address: str) -> None:
+        """Closes the idle connections to an address, as they must not carry further calls."""
+        for connection in self.idle.pop(address, []):
+            connection.abort()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for idle in self.idle.values():
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -15,12 +15,18 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from savoryfork.forward.departures import (
+    DepartureExchange,
+    Incarnation,
+    Source,
+    incarnation_of,
+)
 from savoryfork.forward.knowledge import Entry, TopicTable, Update
 from savoryfork.forward.loads import LoadTable, LoadTree
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import SyncReply, SyncRequest
 from savoryfork.forward.metrics import ForwardMetrics
-from savoryfork.forward.model import Catalog
+from savoryfork.forward.model import Catalog, Target
 from savoryfork.forward.quarantine import Quarantine
 from savoryfork.forward.registry import OUTAGE_MS, Registry
 from savoryfork.forward.wire import Wire
@@ -144,6 +150,7 @@
         self.background = background
         self.tables = {topic: TopicTable() for topic in Topic}
         self.registry = Registry(wire.decode_target)
+        self.departures = DepartureExchange(self.registry.departures)
         self.catalog: Catalog | None = None
         self.quarantine = Quarantine(rng.random())
         self.changed = asyncio.Event()
@@ -259,6 +266,42 @@
                 )
         self.notify()
 
+    def record_leaving(self, target: Target) -> bool:
+        """Records that a target's answer said it is leaving, and tells the other hosts.
+
+        Returns False if that was known.
+        """
+        if not self.registry.mark_leaving(target, Source.ANSWER, self.now()):
+            return False
+        self.log_leaving(target, Source.ANSWER, None, 0.0)
+        self.notify()
+        return True
+
+    def record_reported_leaving(self, reported: list[Incarnation], peer: str) -> None:
+        """Takes targets out of use of which another host has told that they are leaving."""
+        if not reported:
+            return
+        self.registry.reindex()
+        for incarnation in reported:
+            target = self.registry.targets.get(incarnation.name)
+            departure = self.registry.departures.find(target) if target is not None else None
+            if target is not None and departure is not None:
+                self.log_leaving(target, departure.source, peer, self.now() - departure.since)
+        self.notify()
+
+    def log_leaving(self, target: Target, source: Source, peer: str | None, age_ms: float) -> None:
+        """Logs that a target was taken out of use by an answer, of this host or another one."""
+        logs.event(
+            log,
+            "target_leaving",
+            target=target.name,
+            service=target.service,
+            address=target.address,
+            source=source.value,
+            peer=peer,
+            age_ms=round(age_ms),
+        )
+
     def apply_catalog(self, new: list[Entry], source: str, age_ms: float) -> None:
         """Puts a newer configuration into effect; the version never decreases."""
         for entry in new:
@@ -358,6 +401,9 @@
             loads=loads,
             loads_age_ms=loads_age_ms,
             crashes_next=self.tables[Topic.CRASHES].next_offset,
+            departures=self.departures.request_to(
+                address, known.incarnation if known is not None else -1, requested_at
+            ),
         )
         try:
             reply = await self.peers.call(
@@ -371,6 +417,11 @@
         members.merge([reply.sender, *reply.members], address, now)
         self.sent_revisions[address] = revision
         self.received_revisions[address] = (reply.sender.incarnation, reply.members_revision)
+        self.departures.record_sent(address, reply.sender.incarnation, request.departures)
+        reported = self.departures.merge_reply(
+            address, reply.sender.incarnation, reply.departures, now
+        )
+        self.record_reported_leaving(reported, address)
         # The reply was sent at this time or later; it may have waited unread since.
         replied_at = requested_at + reply.held_ms
         for topic, update in self.updates_by_topic(reply):
@@ -446,6 +497,8 @@
         sender = request.sender.address
         members.contact_at = now
         members.merge([request.sender, *request.members], sender, now)
+        reported = self.departures.merge(sender, request.departures, now)
+        self.record_reported_leaving(reported, sender)
         if request.wait_ms > 0:
             self.load_tree.record_below(sender, request.loads, request.loads_age_ms, now)
         if request.wait_ms > 0 and not self.has_newer_entries(request):
@@ -472,6 +525,7 @@
             loads=loads,
             loads_age_ms=loads_age_ms,
             crashes=tables[Topic.CRASHES].changes_since(request.crashes_next, now),
+            departures=self.departures.reply_to(sender, request.departures, now),
         )
 
     def members_for(self, request: SyncRequest) -> list[Member]:
@@ -495,6 +549,9 @@
             self.tables[Topic.CONFIGURATION].last_change_offset >= request.config_next
             or self.tables[Topic.TARGETS].last_change_offset >= request.targets_next
             or self.tables[Topic.CRASHES].last_change_offset >= request.crashes_next
+            or self.departures.has_unsent(
+                request.departures.revision, request.sender.address, self.now()
+            )
         )
 
     def refresh_loads(self) -> None:
@@ -503,6 +560,9 @@
         self.load_tree.update_total(now, is_reader=self.members.upstream(now) is None)
 
     async def expire(self) -> None:
-        """Removes lapsed targets that did not re-register in time."""
+        """Removes lapsed targets that did not re-register in time, and drops what is not needed."""
+        registered = set(map(incarnation_of, self.registry.targets.values()))
+        self.registry.departures.retain(registered)
+        self.departures.retain(set(self.members.known))
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -30,6 +30,7 @@
     shared_parts_label,
 )
 from savoryfork.forward.selection import TargetSelector
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -79,6 +80,7 @@
         wire: Wire,
         budget: Callable[[str], RetryBudget],
         crashes: CrashMonitor,
+        signals: TargetSignals,
     ) -> None:
         self.gate = gate
         self.follower = gate.follower
@@ -90,6 +92,7 @@
         self.wire = wire
         self.budget = budget
         self.crashes = crashes
+        self.signals = signals
 
     def now(self) -> float:
         """Returns the suspend-aware time in milliseconds."""
@@ -119,6 +122,8 @@
         assert run.route is not None
         while True:
             if run.route.stages and run.work is None and any(run.request.pieces):
+                if not self.selector.candidates(run):
+                    raise self.no_target_error(run)
                 await self.run_stages(run)
             target = self.selector.choose(run) if len(run.offers) < MAX_OFFERS else None
             if target is None:
@@ -255,6 +260,7 @@
         answer = self.wire.decode_answer(head.status, head.headers)
         if answer.request_id is not None and answer.request_id != run.request.id:
             raise TargetError("answer to another request", sent=True)
+        self.signals.observe(target, answer)
         if head.status == 200 and run.route.repeat is Repeat.STREAM:
             await self.stream(run, target, connection, answer, mark_prefilled)
             return True
@@ -270,7 +276,7 @@
         """
         if run.attempt is not None:
             run.attempt.connection = None
-        if answer.not_run or answer.request_id is None:
+        if answer.not_run or answer.request_id is None or answer.leaving:
             connection.abort()
         else:
             self.connections.release_connection(connection, self.now(), answer.idle_s)
--- a/savoryfork/forward/freeing.py
+++ b/savoryfork/forward/freeing.py
@@ -8,6 +8,8 @@
 
 from savoryfork.forward.connection import Connections, TargetError
 from savoryfork.forward.messages import StageResult
+from savoryfork.forward.registry import Registry
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.wire import Wire
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
@@ -25,7 +27,9 @@
 class ResultFreer:
     """Frees results on their targets, batching those of a short delay into one call.
 
-    `on_freed` is called with the service, address and handles once the target has answered.
+    `on_freed` is called with the service, address and handles once the target has answered. Results
+    on a target that is leaving are freed, too: that is no work of a caller, and other hosts may
+    still have pieces there that need the space.
     """
 
     def __init__(
@@ -35,12 +39,16 @@
         clock: Clock,
         background: BackgroundTasks,
         on_freed: Callable[[str, str, Sequence[str]], None],
+        registry: Registry,
+        signals: TargetSignals,
     ) -> None:
         self.connections = connections
         self.wire = wire
         self.clock = clock
         self.background = background
         self.on_freed = on_freed
+        self.registry = registry
+        self.signals = signals
         self.pending: dict[tuple[str, str], list[str]] = {}
 
     def free(self, service: str, result: StageResult) -> None:
@@ -59,26 +67,36 @@
         """Frees results in one call. If it fails, the results stay until they expire."""
         try:
             async with asyncio.timeout(FREE_TIMEOUT_MS / 1000):
-                await self.call(address, handles)
+                await self.call(service, address, handles)
         except (TimeoutError, TargetError) as error:
             reason = str(error) or "timeout"
             logs.event(log, "free_failed", address=address, count=len(handles), error=reason)
             return
         self.on_freed(service, address, handles)
 
-    async def call(self, address: str, handles: list[str]) -> None:
-        """Performs the call; raises TargetError."""
+    async def call(self, service: str, address: str, handles: list[str]) -> None:
+        """Performs the call; raises TargetError.
+
+        It names the target that is registered at the address, as another incarnation holds no
+        results and its answers say nothing about this one.
+        """
+        target = self.registry.at_address(service, address)
         connection = await self.connections.open(address, self.clock.monotonic_ms())
         reusable = False
         try:
-            connection.send(*self.wire.free_call(address, handles))
+            connection.send(
+                *self.wire.free_call(address, handles, target.name if target is not None else None)
+            )
             head = await connection.read_head()
             answer = self.wire.decode_answer(head.status, head.headers)
+            if target is not None:
+                self.signals.observe(target, answer)
             await connection.read_body()
-            self.connections.release_connection(
-                connection, self.clock.monotonic_ms(), answer.idle_s
-            )
-            reusable = True
+            if not answer.leaving:
+                self.connections.release_connection(
+                    connection, self.clock.monotonic_ms(), answer.idle_s
+                )
+                reusable = True
         finally:
             if not reusable:
                 connection.abort()
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -20,6 +20,7 @@
 from savoryfork.forward.connection import Connections
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.crashes import CrashMonitor
+from savoryfork.forward.departures import Source
 from savoryfork.forward.entry import EntryServer
 from savoryfork.forward.follower import Follower, Store, Topic
 from savoryfork.forward.forwarder import Forwarder
@@ -40,6 +41,7 @@
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.settings import ForwardSettings
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerClient, PeerServer
@@ -152,6 +154,7 @@
         )
         self.health = HealthTracker()
         self.connections = Connections(limits)
+        self.signals = TargetSignals(self.follower, self.connections)
         self.pools = Pools(
             self.follower.registry,
             self.health,
@@ -162,6 +165,7 @@
             self.retry_budget,
             self.background,
             self.metrics,
+            self.signals,
         )
         coordinator = Coordinator(self.pools, self.metrics)
         self.stages = Stages(self.follower, coordinator, self.peers, self.background)
@@ -179,6 +183,7 @@
             self.wire,
             self.retry_budget,
             self.crashes,
+            self.signals,
         )
         self.entry = EntryServer(self.forwarder, self.wire, self.metrics, limits)
 
@@ -253,6 +258,9 @@
         metrics = self.metrics
         metrics.connections.set({"use": "opened"}, self.connections.opened)
         metrics.connections.set({"use": "reused"}, self.connections.reused)
+        for source in Source:
+            added = self.follower.registry.departures.added[source]
+            metrics.departures.set({"source": source.value}, added)
         metrics.inflight.set({}, self.entry.inflight)
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -13,6 +13,7 @@
 from grpclib.encoding.base import CodecBase
 
 from savoryfork.forward.cells import UNDIVIDED, Cell
+from savoryfork.forward.departures import DepartureNews
 from savoryfork.forward.knowledge import Update
 from savoryfork.forward.loads import LoadTable
 from savoryfork.forward.members import Member
@@ -43,7 +44,8 @@
     receiver. `members_known` is the revision of the receiver's membership that the sender has, -1
     if none; with `members_digest` the sender asks for all entries if its own list has another
     digest. `loads` is the outstanding work on engines of the sender and the hosts below it, at most
-    `loads_age_ms` old; only long polls carry it.
+    `loads_age_ms` old; only long polls carry it. `departures` are the leaving targets that the
+    sender has not told the receiver of.
     """
 
     sender: Member
@@ -56,6 +58,7 @@
     loads: LoadTable
     loads_age_ms: float
     crashes_next: int
+    departures: DepartureNews = DepartureNews()
 
 
 class SyncReply(NamedTuple):
@@ -75,6 +78,7 @@
     loads: LoadTable
     loads_age_ms: float
     crashes: Update
+    departures: DepartureNews = DepartureNews()
 
 
 class WorkRequest(NamedTuple):
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -30,6 +30,10 @@
         self.quarantined_parts = self.gauge(
             "savoryfork_quarantined_parts", "Prompt parts that are kept from engines"
         )
+        self.departures = self.gauge(
+            "savoryfork_departures",
+            "Targets found to be leaving since the start, by the source that said so first",
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -162,7 +162,7 @@
     """The head of a target's answer.
 
     `not_run` is the target's guarantee that it did not run the request; `wrong_target` means that
-    another incarnation answered at the address.
+    another incarnation answered at the address; `leaving` that the target itself is leaving.
     """
 
     status: int
@@ -172,6 +172,7 @@
     wrong_target: bool
     retry_after_s: float | None
     idle_s: float | None
+    leaving: bool = False
 
 
 class Piece(NamedTuple):
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -20,6 +20,7 @@
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.pool import Pool, StageTask, TargetState
 from savoryfork.forward.registry import Registry
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageFailure, Work
 from savoryfork.util import logs
@@ -75,6 +76,7 @@
         budget: Callable[[str], RetryBudget],
         background: BackgroundTasks,
         metrics: ForwardMetrics,
+        signals: TargetSignals,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -87,7 +89,10 @@
         self.task_numbers = itertools.count()
         self.background = background
         self.metrics = metrics
-        self.result_freer = ResultFreer(connections, wire, clock, background, self.mark_freed)
+        self.signals = signals
+        self.result_freer = ResultFreer(
+            connections, wire, clock, background, self.mark_freed, registry, signals
+        )
 
     def now(self) -> float:
         """Returns the suspend-aware time in milliseconds."""
@@ -152,6 +157,11 @@
         now = self.now()
         if not any(task.waiting for task in pool.tasks.values()):
             return
+        if self.registry.all_leaving(pool.service):
+            for task in pool.tasks.values():
+                if task.waiting:
+                    task.finish(StageFailure.NO_TARGETS)
+            return
         targets = {t.name: t for t in self.usable(pool, now)}
         if any(pool.is_idle(target, now) for target in targets.values()):
             tasks = [task.to_batching_task() for task in pool.tasks.values() if task.waiting]
@@ -298,18 +308,22 @@
         connection = await self.connections.open(target.address, self.now())
         reusable = False
         try:
+            if not self.registry.is_current(target):
+                raise TargetError("left", sent=False)
             now = self.now()
             pieces = [self.make_piece(task, number, now) for task, number in batch]
             connection.send(*self.wire.pieces_call(target, pieces))
             head = await connection.read_head()
             answer = self.wire.decode_answer(head.status, head.headers)
+            self.signals.observe(target, answer)
             body = await connection.read_body()
             results = self.wire.decode_results(body, len(batch)) if answer.status == 200 else None
             if results is not None and not state.add_handles(results):
                 raise TargetError("results of another call", sent=True)
             # The answer of a call carries no id: only new handles show that it is not an earlier
             # one, written once more.
-            if results is not None and all(isinstance(result, str) for result in results):
+            made = results is not None and all(isinstance(result, str) for result in results)
+            if made and not answer.leaving:
                 self.connections.release_connection(connection, self.now(), answer.idle_s)
                 reusable = True
         finally:
@@ -377,7 +391,7 @@
 
         Pieces that the target did not receive, or refused to run, do not use up an attempt.
         """
-        if error.reason not in ("full", "wrong target"):
+        if error.reason not in ("full", "wrong target", "left"):
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from savoryfork.forward.departures import Departures, Source, incarnation_of
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.model import Target
 
@@ -23,7 +24,8 @@
 class Registry:
     """Targets by name and by service.
 
-    A target at whose address another incarnation answered is excluded until its entry changes.
+    A target at whose address another incarnation answered is excluded until its entry changes, and
+    one that is leaving by any source for good; see `departures`.
     """
 
     def __init__(self, decode: Decoder) -> None:
@@ -31,6 +33,7 @@
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
         self.misdirected: dict[str, Target] = {}
+        self.departures = Departures()
         self.lapsed: dict[str, float] = {}
         self.store_returned_at = 0.0
 
@@ -51,6 +54,8 @@
                 continue
             self.lapsed.pop(entry.key, None)
             self.targets[entry.key] = target
+            if target.leaving:
+                self.departures.add(incarnation_of(target), Source.STORE, now)
             if known is None:
                 changes.append((target, "added"))
             elif (known.born, known.address) != (target.born, target.address):
@@ -98,9 +103,31 @@
         }
         self.by_service = {}
         for target in sorted(self.targets.values()):
-            if not target.leaving and target.name not in self.misdirected:
+            if self.may_get_work(target):
                 self.by_service.setdefault(target.service, []).append(target)
 
+    def may_get_work(self, target: Target) -> bool:
+        """Returns whether a registered target may get new work."""
+        return (
+            not target.leaving
+            and not self.departures.is_leaving(target)
+            and target.name not in self.misdirected
+        )
+
+    def mark_leaving(self, target: Target, source: Source, since: float) -> bool:
+        """Takes this incarnation of a target out of use; returns False if it is known to leave."""
+        if not self.departures.add(incarnation_of(target), source, since):
+            return False
+        self.reindex()
+        return True
+
+    def all_leaving(self, service: str) -> bool:
+        """Returns whether a service has targets and all of them are leaving."""
+        if self.usable(service):
+            return False
+        targets = self.of_service(service)
+        return bool(targets) and all(map(self.departures.is_leaving, targets))
+
     def mark_misdirected(self, target: Target) -> None:
         """Records that another incarnation answered at a target's address."""
         if self.targets.get(target.name) == target:
@@ -111,6 +138,11 @@
         """Returns all targets of a service, including those that are leaving."""
         return [target for target in self.targets.values() if target.service == service]
 
+    def at_address(self, service: str, address: str) -> Target | None:
+        """Returns the target of a service at an address; None if none is registered there."""
+        found = (target for target in self.of_service(service) if target.address == address)
+        return next(found, None)
+
     def usable(self, service: str) -> list[Target]:
         """Returns the targets of a service that may get new work."""
         return self.by_service.get(service, [])
@@ -120,7 +152,6 @@
         known = self.targets.get(target.name)
         return (
             known is not None
-            and not known.leaving
             and (known.born, known.address) == (target.born, target.address)
-            and target.name not in self.misdirected
+            and self.may_get_work(known)
         )
--- a/savoryfork/forward/wire.py
+++ b/savoryfork/forward/wire.py
@@ -46,8 +46,8 @@
     def decode_results(self, body: bytes, count: int) -> list[PieceResult] | None:
         """Decodes the results of `count` pieces; None if they are malformed."""
 
-    def free_call(self, address: str, handles: list[str]) -> Call:
-        """Encodes a call that frees results."""
+    def free_call(self, address: str, handles: list[str], expected: str | None) -> Call:
+        """Encodes a call that frees results at an address, by the target `expected` if given."""
 
     def decode_catalog(self, value: bytes) -> Catalog | None:
         """Decodes a configuration; None if it is malformed."""
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -57,6 +57,9 @@
 MOST_URGENT = 0
 LEAST_URGENT = 9
 
+# Value of the header by which a target says that it is leaving; any other value is no mark.
+LEAVING = "1"
+
 FAILURES = {
     "late": PieceFailure.LATE,
     "gone": PieceFailure.INPUT_GONE,
@@ -167,7 +170,11 @@
 
 
 def decode_answer(status: int, headers: Headers) -> AnswerHead:
-    """Decodes the head of a target's answer."""
+    """Decodes the head of a target's answer.
+
+    A 421 is written by another incarnation than the expected one, so it does not say that that one
+    is leaving.
+    """
     dropped = hop_by_hop_names(headers)
     request_id = first_value(headers, b"request-id")
     keep_alive = first_value(headers, b"keep-alive") or ""
@@ -180,6 +187,7 @@
         wrong_target=status == 421,
         retry_after_s=parse_non_negative(first_value(headers, b"retry-after")),
         idle_s=parse_non_negative(timeout.strip().removeprefix("timeout=")),
+        leaving=status != 421 and first_value(headers, b"server-leaving") == LEAVING,
     )
 
 
--- a/savoryfork/platform/wire.py
+++ b/savoryfork/platform/wire.py
@@ -33,9 +33,8 @@
         request_headers = headers.json_headers(target.address, len(body), target.name)
         return Call(b"POST", headers.STAGE_PATH, request_headers, body)
 
-    def free_call(self, address: str, handles: list[str]) -> Call:
-        """Encodes a call that frees results."""
+    def free_call(self, address: str, handles: list[str], expected: str | None) -> Call:
+        """Encodes a call that frees results at an address, by the target `expected` if given."""
         body = headers.encode_free(handles)
-        return Call(
-            b"POST", headers.FREE_PATH, headers.json_headers(address, len(body), None), body
-        )
+        request_headers = headers.json_headers(address, len(body), expected)
+        return Call(b"POST", headers.FREE_PATH, request_headers, body)
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -263,6 +263,7 @@
             'savoryfork_stage_work_total{decision="on_time"} 1',
             'savoryfork_stage_calls_total{result="answered",service="cave"} 1',
             'savoryfork_waiting_pieces{service="carri"} 0',
+            'savoryfork_departures{source="answer"} 0',
         ):
             assert line in text
         assert 'savoryfork_held_results{service="cave"}' in text
