Send nothing to targets that push back until their time is over

Seen: a replica that answered 503 with Retry-After: 1.5 got the next request at once, and pieces after 120 ms (7 calls in the rest of its time). Callers were told the time of a single replica, up to an hour, though another one was free, and stages ran for engines that refused everything.

Cause: Retry-After only lengthened what the caller was told.

Change: pushback.py keeps such a target from requests, pieces, retries, resumptions and calls that free results, from the receipt of the answer on, checked again before each send. The mark that a request did not run decides only what happens to the request, as the target wants nothing either way. After the time a target gets one request of a host at a time, one more with each that it takes. Pieces wait if that is in time for them. No retry is taken from the budget if no candidate is left.

Ruled out: telling other hosts. The wish concerns one host, each host sends to all targets and learns it by its first request, and the coordinator of stage work sends for all. Ending the time early by a successful answer: the rule counts all requests in it.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -563,6 +563,7 @@
         """Removes lapsed targets that did not re-register in time, and drops what is not needed."""
         registered = set(map(incarnation_of, self.registry.targets.values()))
         self.registry.departures.retain(registered)
+        self.registry.push_backs.expire(self.now())
         self.departures.retain(set(self.members.known))
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -176,6 +176,14 @@
         """Returns the error for a request that has no target left to try."""
         if run.possible_executions:
             return ServiceError(ErrorKind.ANSWER_INCOMPLETE, "no target returned a complete answer")
+        targets = self.registry.usable(run.service)
+        push_backs = self.registry.push_backs
+        now = self.now()
+        if targets and not push_backs.open_targets(targets, self.selector.outstanding, now):
+            run.retry_ms = push_backs.caller_retry_ms(targets, run.id, now)
+            return ServiceError(
+                ErrorKind.OVERLOADED, "all targets push back requests of this host; try again later"
+            )
         return ServiceError(
             ErrorKind.NO_TARGETS, "no target available for the request; try again later"
         )
@@ -229,6 +237,8 @@
         self.crashes.check(run)
         if not self.registry.is_current(target):
             raise TargetError("left", sent=False)
+        if self.registry.push_backs.is_blocked(target, self.now()):
+            raise TargetError("pushed back", sent=False)
 
     def send(self, run: Run, target: Target, connection: Connection) -> None:
         """Writes the request."""
@@ -318,7 +328,7 @@
             # The target reports a missing input, so the stages are run again.
             self.release_inputs(run)
             run.tried_targets.discard(target.name)
-        if answer.retry_after_s is not None:
+        if answer.retry_after_s is not None and answer.push_back_s is None:
             run.retry_ms = max(DEFAULT_RETRY_MS, answer.retry_after_s * 1000)
         return self.offer_again(run, ErrorKind.OVERLOADED)
 
@@ -327,6 +337,8 @@
 
         Returns False, as `attempt` does if the request has no final answer yet.
         """
+        if not self.selector.candidates(run):
+            raise self.no_target_error(run)
         hosts = len(self.follower.members.alive(self.now()))
         if len(run.offers) < MAX_OFFERS and self.budget(run.service).try_spend(self.now(), hosts):
             return False
@@ -355,7 +367,7 @@
         """Records an attempt without a complete answer."""
         run.offers.append(Offer(target.name, error.reason))
         self.log_broken_attempt(run, error)
-        if error.reason != "left":
+        if error.reason not in ("left", "pushed back"):
             peers = self.registry.usable(run.service)
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             self.health.record_failure(target, peers, weight, error.reason, self.now())
--- a/savoryfork/forward/freeing.py
+++ b/savoryfork/forward/freeing.py
@@ -23,6 +23,10 @@
 # Timeout after which a call is abandoned. Its results stay on the target until they expire.
 FREE_TIMEOUT_MS = 4_000.0
 
+# Results on a target that pushes back for longer are not freed: targets keep them for 4 s on the
+# sheets, so that they have expired by then.
+MAX_FREE_WAIT_MS = 4_000.0
+
 
 class ResultFreer:
     """Frees results on their targets, batching those of a short delay into one call.
@@ -59,8 +63,18 @@
         self.pending.setdefault(key, []).append(result.handle)
 
     def flush(self, key: tuple[str, str]) -> None:
-        """Sends the collected results of one target."""
+        """Sends the collected results of one target, once it does not push back."""
         service, address = key
+        target = self.registry.at_address(service, address)
+        if target is not None:
+            wait_ms = self.registry.push_backs.blocked_until(target) - self.clock.monotonic_ms()
+            if wait_ms > MAX_FREE_WAIT_MS:
+                count = len(self.pending.pop(key))
+                logs.event(log, "free_failed", address=address, count=count, error="pushed back")
+                return
+            if wait_ms > 0:
+                asyncio.get_running_loop().call_later(wait_ms / 1000, self.flush, key)
+                return
         self.background.spawn(self.send(service, address, self.pending.pop(key)))
 
     async def send(self, service: str, address: str, handles: list[str]) -> None:
@@ -92,6 +106,8 @@
             if target is not None:
                 self.signals.observe(target, answer)
             await connection.read_body()
+            if answer.not_run and not answer.wrong_target:
+                raise TargetError("refused", sent=False)
             if not answer.leaving:
                 self.connections.release_connection(
                     connection, self.clock.monotonic_ms(), answer.idle_s
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -261,6 +261,10 @@
         for source in Source:
             added = self.follower.registry.departures.added[source]
             metrics.departures.set({"source": source.value}, added)
+        push_backs = self.follower.registry.push_backs
+        for service, count in push_backs.received.items():
+            metrics.push_backs.set({"service": service}, count)
+        metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
         metrics.inflight.set({}, self.entry.inflight)
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -34,6 +34,12 @@
             "savoryfork_departures",
             "Targets found to be leaving since the start, by the source that said so first",
         )
+        self.push_backs = self.gauge(
+            "savoryfork_push_backs", "Answers since the start that push back, by service"
+        )
+        self.pushed_back_targets = self.gauge(
+            "savoryfork_pushed_back_targets", "Targets that push back on this host now"
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -162,7 +162,8 @@
     """The head of a target's answer.
 
     `not_run` is the target's guarantee that it did not run the request; `wrong_target` means that
-    another incarnation answered at the address; `leaving` that the target itself is leaving.
+    another incarnation answered at the address; `leaving` that the target itself is leaving;
+    `push_back_s` for how long it wants no requests from this host, None if it did not say so.
     """
 
     status: int
@@ -173,6 +174,7 @@
     retry_after_s: float | None
     idle_s: float | None
     leaving: bool = False
+    push_back_s: float | None = None
 
 
 class Piece(NamedTuple):
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -163,6 +163,7 @@
                     task.finish(StageFailure.NO_TARGETS)
             return
         targets = {t.name: t for t in self.usable(pool, now)}
+        self.refuse_pushed_back_work(pool, list(targets.values()), now)
         if any(pool.is_idle(target, now) for target in targets.values()):
             tasks = [task.to_batching_task() for task in pool.tasks.values() if task.waiting]
             statuses = [self.target_status(pool, target, now) for target in targets.values()]
@@ -173,17 +174,34 @@
             # targets that return.
             self.schedule_dispatch(pool, DISPATCH_RETRY_MS)
 
+    def refuse_pushed_back_work(self, pool: Pool, targets: list[Target], now: float) -> None:
+        """Refuses waiting pieces that would be too late after the earliest push-back."""
+        push_backs = self.registry.push_backs
+        if not targets or push_backs.unblocked(targets, now):
+            return
+        end = push_backs.earliest_end(targets) + batching.call_ms(pool.limits, 1)
+        for task in pool.tasks.values():
+            if task.waiting and end > task.work.deadline_at and not task.future.done():
+                request_id = task.work.request_id
+                task.work.retry_ms = push_backs.caller_retry_ms(targets, request_id, now)
+                task.finish(StageFailure.OVERLOADED)
+
     def usable(self, pool: Pool, now: float) -> list[Target]:
-        """Returns the healthy targets of a pool; those with a stuck call only if all have one."""
+        """Returns the healthy targets of a pool; those with a stuck call only if all have one.
+
+        Those that push back are returned only if all do; their status says until when.
+        """
         targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
+        targets = self.registry.push_backs.unblocked(targets, now) or targets
         available = self.health.usable(targets, now)
         return [target for target in available if not pool.state(target).stuck] or available
 
     def target_status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
         """Returns the status of a target for the scheduler."""
         state = pool.state(target)
-        free_at = state.blocked_until
-        if state.calls >= pool.limits.slots:
+        push_backs = self.registry.push_backs
+        free_at = max(state.blocked_until, push_backs.blocked_until(target))
+        if state.calls >= min(pool.limits.slots, push_backs.allowed(target)):
             # An overdue call is expected to take as long again as it is overdue.
             overdue = max(0.0, now - state.expected_end_at)
             free_at = (
@@ -310,6 +328,8 @@
         try:
             if not self.registry.is_current(target):
                 raise TargetError("left", sent=False)
+            if self.registry.push_backs.is_blocked(target, self.now()):
+                raise TargetError("pushed back", sent=False)
             now = self.now()
             pieces = [self.make_piece(task, number, now) for task, number in batch]
             connection.send(*self.wire.pieces_call(target, pieces))
@@ -391,7 +411,7 @@
 
         Pieces that the target did not receive, or refused to run, do not use up an attempt.
         """
-        if error.reason not in ("full", "wrong target", "left"):
+        if error.reason not in ("full", "wrong target", "left", "pushed back"):
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -7,6 +7,7 @@
 from savoryfork.forward.departures import Departures, Source, incarnation_of
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.model import Target
+from savoryfork.forward.pushback import PushBacks
 
 # Targets re-register within about 2 s of the store's return if their entries lapsed in an outage.
 LAPSE_GRACE_MS = 2_300.0
@@ -25,7 +26,8 @@
     """Targets by name and by service.
 
     A target at whose address another incarnation answered is excluded until its entry changes, and
-    one that is leaving by any source for good; see `departures`.
+    one that is leaving by any source for good; see `departures`. `push_backs` are those that want
+    no requests for a time.
     """
 
     def __init__(self, decode: Decoder) -> None:
@@ -34,6 +36,7 @@
         self.by_service: dict[str, list[Target]] = {}
         self.misdirected: dict[str, Target] = {}
         self.departures = Departures()
+        self.push_backs = PushBacks()
         self.lapsed: dict[str, float] = {}
         self.store_returned_at = 0.0
 
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -35,9 +35,14 @@
     # Selection.
 
     def candidates(self, run: Run) -> list[Target]:
-        """Returns the healthy targets that the request has not been offered to yet."""
+        """Returns the healthy targets that the request has not been offered to yet.
+
+        Those that push back are left out also if no others remain.
+        """
+        now = self.follower.now()
         usable = [t for t in self.registry.usable(run.service) if t.name not in run.tried_targets]
-        return self.health.usable(usable, self.follower.now()) if usable else []
+        found = self.registry.push_backs.open_targets(usable, self.outstanding, now)
+        return self.health.usable(found, now) if found else []
 
     def engine_costs(
         self, run: Run, targets: Sequence[Target], input_bytes: dict[str, float]
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -173,9 +173,11 @@
     """Decodes the head of a target's answer.
 
     A 421 is written by another incarnation than the expected one, so it does not say that that one
-    is leaving.
+    is leaving. Only a 503 pushes back: other refusals concern one request. A date is not read, as
+    the platform's times are seconds and the time of day differs between machines.
     """
     dropped = hop_by_hop_names(headers)
+    retry_after_s = parse_non_negative(first_value(headers, b"retry-after"))
     request_id = first_value(headers, b"request-id")
     keep_alive = first_value(headers, b"keep-alive") or ""
     timeout = next((p for p in keep_alive.split(",") if p.strip().startswith("timeout=")), "")
@@ -185,8 +187,9 @@
         request_id=request_id.encode("latin-1") if request_id is not None else None,
         not_run=first_value(headers, b"not-executed") is not None or status == 421,
         wrong_target=status == 421,
-        retry_after_s=parse_non_negative(first_value(headers, b"retry-after")),
+        retry_after_s=retry_after_s,
         idle_s=parse_non_negative(timeout.strip().removeprefix("timeout=")),
+        push_back_s=retry_after_s if status == 503 and retry_after_s else None,
         leaving=status != 421 and first_value(headers, b"server-leaving") == LEAVING,
     )
 
