Keep a target whose entry was deleted and written again between two reads

Seen in the model check of beliefs that follows: an update with a deletion and a new entry of one key dropped the new target, which then got no work until its next change; with two deletions the registry raised a KeyError, which ends the task that reads the store and so the host.

Cause: deleted targets were collected and removed by name after all entries of the update had been applied. Reads are 450 ms apart, so a replica that starts again under its id can make such an update.

Change: only the last entry of a key in an update is applied. An earlier one still counts if it says that its incarnation is leaving.

Before: test_target_that_returns_within_one_update_is_kept failed (reborn, then gone). After: it passes.

--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -45,20 +45,27 @@
         self.store_returned_at = now
 
     def update(self, entries: list[Entry], now: float) -> list[tuple[Target, str]]:
-        """Applies changed entries; returns each target that changed with the kind of change."""
+        """Applies changed entries; returns each target that changed with the kind of change.
+
+        Of several entries of a key, the last one counts; an earlier one can only say that its
+        incarnation is leaving.
+        """
         changes: list[tuple[Target, str]] = []
         dropped = []
+        newest = {entry.key: entry for entry in entries}
         for entry in entries:
             known = self.targets.get(entry.key)
             target = self.decode(entry.key, entry.value) if entry.value else None
+            if target is not None and target.leaving:
+                self.departures.add(incarnation_of(target), Source.STORE, now)
+            if newest[entry.key] is not entry:
+                continue
             if target is None:
                 if known is not None:
                     dropped.append(known)
                 continue
             self.lapsed.pop(entry.key, None)
             self.targets[entry.key] = target
-            if target.leaving:
-                self.departures.add(incarnation_of(target), Source.STORE, now)
             if known is None:
                 changes.append((target, "added"))
             elif (known.born, known.address) != (target.born, target.address):
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -37,6 +37,26 @@
         registry.update([Entry(20 + n, f"bad{n}", v) for n, v in enumerate(bad)], 0.0)
         assert len(registry.usable("s")) == 5
 
+    def test_target_that_returns_within_one_update_is_kept(self):
+        """Guards against losing a target whose entry was deleted and written again between two
+        reads, and against a KeyError, which ended the host, if it was deleted twice."""
+        registry = make_registry()
+        again = value("10.0.0.1:80", born=2)
+        changes = registry.update([Entry(9, "t1", b""), Entry(10, "t1", again)], 50_000.0)
+        assert [change for _, change in changes] == ["reborn"]
+        assert registry.targets["t1"].born == 2 and len(registry.usable("s")) == 5
+        deleted = [Entry(11, "t1", b""), Entry(12, "t1", again), Entry(13, "t1", b"")]
+        assert [change for _, change in registry.update(deleted, 50_000.0)] == ["gone"]
+        assert "t1" not in registry.targets
+
+    def test_leaving_entry_within_one_update_counts(self):
+        """Guards against work for a target that wrote that it leaves, and was then written as ready
+        by another writer, between two reads."""
+        registry = make_registry()
+        rows = [value("10.0.0.1:80", "draining"), value("10.0.0.1:80")]
+        registry.update([Entry(9, "t1", rows[0]), Entry(10, "t1", rows[1])], 0.0)
+        assert len(registry.usable("s")) == 4
+
     def test_a_new_incarnation_replaces_the_old_one(self):
         registry = make_registry()
         old = registry.targets["t1"]
