Tell a restarted host of leaving targets that it had reported itself

Seen in the model check: a host that reported a leaving target and was started again did not hear of it from the host it had told, as marks are not sent to the host that reported them.

Change: a host without a revision, which has just started, is told everything.

Before: the model check failed after answer, exchange, restart, exchange. After: it passes.

--- a/savoryfork/forward/departures.py
+++ b/savoryfork/forward/departures.py
@@ -160,12 +160,17 @@
         self.received: dict[str, tuple[int, int]] = {}
 
     def unsent(self, revision: int, receiver: str, now: float) -> DepartureNews:
-        """Returns the marks after a revision that a host has not reported itself."""
+        """Returns the marks after a revision that a host has not reported itself.
+
+        Without a revision the host has just started, so it may not know what it reported before.
+        """
         marks: list[Mark] = []
         for departure in self.departures.known.values():
             if departure.revision <= revision:
                 continue
-            if departure.source is Source.STORE or departure.told_by == receiver:
+            if departure.source is Source.STORE:
+                continue
+            if departure.told_by == receiver and revision >= 0:
                 continue
             if now - departure.since > SHARED_MS:
                 continue
--- a/tests/forward/test_departures.py
+++ b/tests/forward/test_departures.py
@@ -13,6 +13,7 @@
     MAX_UNREGISTERED_MARKS,
     SHARED_MS,
     DepartureExchange,
+    DepartureNews,
     Departures,
     Incarnation,
     Source,
@@ -139,6 +140,15 @@
         assert not exchange.request_to("h", 1, 0.0).marks
         assert exchange.request_to("h", 2, 0.0).marks
 
+    def test_host_that_restarts_is_told_what_it_reported(self):
+        """Guards against a restarted host that the hosts it told do not tell in turn."""
+        one, two = Departures(), Departures()
+        one.add(incarnation(1), Source.ANSWER, 0.0)
+        second = DepartureExchange(two)
+        second.merge("one", DepartureExchange(one).request_to("two", 1, 0.0), 0.0)
+        assert not second.reply_to("one", DepartureNews(0), 0.0).marks
+        assert second.reply_to("one", DepartureNews(), 0.0).marks
+
 
 async def unused(replica: Replica, deployment: Deployment, service: str) -> None:
     """Waits until a host does not use a replica."""
