Merge leaving marks and push-back of targets in their answers

Resolved beside the eras of the store and silent targets: the registry keeps one belief about leaving, that of departures, which replaces the check of the former entry; entries of one batch are taken by their last one.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -31,6 +31,7 @@
     shared_parts_label,
 )
 from savoryfork.forward.selection import TargetSelector
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.silence import Decision, MoveOptions
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
@@ -81,6 +82,7 @@
         wire: Wire,
         budget: Callable[[str], RetryBudget],
         crashes: CrashMonitor,
+        signals: TargetSignals,
     ) -> None:
         self.gate = gate
         self.follower = gate.follower
@@ -92,6 +94,7 @@
         self.wire = wire
         self.budget = budget
         self.crashes = crashes
+        self.signals = signals
 
     def now(self) -> float:
         """Returns the suspend-aware time in milliseconds."""
@@ -122,6 +125,8 @@
         assert run.route is not None
         while True:
             if run.next_target is None and self.needs_stages(run):
+                if not self.selector.candidates(run):
+                    raise self.no_target_error(run)
                 await self.run_stages(run)
             target = self.choose_target(run)
             if target is None:
@@ -194,6 +199,14 @@
         """Returns the error for a request that has no target left to try."""
         if run.possible_executions:
             return ServiceError(ErrorKind.ANSWER_INCOMPLETE, "no target returned a complete answer")
+        targets = self.registry.usable(run.service)
+        push_backs = self.registry.push_backs
+        now = self.now()
+        if targets and not push_backs.open_targets(targets, self.selector.outstanding, now):
+            run.retry_ms = push_backs.caller_retry_ms(targets, run.id, now)
+            return ServiceError(
+                ErrorKind.OVERLOADED, "all targets push back requests of this host; try again later"
+            )
         return ServiceError(
             ErrorKind.NO_TARGETS, "no target available for the request; try again later"
         )
@@ -250,6 +263,8 @@
         self.crashes.check(run)
         if not self.registry.is_current(target):
             raise TargetError("left", sent=False)
+        if self.registry.push_backs.is_blocked(target, self.now()):
+            raise TargetError("pushed back", sent=False)
 
     def send(self, run: Run, target: Target, connection: Connection) -> None:
         """Writes the request."""
@@ -284,6 +299,7 @@
         answer = self.wire.decode_answer(head.status, head.headers)
         if answer.request_id is not None and answer.request_id != run.request.id:
             raise TargetError("answer to another request", sent=True)
+        self.signals.observe(target, answer)
         if head.status == 200 and run.route.repeat is Repeat.STREAM:
             await self.stream(run, target, connection, answer, mark_prefilled, watch)
             return True
@@ -299,7 +315,7 @@
         """
         if run.attempt is not None:
             run.attempt.connection = None
-        if answer.not_run or answer.request_id is None:
+        if answer.not_run or answer.request_id is None or answer.leaving:
             connection.abort()
         else:
             self.connections.release_connection(connection, self.now(), answer.idle_s)
@@ -341,7 +357,7 @@
             # The target reports a missing input, so the stages are run again.
             self.release_inputs(run)
             run.tried_targets.discard(target.name)
-        if answer.retry_after_s is not None:
+        if answer.retry_after_s is not None and answer.push_back_s is None:
             run.retry_ms = max(DEFAULT_RETRY_MS, answer.retry_after_s * 1000)
         return self.offer_again(run, ErrorKind.OVERLOADED)
 
@@ -350,6 +366,8 @@
 
         Returns False, as `attempt` does if the request has no final answer yet.
         """
+        if not self.selector.candidates(run):
+            raise self.no_target_error(run)
         hosts = len(self.follower.members.alive(self.now()))
         if len(run.offers) < MAX_OFFERS and self.budget(run.service).try_spend(self.now(), hosts):
             return False
@@ -389,7 +407,7 @@
         Silence was charged when it was noticed.
         """
         run.offers.append(Offer(target.name, error.reason))
-        if error.reason not in ("left", relay.SILENT):
+        if error.reason not in ("left", "pushed back", relay.SILENT):
             peers = self.registry.usable(run.service)
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             self.health.record_failure(target, peers, weight, error.reason, self.now())
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -21,6 +21,7 @@
 from savoryfork.forward.connection import Connections
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.crashes import CrashMonitor
+from savoryfork.forward.departures import Source
 from savoryfork.forward.entry import EntryServer
 from savoryfork.forward.follower import Follower, Store, Topic
 from savoryfork.forward.forwarder import Forwarder
@@ -41,6 +42,7 @@
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.settings import ForwardSettings
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.stages import Stages
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerClient, PeerServer
@@ -157,6 +159,7 @@
         )
         self.health = HealthTracker()
         self.connections = Connections(limits)
+        self.signals = TargetSignals(self.follower, self.connections)
         self.pools = Pools(
             self.follower.registry,
             self.health,
@@ -167,6 +170,7 @@
             self.retry_budget,
             self.background,
             self.metrics,
+            self.signals,
         )
         coordinator = Coordinator(self.pools, self.metrics)
         self.stages = Stages(self.follower, coordinator, self.peers, self.background)
@@ -184,6 +188,7 @@
             self.wire,
             self.retry_budget,
             self.crashes,
+            self.signals,
         )
         self.entry = EntryServer(self.forwarder, self.wire, self.metrics, limits)
 
@@ -258,6 +263,13 @@
         metrics = self.metrics
         metrics.connections.set({"use": "opened"}, self.connections.opened)
         metrics.connections.set({"use": "reused"}, self.connections.reused)
+        for source in Source:
+            added = self.follower.registry.departures.added[source]
+            metrics.departures.set({"source": source.value}, added)
+        push_backs = self.follower.registry.push_backs
+        for service, count in push_backs.received.items():
+            metrics.push_backs.set({"service": service}, count)
+        metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
         metrics.inflight.set({}, self.entry.inflight)
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -20,6 +20,7 @@
 from savoryfork.forward.model import BatchLimits, Piece, PieceFailure, PieceResult, Target
 from savoryfork.forward.pool import Pool, StageTask, TargetState
 from savoryfork.forward.registry import Registry
+from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.wire import Wire
 from savoryfork.forward.work import StageFailure, Work
 from savoryfork.util import logs
@@ -75,6 +76,7 @@
         budget: Callable[[str], RetryBudget],
         background: BackgroundTasks,
         metrics: ForwardMetrics,
+        signals: TargetSignals,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -88,7 +90,10 @@
         self.task_numbers = itertools.count()
         self.background = background
         self.metrics = metrics
-        self.result_freer = ResultFreer(connections, wire, clock, background, self.mark_freed)
+        self.signals = signals
+        self.result_freer = ResultFreer(
+            connections, wire, clock, background, self.mark_freed, registry, signals
+        )
 
     def now(self) -> float:
         """Returns the suspend-aware time in milliseconds."""
@@ -166,10 +171,11 @@
         now = self.now()
         if not any(task.waiting for task in pool.tasks.values()):
             return
-        if self.limits(pool.service) is None:
+        if self.limits(pool.service) is None or self.registry.all_leaving(pool.service):
             self.refuse_waiting(pool)
             return
         targets = {t.name: t for t in self.usable(pool, now)}
+        self.refuse_pushed_back_work(pool, list(targets.values()), now)
         if any(pool.is_idle(target, now) for target in targets.values()):
             tasks = [task.to_batching_task() for task in pool.tasks.values() if task.waiting]
             statuses = [self.target_status(pool, target, now) for target in targets.values()]
@@ -181,22 +187,39 @@
             self.schedule_dispatch(pool, DISPATCH_RETRY_MS)
 
     def refuse_waiting(self, pool: Pool) -> None:
-        """Fails the tasks that wait for a service that has gone, as no target will come."""
+        """Fails the tasks that wait for a service whose targets are gone or leave."""
         for task in pool.tasks.values():
             if task.waiting:
                 task.finish(StageFailure.NO_TARGETS)
 
+    def refuse_pushed_back_work(self, pool: Pool, targets: list[Target], now: float) -> None:
+        """Refuses waiting pieces that would be too late after the earliest push-back."""
+        push_backs = self.registry.push_backs
+        if not targets or push_backs.unblocked(targets, now):
+            return
+        end = push_backs.earliest_end(targets) + batching.call_ms(pool.limits, 1)
+        for task in pool.tasks.values():
+            if task.waiting and end > task.work.deadline_at and not task.future.done():
+                request_id = task.work.request_id
+                task.work.retry_ms = push_backs.caller_retry_ms(targets, request_id, now)
+                task.finish(StageFailure.OVERLOADED)
+
     def usable(self, pool: Pool, now: float) -> list[Target]:
-        """Returns the healthy targets of a pool; those with a stuck call only if all have one."""
+        """Returns the healthy targets of a pool; those with a stuck call only if all have one.
+
+        Those that push back are returned only if all do; their status says until when.
+        """
         targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
+        targets = self.registry.push_backs.unblocked(targets, now) or targets
         available = self.health.usable(targets, now)
         return [target for target in available if not pool.state(target).stuck] or available
 
     def target_status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
         """Returns the status of a target for the scheduler."""
         state = pool.state(target)
-        free_at = state.blocked_until
-        if state.calls >= pool.limits.slots:
+        push_backs = self.registry.push_backs
+        free_at = max(state.blocked_until, push_backs.blocked_until(target))
+        if state.calls >= min(pool.limits.slots, push_backs.allowed(target)):
             # An overdue call is expected to take as long again as it is overdue.
             overdue = max(0.0, now - state.expected_end_at)
             free_at = (
@@ -325,18 +348,24 @@
         connection = await self.connections.open(target.address, self.now())
         reusable = False
         try:
+            if not self.registry.is_current(target):
+                raise TargetError("left", sent=False)
+            if self.registry.push_backs.is_blocked(target, self.now()):
+                raise TargetError("pushed back", sent=False)
             now = self.now()
             pieces = [self.make_piece(task, number, now) for task, number in batch]
             connection.send(*self.wire.pieces_call(target, pieces))
             head = await connection.read_head()
             answer = self.wire.decode_answer(head.status, head.headers)
+            self.signals.observe(target, answer)
             body = await connection.read_body()
             results = self.wire.decode_results(body, len(batch)) if answer.status == 200 else None
             if results is not None and not state.add_handles(results):
                 raise TargetError("results of another call", sent=True)
             # The answer of a call carries no id: only new handles show that it is not an earlier
             # one, written once more.
-            if results is not None and all(isinstance(result, str) for result in results):
+            made = results is not None and all(isinstance(result, str) for result in results)
+            if made and not answer.leaving:
                 self.connections.release_connection(connection, self.now(), answer.idle_s)
                 reusable = True
         finally:
@@ -404,7 +433,7 @@
 
         Pieces that the target did not receive, or refused to run, do not use up an attempt.
         """
-        if error.reason not in ("full", "wrong target"):
+        if error.reason not in ("full", "wrong target", "left", "pushed back"):
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Callable
 
+from savoryfork.forward.departures import Departures, Source, incarnation_of
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.model import Target
+from savoryfork.forward.pushback import PushBacks
 
 # Targets re-register within about 2 s of the store's return if their entries lapsed in an outage.
 LAPSE_GRACE_MS = 2_300.0
@@ -23,7 +25,9 @@
 class Registry:
     """Targets by name and by service.
 
-    A target at whose address another incarnation answered is excluded until its entry changes.
+    A target at whose address another incarnation answered is excluded until its entry changes, and
+    one that is leaving by any source for good; see `departures`. `push_backs` are those that want
+    no requests for a time.
     """
 
     def __init__(self, decode: Decoder) -> None:
@@ -31,6 +35,8 @@
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
         self.misdirected: dict[str, Target] = {}
+        self.departures = Departures()
+        self.push_backs = PushBacks()
         self.lapsed: dict[str, float] = {}
         self.store_returned_at = 0.0
 
@@ -43,23 +49,27 @@
     ) -> list[tuple[Target, str]]:
         """Applies changed entries; returns each target that changed with the kind of change.
 
-        `restored` is True for the entries of a store that was restored from an older copy. A target
-        that leaves never returns in the same incarnation, whatever an entry says.
+        Of several entries of a key, the last one counts; an earlier one can only say that its
+        incarnation is leaving, which is final. `restored` is True for the entries of a store that
+        was restored from an older copy.
         """
         if restored:
             self.record_store_return(now)
         changes: list[tuple[Target, str]] = []
-        dropped: dict[str, Target] = {}
+        dropped = []
+        newest = {entry.key: entry for entry in entries}
         for entry in entries:
             known = self.targets.get(entry.key)
             target = self.decode(entry.key, entry.value) if entry.value else None
+            if target is not None and target.leaving:
+                self.departures.add(incarnation_of(target), Source.STORE, now)
+            if newest[entry.key] is not entry:
+                continue
             if target is None:
                 if known is not None:
-                    dropped[entry.key] = known
+                    dropped.append(known)
                 continue
-            # It registered again after it was deleted.
-            dropped.pop(entry.key, None)
-            if known is not None and known.leaving and is_same_incarnation(known, target):
+            if self.departures.is_leaving(target):
                 target = target._replace(leaving=True)
             self.lapsed.pop(entry.key, None)
             self.targets[entry.key] = target
@@ -69,7 +79,7 @@
                 changes.append((target, "reborn"))
             elif known.leaving != target.leaving:
                 changes.append((target, "leaving" if target.leaving else "ready"))
-        changes += self.drop(list(dropped.values()), now, restored)
+        changes += self.drop(dropped, now, restored)
         self.reindex()
         return changes
 
@@ -115,9 +125,31 @@
         }
         self.by_service = {}
         for target in sorted(self.targets.values()):
-            if not target.leaving and target.name not in self.misdirected:
+            if self.may_get_work(target):
                 self.by_service.setdefault(target.service, []).append(target)
 
+    def may_get_work(self, target: Target) -> bool:
+        """Returns whether a registered target may get new work."""
+        return (
+            not target.leaving
+            and not self.departures.is_leaving(target)
+            and target.name not in self.misdirected
+        )
+
+    def mark_leaving(self, target: Target, source: Source, since: float) -> bool:
+        """Takes this incarnation of a target out of use; returns False if it is known to leave."""
+        if not self.departures.add(incarnation_of(target), source, since):
+            return False
+        self.reindex()
+        return True
+
+    def all_leaving(self, service: str) -> bool:
+        """Returns whether a service has targets and all of them are leaving."""
+        if self.usable(service):
+            return False
+        targets = self.of_service(service)
+        return bool(targets) and all(map(self.departures.is_leaving, targets))
+
     def mark_misdirected(self, target: Target) -> None:
         """Records that another incarnation answered at a target's address."""
         if self.targets.get(target.name) == target:
@@ -128,6 +160,11 @@
         """Returns all targets of a service, including those that are leaving."""
         return [target for target in self.targets.values() if target.service == service]
 
+    def at_address(self, service: str, address: str) -> Target | None:
+        """Returns the target of a service at an address; None if none is registered there."""
+        found = (target for target in self.of_service(service) if target.address == address)
+        return next(found, None)
+
     def usable(self, service: str) -> list[Target]:
         """Returns the targets of a service that may get new work."""
         return self.by_service.get(service, [])
@@ -135,12 +172,7 @@
     def is_current(self, target: Target) -> bool:
         """Returns whether this incarnation of a target may still get new work."""
         known = self.targets.get(target.name)
-        return (
-            known is not None
-            and not known.leaving
-            and is_same_incarnation(known, target)
-            and target.name not in self.misdirected
-        )
+        return known is not None and is_same_incarnation(known, target) and self.may_get_work(known)
 
 
 def is_same_incarnation(known: Target, other: Target) -> bool:
