Keep the target of a dropped move as a candidate

If a silent target went on while another one was being connected to, the other one counted as tried, so the stream could not move there in a later pause. The target is now ruled out only by its own failure. The silence is charged to the health of its target before the stages of a move run, not after them.

test_target_of_a_dropped_move_stays_a_candidate failed before and passes now.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -454,14 +454,14 @@
         attempt = run.attempt
         assert attempt is not None
         self.drop_next_target(run)
+        if attempt.silence is None:
+            peers = self.registry.usable(run.service)
+            self.health.record_failure(target, peers, LIKELY_FAULT, relay.SILENT, self.now())
         decision = silence.decide_move(self.move_options(run))
         if decision is Decision.MOVE:
             run.next_target = await self.prepare_move(run)
             if run.next_target is None:
                 decision = Decision.STAY_UNPREPARED
-        if attempt.silence is None:
-            peers = self.registry.usable(run.service)
-            self.health.record_failure(target, peers, LIKELY_FAULT, relay.SILENT, self.now())
         if decision is not attempt.silence:
             attempt.silence = decision
             self.follower.metrics.silent_targets.inc(
@@ -518,20 +518,23 @@
         """Connects to a target and spends the retry; returns None if either fails."""
         run.tried_targets.add(target.name)
         connection: Connection | None = None
-        ready = False
+        ready = failed = False
         try:
             connection = await self.connections.open(target.address, self.now())
             self.check_sendable(run, target)
             hosts = len(self.follower.members.alive(self.now()))
             ready = self.budget(run.service).try_spend(self.now(), hosts)
-            if not ready:
-                run.tried_targets.discard(target.name)
         except TargetError as error:
+            failed = True
             logs.event(log, "move_not_prepared", request=run.id, reason=error.reason)
             self.record_failed_offer(run, target, error)
         finally:
-            if connection is not None and not ready:
-                connection.abort()
+            if not ready:
+                if connection is not None:
+                    connection.abort()
+                if not failed:
+                    # Not for the target's sake, so it stays a candidate.
+                    run.tried_targets.discard(target.name)
         return NextTarget(target, connection) if ready and connection is not None else None
 
     def drop_next_target(self, run: Run) -> None:
--- a/tests/forward/test_silence.py
+++ b/tests/forward/test_silence.py
@@ -167,6 +167,28 @@
             first, second = by_use(deployment)
             assert first.run_counts["r"] == 1 and not second.run_counts
 
+    async def test_target_of_a_dropped_move_stays_a_candidate(self, monkeypatch):
+        """Guards against a target that is ruled out since a move to it was once dropped."""
+        async with Deployment(replicas=2) as deployment:
+            fall_silent(deployment, 3, LONG_SILENCE_S)
+            forwarder = deployment.hosts[0].forwarder
+            prepare_target, runs = forwarder.prepare_target, []
+
+            async def record_and_prepare(run, target):
+                runs.append(run)
+                return await prepare_target(run, target)
+
+            async def hang(*_, **__):
+                await asyncio.sleep(DEAD_S)
+
+            monkeypatch.setattr(forwarder, "prepare_target", record_and_prepare)
+            task = asyncio.create_task(deployment.call("/chat/x", **TOKENS))
+            await fallen_silent(deployment)
+            monkeypatch.setattr(forwarder.connections, "open", hang)
+            _, body, _ = await task
+            assert event_ids(body) == list(range(1, EVENTS + 1))
+            assert runs[0].tried_targets == {by_use(deployment)[0].name}
+
     async def test_streams_beyond_the_retry_budget_stay(self, monkeypatch):
         """Guards against leaving a target with many streams for which there are few retries."""
         async with Deployment(replicas=2) as deployment:
