--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -256,6 +256,8 @@
             self.put(entry.key, report, True, now)
         elif entry.key.startswith(CLEARANCE_PREFIX):
             clearance = decode_json(entry.value, Clearance)
+            if len(clearance.crashes) > MAX_REPORTS:
+                raise UndecodableError(f"over {MAX_REPORTS} crashes")
             self.clearance_keys[entry.key] = clearance.part
             known = self.cleared.get(clearance.part, frozenset())
             self.cleared[clearance.part] = known.union(clearance.crashes)
