--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -88,12 +88,7 @@
     if topic is Topic.CONFIGURATION:
         return [e._replace(era=era, revision=config_revision(e.value)) for e in entries]
     if topic is Topic.TARGETS:
-        return [
-            e._replace(
-                value=strip_volatile_fields(e.value), era=era, revision=target_revision(e.value)
-            )
-            for e in entries
-        ]
+        return [normalize_target(e)._replace(era=era) for e in entries]
     revision = (era, 0) if records else UNKNOWN_REVISION
     return [e._replace(era=era, revision=revision) for e in entries]
 
@@ -104,13 +99,6 @@
     version: int
 
 
-class TargetSequence(msgspec.Struct):
-    """The start of a target's incarnation and the count of its heartbeats."""
-
-    born: int = 0
-    sequence: int = 0
-
-
 def config_revision(value: bytes) -> Revision:
     """Returns the revision of a configuration: its version.
 
@@ -124,34 +112,31 @@
         return UNKNOWN_REVISION  # reported when it is decoded to be put into effect
 
 
-def target_revision(value: bytes) -> Revision:
-    """Returns the revision of a target's entry: its incarnation, then its heartbeat.
-
-    >>> target_revision(b'{"born":1700000000000,"sequence":9}'), target_revision(b'{"born":"x"}')
-    ((1700000000000, 9), (0, 0))
-    """
-    try:
-        row = split_json(value, TargetSequence)
-        return (whole(row.born, "born"), whole(row.sequence, "sequence"))
-    except UndecodableError:
-        return UNKNOWN_REVISION  # reported when it is decoded to be used
-
+def normalize_target(entry: Entry) -> Entry:
+    """Returns a target's entry without its volatile fields, and with its revision.
 
-def strip_volatile_fields(value: bytes) -> bytes:
-    """Returns a target's entry without its volatile fields; a malformed one stays unchanged.
+    The revision is the incarnation, then the heartbeat. A malformed entry stays unchanged, without
+    one; it is reported when it is decoded to be used.
 
-    >>> strip_volatile_fields(b'{"slots":2,"sequence":7}')
-    b'{"slots":2}'
-    >>> strip_volatile_fields(b"[1]"), strip_volatile_fields(b"")
+    >>> normalize_target(Entry(0, "t", b'{"born":3,"sequence":9}'))
+    Entry(offset=0, key='t', value=b'{"born":3}', era=0, revision=(3, 9))
+    >>> normalize_target(Entry(0, "t", b'[1]')).value, normalize_target(Entry(0, "t", b"")).value
     (b'[1]', b'')
     """
+    if not 0 < len(entry.value) <= MAX_TARGET_BYTES:
+        return entry
     try:
-        row = decode_json(value) if 0 < len(value) <= MAX_TARGET_BYTES else None
+        row = decode_json(entry.value)
         if not isinstance(row, dict):
-            return value
-        return msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
+            return entry
+        value = msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
     except (ValueError, OverflowError, RecursionError):
-        return value
+        return entry
+    try:
+        revision = (whole(row.get("born", 0), "born"), whole(row.get("sequence", 0), "sequence"))
+    except UndecodableError:
+        revision = UNKNOWN_REVISION
+    return entry._replace(value=value, revision=revision)
 
 
 class PlatformStore:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from savoryfork.forward.follower import Topic
+from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.limits import ReadLimits
-from savoryfork.platform.store import PlatformStore, decode_records, strip_volatile_fields
+from savoryfork.platform.store import PlatformStore, decode_records, normalize_target
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
 from standins.ports import free_port
@@ -21,6 +22,10 @@
 from tests.odd import NASTY_JSON, values
 
 
+def stripped(value: bytes) -> bytes:
+    return normalize_target(Entry(0, "t", value)).value
+
+
 @pytest.fixture
 async def store():
     """A stand-in store and its client."""
@@ -118,15 +123,15 @@
     @given(st.binary(max_size=80), values)
     def test_any_entry_of_a_target(self, data, value):
         """Guards against an entry that ends every host that reads it."""
-        assert strip_volatile_fields(data) == data
+        assert stripped(data) == data
         encoded = msgspec.json.encode({"sequence": 1, "slots": value})
-        assert b"sequence" not in strip_volatile_fields(encoded)
+        assert b"sequence" not in stripped(encoded)
 
     @pytest.mark.parametrize("data", NASTY_JSON.values(), ids=NASTY_JSON)
     def test_nasty_entry_of_a_target(self, data):
-        strip_volatile_fields(data)
+        stripped(data)
         entry = b'{"sequence":1,"slots":' + data + b"}"
-        assert len(strip_volatile_fields(entry)) <= len(entry)
+        assert len(stripped(entry)) <= len(entry)
 
 
 class TestOddPages:
