--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -125,7 +125,7 @@
         assert run.route is not None
         while True:
             if run.next_target is None and self.needs_stages(run):
-                if not self.selector.candidates(run):
+                if not self.has_targets_left(run):
                     raise self.no_target_error(run)
                 await self.run_stages(run)
             target = self.choose_target(run)
@@ -139,6 +139,10 @@
         assert run.route is not None
         return bool(run.route.stages) and run.work is None and any(run.request.pieces)
 
+    def has_targets_left(self, run: Run) -> bool:
+        """Returns whether the request can be offered again, maybe to a target that it left."""
+        return bool(self.selector.candidates(run) or run.silent_targets)
+
     def choose_target(self, run: Run) -> Target | None:
         """Returns the target of the next attempt, or None if there is none.
 
@@ -366,7 +370,7 @@
 
         Returns False, as `attempt` does if the request has no final answer yet.
         """
-        if not self.selector.candidates(run):
+        if not self.has_targets_left(run):
             raise self.no_target_error(run)
         hosts = len(self.follower.members.alive(self.now()))
         if len(run.offers) < MAX_OFFERS and self.budget(run.service).try_spend(self.now(), hosts):
@@ -380,7 +384,7 @@
         assert run.route is not None
         if not run.repeatable() or run.possible_executions >= run.route.max_targets:
             return False
-        if not self.selector.candidates(run) and not run.silent_targets:
+        if not self.has_targets_left(run):
             return False
         if run.deadline_at - self.now() < MIN_ATTEMPT_MS:
             return False
