--- a/savoryfork/forward/departures.py
+++ b/savoryfork/forward/departures.py
@@ -147,8 +147,8 @@
     >>> reply = first.reply_to("h2", request, now=100.0)
     >>> [incarnation.name for incarnation in second.merge_reply("h1", 7, reply, now=100.0)]
     ['t']
-    >>> second.request_to("h1", 7, now=200.0)
-    DepartureNews(revision=1, marks=())
+    >>> second.request_to("h1", 7, now=200.0).revision
+    1
     >>> first.reply_to("h2", second.request_to("h1", 7, now=200.0), now=200.0).marks
     ()
     """
