Forget the lapse of a target that is removed before its grace period ends

A lapsed target whose entry then becomes unreadable was removed at once, but stayed in the list of lapsed ones, so the end of the grace period raised KeyError in the housekeeping, and other lapsed targets were not removed from the lists by service. A drill makes more targets lapse.

--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -93,6 +93,7 @@
         for target, change in changes:
             if change == "gone":
                 del self.targets[target.name]
+                self.lapsed.pop(target.name, None)
         return changes
 
     def expire(self, now: float) -> list[tuple[Target, str]]:
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -106,3 +106,13 @@
         changes = registry.update([Entry(9, "t1", b"")], 10_000.0, restored=True)
         assert [change for _, change in changes] == ["lapsed"] and len(registry.usable("s")) == 5
         assert [t.name for t, _ in registry.expire(10_000.0 + LAPSE_GRACE_MS)] == ["t1"]
+
+
+class TestExpire:
+    def test_a_lapsed_target_whose_entry_becomes_unreadable_is_removed_once(self):
+        """Guards against a KeyError that leaves other lapsed targets in use."""
+        registry = make_registry()
+        registry.update([Entry(9, "t1", b""), Entry(10, "t2", b"")], 10_000.0, restored=True)
+        registry.update([Entry(11, "t1", b"{")], 10_500.0)
+        registry.expire(10_000.0 + LAPSE_GRACE_MS)
+        assert {t.name for t in registry.usable("s")} == {"t0", "t3", "t4"}
