Let what was written after a restore replace entries of former eras

Entries of different eras were compared by their revisions only. Hosts know different revisions of one value, as rewrites of an unchanged value are not propagated. A host that had entered the new era therefore took a target that the store lacks from a host that had not, if that one had read more heartbeats; and a host that kept an entry did not take its deletion from a host that had read fewer. No record deletes such a target again, so one that has ended stayed for good, and the kept entries were sent with each message.

A record of the new era, and a deletion that it shows, now replace entries of former eras on every host. Both tests failed before and pass now.

--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -96,8 +96,10 @@
     `next_offset` is the offset to read from next, -1 before the first read; `confirmed_at` is the
     latest time at which the entries are known to have been complete, `trusted_at` the latest one
     at which the store is known to have held nothing newer. A host that is behind
-    `full_sync_before` needs a full update. `kept_keys` are the keys of entries of former eras, as
-    the restored store has none that are as new.
+    `full_sync_before` needs a full update.
+    `kept_keys` are the keys of entries of former eras, as the restored store has none that are as
+    new. `era_start` is the offset at which this host began to follow the era: records from there on
+    were written after the restore.
 
     `ordered` is True if each value of a key has a higher revision than the one before, whatever
     happens to the store. `keeps_missing` is True if keys that a restored store lacks stay.
@@ -110,6 +112,7 @@
         self.kept_keys: set[str] = set()
         self.era = 0
         self.era_since = -math.inf
+        self.era_start = 0
         self.next_offset = -1
         self.confirmed_at = -math.inf
         self.trusted_at = -math.inf
@@ -155,12 +158,26 @@
         >>> table.is_newer(Entry(3, "k", b"from the copy", 2, (1, 4)), known)
         False
         """
+        newer_era = entry.era > known.era
         if entry.era == known.era and not self.ordered:
             return entry.offset > known.offset
+        if entry.era != known.era and self.supersedes_former(entry if newer_era else known):
+            return newer_era
         # A deletion comes after the last value.
         newness = entry.revision, not entry.value, entry.era, entry.offset
         return newness > (known.revision, not known.value, known.era, known.offset)
 
+    def supersedes_former(self, entry: Entry) -> bool:
+        """Returns whether an entry replaces those of former eras whatever their revisions.
+
+        It does if it was written after the restore, or if it says that the restored store lacks
+        the key. Hosts know different revisions of a value, as rewrites of an unchanged value are
+        not propagated, and no record would ever delete an entry that comes back.
+        """
+        if self.ordered or entry.era != self.era:
+            return False
+        return entry.offset >= self.era_start or not (entry.value or self.keeps_missing)
+
     def store(self, entry: Entry) -> None:
         """Stores an entry."""
         self.entries[entry.key] = entry
@@ -216,6 +233,7 @@
         keys = {entry.key for entry in snapshot}
         self.era = era
         self.era_since = now
+        self.era_start = next_offset
         self.next_offset = next_offset
         self.full_sync_before = 0
         self.last_change_offset = next_offset - 1
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -88,3 +88,42 @@
         follower.merge_update(reader.changes_since(follower.position(), 0.0), 0.0, 0.0)
         alive = {k: e.value for k, e in reader.entries.items() if e.value}
         assert {k: e.value for k, e in follower.entries.items() if e.value} == alive
+
+
+def follow(table: TopicTable, peer: TopicTable, now: float = 1_000.0) -> None:
+    table.merge_update(peer.changes_since(table.position(), now), now, now)
+
+
+def started(*entries: Entry) -> TopicTable:
+    """Returns a table of targets that has read the store's first era."""
+    table = TopicTable()
+    table.start_era(1, entries, 1 + max((e.offset for e in entries), default=-1), 0.0)
+    return table
+
+
+class TestRestore:
+    def test_a_host_of_the_former_era_does_not_bring_back_what_the_store_lacks(self):
+        """Guards against a target that has ended and stays forever, as nothing deletes it again."""
+        # The other host has read later heartbeats, which hosts do not pass on.
+        host = started(Entry(0, "t", b"v", 1, (100, 1)))
+        other = started(Entry(0, "t", b"v", 1, (100, 7)))
+        host.start_era(2, [], 0, 1_000.0)
+        follow(host, other)
+        assert not host.entries["t"].value and not host.kept_keys
+        other.start_era(2, [], 0, 1_100.0)
+        for _ in range(2):
+            follow(host, other)
+            follow(other, host)
+        assert not host.entries["t"].value and not other.entries["t"].value
+
+    def test_a_host_that_keeps_an_entry_does_not_undo_its_deletion(self):
+        """Guards against a target that was deleted after a drill and stays on other hosts."""
+        host = started(Entry(0, "t", b"changed", 1, (100, 5)))
+        other = started(Entry(0, "t", b"changed", 1, (100, 7)))
+        for table in (host, other):
+            table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        host.apply_records([Entry(1, "t", b"", 2)], 2)
+        follow(host, other)
+        follow(other, host)
+        for table in (host, other):
+            assert not table.entries["t"].value and not table.kept_keys
