--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -96,7 +96,7 @@
     `next_offset` is the offset to read from next, -1 before the first read; `confirmed_at` is the
     latest time at which the entries are known to have been complete, `trusted_at` the latest one
     at which the store is known to have held nothing newer. A host that is behind
-    `full_sync_before` needs a full update.
+    `full_sync_before` needs a full update, as a snapshot does not tell which keys were deleted.
     `kept_keys` are the keys of entries of former eras, as the restored store has none that are as
     new. `era_start` is the offset at which this host began to follow the era: records from there on
     were written after the restore.
@@ -217,9 +217,14 @@
         deleted = [
             Entry(next_offset - 1, key, b"", self.era, known.revision)
             for key, known in self.entries.items()
-            if key not in keys and known.value
-            if known.era == self.era and known.offset < next_offset
+            if key not in keys
+            if (
+                known.value and known.offset < next_offset
+                if known.era == self.era
+                else not (known.value and self.keeps_missing)
+            )
         ]
+        self.full_sync_before = max(self.full_sync_before, next_offset)
         return self.apply([*snapshot, *deleted], next_offset)
 
     def start_era(
@@ -235,7 +240,7 @@
         self.era_since = now
         self.era_start = next_offset
         self.next_offset = next_offset
-        self.full_sync_before = 0
+        self.full_sync_before = next_offset
         self.last_change_offset = next_offset - 1
         self.kept_keys = set(self.entries)
         absent = [
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -127,3 +127,11 @@
         follow(other, host)
         for table in (host, other):
             assert not table.entries["t"].value and not table.kept_keys
+
+    def test_a_host_that_missed_a_deletion_learns_it_from_one_that_read_a_snapshot(self):
+        """Guards against a dead target that stays: the snapshot of a new host has no tombstones."""
+        host = started(Entry(0, "t", b"v", 1), Entry(1, "other", b"v", 1))
+        new = TopicTable()
+        new.start_era(1, [Entry(1, "other", b"v", 1)], 3, 0.0)
+        follow(host, new)
+        assert not host.entries["t"].value and host.entries["other"].value
--- a/tests/forward/test_restore_model.py
+++ b/tests/forward/test_restore_model.py
@@ -182,17 +182,26 @@
         self.hosts[number] = Host()
         self.seen_versions[number] = -1
 
-    @rule()
-    def settle(self) -> None:
-        """Writers write again, all hosts read, and the grace period of lapsed entries ends."""
+    @rule(readers=st.sampled_from([(0,), (1,), (2,), (0, 1, 2)]))
+    def settle(self, readers: tuple[int, ...]) -> None:
+        """Writers write again, and the grace period of lapsed entries ends.
+
+        Some hosts read and the others only follow the first of them. The store deletes the entries
+        of targets that have ended only if it has them.
+        """
         self.logs[Topic.CONFIGURATION].put("config", msgspec.json.encode({"version": self.version}))
+        log = self.logs[Topic.TARGETS]
+        held = dict(log.records)
         for name in TARGETS:
             if name in self.alive:
                 self.beat(name)
-            else:
-                self.logs[Topic.TARGETS].put(name, b"")
-        for number in range(HOSTS):
+            elif held.get(name):
+                log.put(name, b"")
+        for number in readers:
             self.read(number)
+        for number in range(HOSTS):
+            if number not in readers:
+                self.sync(number, readers[0])
         self.now += LAPSE_GRACE_MS + 1.0
         for host in self.hosts:
             host.registry.expire(self.now)
@@ -230,5 +239,5 @@
 
 TestRestoredStore = RestoredStore.TestCase
 TestRestoredStore.settings = settings(
-    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+    max_examples=200, stateful_step_count=40, derandomize=True, deadline=None
 )
