Take the place of a former process of this host whose clock was ahead

The incarnation of a host is the wall clock at its start. A host that was restarted after its clock had gone back had a lower one than its former process, so the others kept the former entry: with its failure mark, if it had one, for 120 s, and with digests that never agree, on which all entries are exchanged again. The host now takes a higher incarnation when it learns of that entry.

The test failed before and passes now.

--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -130,7 +130,10 @@
         newer = []
         for member in members:
             if member.address == self.local.address:
-                if member.failed and member.rank() > self.local.rank():
+                if member.incarnation > self.local.incarnation:
+                    # This host was restarted with an earlier wall clock than the former process.
+                    self.update_local(incarnation=member.incarnation + 1)
+                elif member.failed and member.rank() > self.local.rank():
                     self.update_local(version=member.version + 1)
                 continue
             known = self.known.get(member.address)
@@ -146,9 +149,11 @@
         leaving: bool | None = None,
         store_ok: bool | None = None,
         version: int | None = None,
+        incarnation: int | None = None,
     ) -> None:
         """Changes the local entry and raises its version."""
         self.local = self.local._replace(
+            incarnation=self.local.incarnation if incarnation is None else incarnation,
             version=self.local.version + 1 if version is None else version,
             leaving=self.local.leaving if leaving is None else leaving,
             store_ok=self.local.store_ok if store_ok is None else store_ok,
--- a/tests/forward/test_members.py
+++ b/tests/forward/test_members.py
@@ -113,6 +113,17 @@
         members.merge([member(NAMES[0], 9, failed=True)], NAMES[1], 0.0)
         assert members.local.version == 1
 
+    def test_host_that_restarts_with_an_earlier_clock_is_believed(self):
+        """Guards against a wall clock that goes back: the entry of the former process stayed."""
+        members = membership(NAMES[0], NAMES)
+        members.merge([member(NAMES[1], 9, incarnation=5, failed=True)], NAMES[2], 0.0)
+        restarted = Members(member(NAMES[1], incarnation=3), [])
+        restarted.merge(members.entries(), NAMES[0], 0.0)
+        members.merge([restarted.local], NAMES[1], 0.0)
+        assert len(members.alive(0.0)) == 5
+        assert members.known[NAMES[1]] == restarted.local
+        assert not restarted.merge(members.entries(), NAMES[0], 0.0)
+
     def test_a_new_incarnation_replaces_an_entry_with_a_higher_version(self):
         members = membership(NAMES[0], [])
         members.merge([member(NAMES[1], 900, failed=True)], NAMES[1], 0.0)
