Hold long polls between hosts that have not read a topic

Two hosts that had read nothing of a topic took each other for newer, so every long poll was answered at once while a topic could not be read since the start.

The test failed before and passes now.

--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -285,7 +285,7 @@
         """Returns whether a host at a position lacks entries of this table's era."""
         if position.era != self.era:
             return position.era < self.era and position.next != NO_ENTRIES_OFFSET
-        return self.last_change_offset >= position.next
+        return self.next_offset >= 0 and self.last_change_offset >= position.next
 
     def changes_since(self, position: Position, now: float) -> Update:
         """Returns the update for a host that has everything before a position."""
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -65,6 +65,10 @@
 
 
 class TestUpdates:
+    def test_hosts_that_have_read_nothing_have_no_changes_for_each_other(self):
+        """Guards against long polls that are answered at once while a topic can't be read."""
+        assert not TopicTable().has_changes_since(TopicTable().position())
+
     def test_a_host_behind_the_purged_tombstones_gets_a_full_update(self):
         peer, host = TopicTable(), TopicTable()
         host.apply([entry(0, "dropped")], 1)
