Follow only the configuration of the operator's topic

A key beside the configuration that a restored store lacks, or that was deleted since the copy was made, was kept by the hosts. While they keep an entry no read shows that the configuration is the newest, so requests with keys would have been refused on all hosts until that key was written again.

The test failed before and passes now.

--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -10,7 +10,7 @@
 import aiohttp
 import msgspec
 
-from savoryfork.forward.follower import StoreRead, Topic
+from savoryfork.forward.follower import CONFIGURATION_KEY, StoreRead, Topic
 from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
@@ -85,7 +85,12 @@
     `records` is False for a snapshot, whose values may be older than the era of the store.
     """
     if topic is Topic.CONFIGURATION:
-        return [e._replace(era=era, revision=config_revision(e.value)) for e in entries]
+        # Other keys could keep a restored store from confirming the configuration.
+        return [
+            e._replace(era=era, revision=config_revision(e.value))
+            for e in entries
+            if e.key == CONFIGURATION_KEY
+        ]
     if topic is Topic.TARGETS:
         return [
             e._replace(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -117,6 +117,17 @@
             await client.read(Topic.CONFIGURATION, 2, 0.0)
         assert (await client.newest(Topic.CONFIGURATION)).era == 2
 
+    async def test_other_keys_of_the_operator_are_left_out(self, store):
+        """Guards against a lost key beside the configuration, which no store would confirm."""
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 7})
+        fake.put("keyed.op", "other", {})
+        for entries, end, _, _ in (
+            await client.newest(Topic.CONFIGURATION),
+            await client.read(Topic.CONFIGURATION, 0, 0.0),
+        ):
+            assert [e.key for e in entries] == ["config"] and end == 2
+
     async def test_entries_carry_era_and_revision(self, store):
         fake, client = store
         fake.put("keyed.op", "config", {"version": 7})
