Bound the revision of a configuration

Messages between hosts carry numbers of 64 bits. A version beyond that raised OverflowError when a host answered another one. The store takes only valid configurations, so none has been seen.

The test failed before and passes now.

--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -122,7 +122,8 @@
     ((7, 0), (0, 0))
     """
     try:
-        return (msgspec.json.decode(value, type=ConfigVersion).version, 0)
+        version = msgspec.json.decode(value, type=ConfigVersion).version
+        return (min(version, MAX_REVISION), 0)
     except (msgspec.DecodeError, RecursionError):
         return UNKNOWN_REVISION  # reported when it is decoded to be put into effect
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.limits import ReadLimits
-from savoryfork.platform.store import PlatformStore, decode_records
+from savoryfork.platform.store import MAX_REVISION, PlatformStore, decode_records
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
 from standins.ports import free_port
@@ -128,6 +128,13 @@
         ):
             assert [e.key for e in entries] == ["config"] and end == 2
 
+    async def test_huge_version_has_a_bounded_revision(self, store):
+        """Guards against a number that messages between hosts can't carry."""
+        fake, client = store
+        fake.put("keyed.op", "config", {"version": 10**30})
+        (entry,) = (await client.newest(Topic.CONFIGURATION)).entries
+        assert entry.revision == (MAX_REVISION, 0)
+
     async def test_entries_carry_era_and_revision(self, store):
         fake, client = store
         fake.put("keyed.op", "config", {"version": 7})
