Let a starting host wait for the writers of a restored store

A host that got its first entries from a restored store trusted them at once, also if the store had been restored just before, and passed that trust on. It now waits for RESTORE_SETTLE_MS as other hosts do, unless the store was never restored. What it learns of another host's trust counts as before, so only hosts that start with no other host refuse requests with keys for that time.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -236,7 +236,7 @@
                 logs.event(log, "offset_expired", topic=topic.value, offset=table.next_offset)
         read = await self.store.newest(topic)
         if table.next_offset < 0:
-            new = table.start_era(read.era, read.entries, read.next, -math.inf)
+            new = table.start(read.era, read.entries, read.next, self.now())
             return Changes(new), read.end
         if read.era < table.era:
             raise LogUnavailable(f"an answer of era {read.era} after one of era {table.era}")
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -34,6 +34,9 @@
 
 UNKNOWN_REVISION: Revision = (0, 0)
 
+# The era of a store that was never restored.
+FIRST_ERA = 1
+
 
 class Entry(NamedTuple):
     """The newest value of a key and its position; an empty value is a tombstone.
@@ -227,6 +230,16 @@
         self.full_sync_before = max(self.full_sync_before, next_offset)
         return self.apply([*snapshot, *deleted], next_offset)
 
+    def start(
+        self, era: int, entries: Iterable[Entry], next_offset: int, now: float
+    ) -> list[Entry]:
+        """Applies the first full snapshot that a starting host gets; returns what was new.
+
+        A store that was ever restored may have been restored just now.
+        """
+        since = now if era > FIRST_ERA else -math.inf
+        return self.start_era(era, entries, next_offset, since)
+
     def start_era(
         self, era: int, entries: Iterable[Entry], next_offset: int, now: float
     ) -> list[Entry]:
@@ -317,7 +330,7 @@
         if update.next < 0:
             return Changes([])
         if self.next_offset < 0:
-            new = Changes(self.start_era(update.era, update.entries, update.next, -math.inf))
+            new = Changes(self.start(update.era, update.entries, update.next, now))
         elif update.era > self.era:
             entries = self.start_era(update.era, update.entries, update.next, now)
             new = Changes(entries, restored=True)
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Any
 
 import msgspec
@@ -158,6 +159,25 @@
             plane.put_config(2)
             await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 4.0)
 
+    async def test_hosts_that_start_after_the_drill_do_not_trust_the_copy_at_once(self):
+        """Guards against keys that were taken away, served by hosts that know only the copy."""
+        async with Plane(3) as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            for host in list(plane.live()):
+                host.stop()
+            await plane.drill(copy)
+            plane.add(3, [])
+            await plane.until(lambda: versions(plane.live()) == {1})
+            for _ in range(4):
+                await asyncio.sleep(0.1)
+                assert all(h.follower.config_age_ms() == math.inf for h in plane.live())
+            plane.put_config(2)
+            await plane.until(lambda: versions(plane.live()) == {2})
+            await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 3.0)
+
     async def test_equal_version_is_confirmed_once_writers_have_returned(self):
         """Guards against hosts that are out of date for long after a drill that lost nothing."""
         async with Plane() as plane:
