Test what hosts of different eras tell each other, and late answers of a former era

Mutations showed that no test guarded the entries that hosts keep from a former era and pass on, the filter of keys that the store lacks, the digest that stops their repetition, the grace period of a restore at its host, and answers of a former era.

--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -139,3 +139,30 @@
         new.start_era(1, [Entry(1, "other", b"v", 1)], 3, 0.0)
         follow(host, new)
         assert not host.entries["t"].value and host.entries["other"].value
+
+    def test_a_host_of_the_former_era_tells_what_the_copy_does_not_know(self):
+        """Guards against a host that takes the copy's word until its peers enter the new era."""
+        host = started()
+        other = started(Entry(3, "t", b"leaving", 1, (100, 9)))
+        host.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        follow(host, other)
+        assert host.entries["t"].value == b"leaving" and host.kept_keys == {"t"}
+
+    def test_hosts_of_an_era_tell_each_other_once_what_they_keep(self):
+        """Guards against kept entries that others never learn, or get with every message."""
+        host = started()
+        other = started(Entry(3, "t", b"leaving", 1, (100, 9)))
+        for table in (host, other):
+            table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        follow(host, other)
+        assert host.entries["t"].value == b"leaving"
+        for first, second in ((host, other), (other, host)):
+            assert not first.changes_since(second.position(), 1_000.0).entries
+
+    def test_a_key_that_the_store_lacks_comes_from_a_former_era_only_if_such_keys_stay(self):
+        """Guards against targets that have ended, and for reports that only one host has."""
+        for keeps_missing in (False, True):
+            host = TopicTable(keeps_missing=keeps_missing)
+            host.start_era(2, [], 0, 1_000.0)
+            follow(host, started(Entry(3, "k", b"v", 1, (1, 0))))
+            assert ("k" in host.entries) == keeps_missing
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -105,6 +105,7 @@
         registry = make_registry()
         changes = registry.update([Entry(9, "t1", b"")], 10_000.0, restored=True)
         assert [change for _, change in changes] == ["lapsed"] and len(registry.usable("s")) == 5
+        assert not registry.expire(10_000.0 + LAPSE_GRACE_MS - 1.0)
         assert [t.name for t, _ in registry.expire(10_000.0 + LAPSE_GRACE_MS)] == ["t1"]
 
 
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -213,6 +213,19 @@
             plane.put_config(4)
             await plane.until(lambda: versions(plane.live()) == {4})
 
+    async def test_answer_of_a_former_era_is_no_answer(self):
+        """Guards against a late answer that takes hosts back to the store before its restore."""
+        async with Plane(2) as plane:
+            await asyncio.sleep(2.0)
+            plane.store.era = 5
+            await asyncio.sleep(2.0)
+            plane.store.era = 4
+            follower = plane.hosts[0].follower
+            confirmed_at = follower.tables[Topic.CONFIGURATION].confirmed_at
+            assert not await follower.read(Topic.CONFIGURATION, 0.0)
+            table = follower.tables[Topic.CONFIGURATION]
+            assert table.era == 5 and table.confirmed_at == confirmed_at
+
     async def test_host_cut_off_through_the_drill(self):
         """Guards against a host of the former era that brings back what it knows."""
         async with Plane() as plane:
