--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -226,6 +226,25 @@
             table = follower.tables[Topic.CONFIGURATION]
             assert table.era == 5 and table.confirmed_at == confirmed_at
 
+    async def test_records_of_a_former_era_that_arrive_late_are_not_applied(self, monkeypatch):
+        """Guards against former offsets in a table that a peer has taken to the new era."""
+        async with Plane(1) as plane:
+            await asyncio.sleep(2.0)
+            follower = plane.hosts[0].follower
+            table = follower.tables[Topic.TARGETS]
+            plane.put_target(0, 2, "draining")
+            read = plane.store.read
+
+            async def read_late(topic: Topic, offset: int, wait_ms: float) -> Any:
+                result = await read(topic, offset, wait_ms)
+                plane.store.era = 2
+                table.start_era(2, list(table.entries.values()), 1, follower.now())
+                return result
+
+            monkeypatch.setattr(plane.store, "read", read_late)
+            changes, _ = await follower.read_changes(Topic.TARGETS, table, 0.0)
+            assert {entry.era for entry in changes.entries} == {2}
+
     async def test_host_cut_off_through_the_drill(self):
         """Guards against a host of the former era that brings back what it knows."""
         async with Plane() as plane:
