--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -21,7 +21,14 @@
     Source,
     incarnation_of,
 )
-from savoryfork.forward.knowledge import NO_ENTRIES, Changes, Entry, TopicTable, Update
+from savoryfork.forward.knowledge import (
+    NO_ENTRIES,
+    TRUST_LOST_MS,
+    Changes,
+    Entry,
+    TopicTable,
+    Update,
+)
 from savoryfork.forward.loads import LoadTable, LoadTree
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import SyncReply, SyncRequest
@@ -202,25 +209,18 @@
             if not reader and age_ms < stale_ms(topic, level):
                 await asyncio.sleep(DUTY_CHECK_MS / 1000)
                 continue
-            table = self.tables[topic]
-            # A long poll would delay the first confirmation after an outage by its wait, unless the
-            # store lacks the newest entries and only their writers can end that.
-            waits = reader and (bool(table.kept_keys) or table.trusted_age_ms(now) < OUTAGE_MS)
-            if not await self.read(topic, wait_ms if waits else 0.0):
+            if not await self.read(topic, wait_ms if reader else 0.0):
                 retry_ms = CRASHES_RETRY_MS if topic is Topic.CRASHES else READ_RETRY_MS
                 await asyncio.sleep(retry_ms / 1000)
             elif topic is Topic.TARGETS:
                 await asyncio.sleep(TARGETS_PERIOD_MS / 1000)
-            elif not waits:
-                settle_ms = table.settle_ms(self.now())
-                await asyncio.sleep((settle_ms or DUTY_CHECK_MS) / 1000)
 
     async def read(self, topic: Topic, wait_ms: float) -> bool:
         """Reads one topic once; returns False if the store did not answer."""
         table = self.tables[topic]
         started = self.now()
         try:
-            changes, end = await self.read_changes(topic, table, wait_ms)
+            changes, end = await self.read_changes(topic, table, table.poll_ms(wait_ms, started))
         except LogUnavailable as error:
             self.record_store_result(topic, False, str(error))
             return False
@@ -254,7 +254,7 @@
                 logs.event(log, "offset_expired", topic=topic.value, offset=table.next_offset)
         read = await self.store.newest(topic)
         if table.next_offset < 0:
-            new = table.start_era(read.era, read.entries, read.next, -math.inf)
+            new = table.start(read.era, read.entries, read.next, self.now())
             return Changes(new), read.end
         if read.era < table.era:
             raise LogUnavailable(f"an answer of era {read.era} after one of era {table.era}")
@@ -380,7 +380,7 @@
 
     def propagate_trust(self, table: TopicTable, former_age_ms: float) -> None:
         """Wakes the waiting syncs if entries are trusted again that were not confirmed for long."""
-        if former_age_ms > OUTAGE_MS >= table.trusted_age_ms(self.now()):
+        if former_age_ms > TRUST_LOST_MS >= table.trusted_age_ms(self.now()):
             self.notify()
 
     def notify(self) -> None:
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -30,11 +30,17 @@
 # are served without a confirmation, together with the outage.
 RESTORE_SETTLE_MS = 400.0
 
+# Age from which entries count as unconfirmed for long: reads no longer wait for changes.
+TRUST_LOST_MS = 2_000.0
+
 # The writer's own measure of how new a value is; a higher one is newer.
 Revision = tuple[int, int]
 
 UNKNOWN_REVISION: Revision = (0, 0)
 
+# The era of a store that was never restored.
+FIRST_ERA = 1
+
 
 class Entry(NamedTuple):
     """The newest value of a key and its position; an empty value is a tombstone.
@@ -97,8 +103,10 @@
     `next_offset` is the offset to read from next, -1 before the first read; `confirmed_at` is the
     latest time at which the entries are known to have been complete, `trusted_at` the latest one
     at which the store is known to have held nothing newer. A host that is behind
-    `full_sync_before` needs a full update. `kept_keys` are the keys of entries of former eras, as
-    the restored store has none that are as new.
+    `full_sync_before` needs a full update, as a snapshot does not tell which keys were deleted.
+    `kept_keys` are the keys of entries of former eras, as the restored store has none that are as
+    new. `era_start` is the offset at which this host began to follow the era: records from there on
+    were written after the restore.
 
     `ordered` is True if each value of a key has a higher revision than the one before, whatever
     happens to the store. `keeps_missing` is True if keys that a restored store lacks stay.
@@ -111,6 +119,7 @@
         self.kept_keys: set[str] = set()
         self.era = 0
         self.era_since = -math.inf
+        self.era_start = 0
         self.next_offset = -1
         self.confirmed_at = -math.inf
         self.trusted_at = -math.inf
@@ -156,12 +165,26 @@
         >>> table.is_newer(Entry(3, "k", b"from the copy", 2, (1, 4)), known)
         False
         """
+        newer_era = entry.era > known.era
         if entry.era == known.era and not self.ordered:
             return entry.offset > known.offset
+        if entry.era != known.era and self.supersedes_former(entry if newer_era else known):
+            return newer_era
         # A deletion comes after the last value.
         newness = entry.revision, not entry.value, entry.era, entry.offset
         return newness > (known.revision, not known.value, known.era, known.offset)
 
+    def supersedes_former(self, entry: Entry) -> bool:
+        """Returns whether an entry replaces those of former eras whatever their revisions.
+
+        It does if it was written after the restore, or if it says that the restored store lacks
+        the key. Hosts know different revisions of a value, as rewrites of an unchanged value are
+        not propagated, and no record would ever delete an entry that comes back.
+        """
+        if self.ordered or entry.era != self.era:
+            return False
+        return entry.offset >= self.era_start or not (entry.value or self.keeps_missing)
+
     def store(self, entry: Entry) -> None:
         """Stores an entry."""
         self.entries[entry.key] = entry
@@ -201,11 +224,26 @@
         deleted = [
             Entry(next_offset - 1, key, b"", self.era, known.revision)
             for key, known in self.entries.items()
-            if key not in keys and known.value
-            if known.era == self.era and known.offset < next_offset
+            if key not in keys
+            if (
+                known.value and known.offset < next_offset
+                if known.era == self.era
+                else not (known.value and self.keeps_missing)
+            )
         ]
+        self.full_sync_before = max(self.full_sync_before, next_offset)
         return self.apply([*snapshot, *deleted], next_offset)
 
+    def start(
+        self, era: int, entries: Iterable[Entry], next_offset: int, now: float
+    ) -> list[Entry]:
+        """Applies the first full snapshot that a starting host gets; returns what was new.
+
+        A store that was ever restored may have been restored just now.
+        """
+        since = now if era > FIRST_ERA else -math.inf
+        return self.start_era(era, entries, next_offset, since)
+
     def start_era(
         self, era: int, entries: Iterable[Entry], next_offset: int, now: float
     ) -> list[Entry]:
@@ -217,8 +255,9 @@
         keys = {entry.key for entry in snapshot}
         self.era = era
         self.era_since = now
+        self.era_start = next_offset
         self.next_offset = next_offset
-        self.full_sync_before = 0
+        self.full_sync_before = next_offset
         self.last_change_offset = next_offset - 1
         self.kept_keys = set(self.entries)
         absent = [
@@ -252,6 +291,18 @@
         """Returns the time until reads show again that nothing newer was written."""
         return max(0.0, self.era_since + RESTORE_SETTLE_MS - now)
 
+    def poll_ms(self, wait_ms: float, now: float) -> float:
+        """Returns how long a read of the store may wait for records, `wait_ms` at most.
+
+        After a restore or an outage a read must begin as soon as it can show that the entries are
+        the newest, and be answered at once: long polls would delay that by up to twice their time.
+        If the store lacks the newest entries, only their writers can end that.
+        """
+        settle_ms = self.settle_ms(now)
+        if settle_ms:
+            return min(wait_ms, math.ceil(settle_ms))
+        return wait_ms if self.kept_keys or self.trusted_age_ms(now) < TRUST_LOST_MS else 0.0
+
     # Updates between hosts.
 
     def kept(self) -> list[Entry]:
@@ -266,7 +317,7 @@
         """Returns whether a host at a position lacks entries of this table's era."""
         if position.era != self.era:
             return position.era < self.era and position.next != NO_ENTRIES_OFFSET
-        return self.last_change_offset >= position.next
+        return self.next_offset >= 0 and self.last_change_offset >= position.next
 
     def changes_since(self, position: Position, now: float) -> Update:
         """Returns the update for a host that has everything before a position."""
@@ -298,7 +349,7 @@
         if update.next < 0:
             return Changes([])
         if self.next_offset < 0:
-            new = Changes(self.start_era(update.era, update.entries, update.next, -math.inf))
+            new = Changes(self.start(update.era, update.entries, update.next, now))
         elif update.era > self.era:
             entries = self.start_era(update.era, update.entries, update.next, now)
             new = Changes(entries, restored=True)
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -65,6 +65,10 @@
 
 
 class TestUpdates:
+    def test_hosts_that_have_read_nothing_have_no_changes_for_each_other(self):
+        """Guards against long polls that are answered at once while a topic can't be read."""
+        assert not TopicTable().has_changes_since(TopicTable().position())
+
     def test_a_host_behind_the_purged_tombstones_gets_a_full_update(self):
         peer, host = TopicTable(), TopicTable()
         host.apply([entry(0, "dropped")], 1)
@@ -88,3 +92,77 @@
         follower.merge_update(reader.changes_since(follower.position(), 0.0), 0.0, 0.0)
         alive = {k: e.value for k, e in reader.entries.items() if e.value}
         assert {k: e.value for k, e in follower.entries.items() if e.value} == alive
+
+
+def follow(table: TopicTable, peer: TopicTable, now: float = 1_000.0) -> None:
+    table.merge_update(peer.changes_since(table.position(), now), now, now)
+
+
+def started(*entries: Entry) -> TopicTable:
+    """Returns a table of targets that has read the store's first era."""
+    table = TopicTable()
+    table.start_era(1, entries, 1 + max((e.offset for e in entries), default=-1), 0.0)
+    return table
+
+
+class TestRestore:
+    def test_a_host_of_the_former_era_does_not_bring_back_what_the_store_lacks(self):
+        """Guards against a target that has ended and stays forever, as nothing deletes it again."""
+        # The other host has read later heartbeats, which hosts do not pass on.
+        host = started(Entry(0, "t", b"v", 1, (100, 1)))
+        other = started(Entry(0, "t", b"v", 1, (100, 7)))
+        host.start_era(2, [], 0, 1_000.0)
+        follow(host, other)
+        assert not host.entries["t"].value and not host.kept_keys
+        other.start_era(2, [], 0, 1_100.0)
+        for _ in range(2):
+            follow(host, other)
+            follow(other, host)
+        assert not host.entries["t"].value and not other.entries["t"].value
+
+    def test_a_host_that_keeps_an_entry_does_not_undo_its_deletion(self):
+        """Guards against a target that was deleted after a drill and stays on other hosts."""
+        host = started(Entry(0, "t", b"changed", 1, (100, 5)))
+        other = started(Entry(0, "t", b"changed", 1, (100, 7)))
+        for table in (host, other):
+            table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        host.apply_records([Entry(1, "t", b"", 2)], 2)
+        follow(host, other)
+        follow(other, host)
+        for table in (host, other):
+            assert not table.entries["t"].value and not table.kept_keys
+
+    def test_a_host_that_missed_a_deletion_learns_it_from_one_that_read_a_snapshot(self):
+        """Guards against a dead target that stays: the snapshot of a new host has no tombstones."""
+        host = started(Entry(0, "t", b"v", 1), Entry(1, "other", b"v", 1))
+        new = TopicTable()
+        new.start_era(1, [Entry(1, "other", b"v", 1)], 3, 0.0)
+        follow(host, new)
+        assert not host.entries["t"].value and host.entries["other"].value
+
+    def test_a_host_of_the_former_era_tells_what_the_copy_does_not_know(self):
+        """Guards against a host that takes the copy's word until its peers enter the new era."""
+        host = started()
+        other = started(Entry(3, "t", b"leaving", 1, (100, 9)))
+        host.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        follow(host, other)
+        assert host.entries["t"].value == b"leaving" and host.kept_keys == {"t"}
+
+    def test_hosts_of_an_era_tell_each_other_once_what_they_keep(self):
+        """Guards against kept entries that others never learn, or get with every message."""
+        host = started()
+        other = started(Entry(3, "t", b"leaving", 1, (100, 9)))
+        for table in (host, other):
+            table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        follow(host, other)
+        assert host.entries["t"].value == b"leaving"
+        for first, second in ((host, other), (other, host)):
+            assert not first.changes_since(second.position(), 1_000.0).entries
+
+    def test_a_key_that_the_store_lacks_comes_from_a_former_era_only_if_such_keys_stay(self):
+        """Guards against targets that have ended, and for reports that only one host has."""
+        for keeps_missing in (False, True):
+            host = TopicTable(keeps_missing=keeps_missing)
+            host.start_era(2, [], 0, 1_000.0)
+            follow(host, started(Entry(3, "k", b"v", 1, (1, 0))))
+            assert ("k" in host.entries) == keeps_missing
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Any
 
 import msgspec
@@ -162,6 +163,25 @@
             plane.put_config(2)
             await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 4.0)
 
+    async def test_hosts_that_start_after_the_drill_do_not_trust_the_copy_at_once(self):
+        """Guards against keys that were taken away, served by hosts that know only the copy."""
+        async with Plane(3) as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            for host in list(plane.live()):
+                host.stop()
+            await plane.drill(copy)
+            plane.add(3, [])
+            await plane.until(lambda: versions(plane.live()) == {1})
+            for _ in range(round(RESTORE_SETTLE_MS / 200)):
+                await asyncio.sleep(0.1)
+                assert all(h.follower.config_age_ms() == math.inf for h in plane.live())
+            plane.put_config(2)
+            await plane.until(lambda: versions(plane.live()) == {2})
+            await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 3.0)
+
     async def test_equal_version_is_confirmed_once_writers_have_returned(self):
         """Guards against hosts that are out of date for long after a drill that lost nothing."""
         async with Plane() as plane:
@@ -180,6 +200,15 @@
                 assert max_config_age_ms(plane) < TRUSTED_MS
             await drill
 
+    async def test_keys_are_trusted_throughout_a_drill_of_two_seconds(self):
+        """Guards against requests with keys refused because long polls delay the confirmation."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            await plane.drill(plane.store.copy(), away_s=2.0)
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                assert max_config_age_ms(plane) < TRUSTED_MS
+
     async def test_two_drills_in_a_row(self):
         """Guards against hosts of three eras that hand each other old entries."""
         async with Plane() as plane:
@@ -196,6 +225,38 @@
             plane.put_config(4)
             await plane.until(lambda: versions(plane.live()) == {4})
 
+    async def test_answer_of_a_former_era_is_no_answer(self):
+        """Guards against a late answer that takes hosts back to the store before its restore."""
+        async with Plane(2) as plane:
+            await asyncio.sleep(2.0)
+            plane.store.era = 5
+            await asyncio.sleep(2.0)
+            plane.store.era = 4
+            follower = plane.hosts[0].follower
+            confirmed_at = follower.tables[Topic.CONFIGURATION].confirmed_at
+            assert not await follower.read(Topic.CONFIGURATION, 0.0)
+            table = follower.tables[Topic.CONFIGURATION]
+            assert table.era == 5 and table.confirmed_at == confirmed_at
+
+    async def test_records_of_a_former_era_that_arrive_late_are_not_applied(self, monkeypatch):
+        """Guards against former offsets in a table that a peer has taken to the new era."""
+        async with Plane(1) as plane:
+            await asyncio.sleep(2.0)
+            follower = plane.hosts[0].follower
+            table = follower.tables[Topic.TARGETS]
+            plane.put_target(0, 2, "draining")
+            read = plane.store.read
+
+            async def read_late(topic: Topic, offset: int, wait_ms: float) -> Any:
+                result = await read(topic, offset, wait_ms)
+                plane.store.era = 2
+                table.start_era(2, list(table.entries.values()), 1, follower.now())
+                return result
+
+            monkeypatch.setattr(plane.store, "read", read_late)
+            changes, _ = await follower.read_changes(Topic.TARGETS, table, 0.0)
+            assert {entry.era for entry in changes.entries} == {2}
+
     async def test_host_cut_off_through_the_drill(self):
         """Guards against a host of the former era that brings back what it knows."""
         async with Plane() as plane:
