Look for trust in the copy from the first read of a starting host on

The test sampled for a fixed time after all hosts had the version, which is longer than the settle time by now: the first host that had read the copy may have settled by then. It now checks every host until the first one that read may settle, and fails without the settle time of starting hosts.

--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -174,10 +174,14 @@
                 host.stop()
             await plane.drill(copy)
             plane.add(3, [])
+            tables = [h.follower.tables[Topic.CONFIGURATION] for h in plane.live()]
+            await plane.until(lambda: any(table.next_offset >= 0 for table in tables))
+            read_at = min(table.era_since for table in tables if table.next_offset >= 0)
+            assert math.isfinite(read_at)
+            while (now := asyncio.get_running_loop().time() * 1000) < read_at + RESTORE_SETTLE_MS:
+                assert all(table.trusted_age_ms(now) == math.inf for table in tables)
+                await asyncio.sleep(0.02)
             await plane.until(lambda: versions(plane.live()) == {1})
-            for _ in range(round(RESTORE_SETTLE_MS / 200)):
-                await asyncio.sleep(0.1)
-                assert all(h.follower.config_age_ms() == math.inf for h in plane.live())
             plane.put_config(2)
             await plane.until(lambda: versions(plane.live()) == {2})
             await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 3.0)
