Settle a trimmed lease topic by all leases that may be in effect

Seen: a reader past retention took the losing acquire record at which its log starts for the lease.

Cause: one guess stood for everything that the trimmed log leaves open, and was trusted after a time that does not bound the error.

Ruled out: a longer settle time (the error has no bound); one quiet stale time as the condition (no lease in use would settle, nor the one of the test for renewals); new fields in the records (hosts of the previous version don't write them).

Change: a reader keeps every lease that may be in effect, the unknown ones as one candidate, and applies each record to each. It uses a lease only if it is the only candidate. A host acquires if that is so or if all candidates are stale, and renews nothing else: a renewal would prove a lease that perhaps never won. Settled is now a matter of each service. The winners for readers of the whole log are unchanged.

--- a/savoryfork/leasefold.py
+++ b/savoryfork/leasefold.py
@@ -13,6 +13,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
+from functools import singledispatch
 from typing import Any, NamedTuple
 
 from savoryfork.util.topic import Fold, Record
@@ -25,9 +28,14 @@
 
 MAX_TTL_MS = STALE_LEASE_MS // 2
 
-# Errors in judging the first acquire records of a trimmed log have no effect after this time.
+# A reader of a trimmed log relies on no lease before this time. Twice the stale time, since a host
+# also counts it by its own clock.
 SETTLE_MS = 2 * STALE_LEASE_MS
 
+# With more candidates, a reader starts again with an unknown lease. Each record takes time for each
+# candidate: 3,000 acquire records in a row took 8 s without a limit.
+MAX_CANDIDATES = 64
+
 
 class Lease(NamedTuple):
     """The newest lease of a service.
@@ -50,6 +58,23 @@
     replaced_released: bool = False
 
 
+class Unknown(NamedTuple):
+    """Any lease that a reader of a trimmed log can't know, or none.
+
+    Its offset is greater than `above` and less than `below`, at first the start of the log. Its
+    last record is not newer than `until_ms`, at first the time of the first record read. `above` is
+    -1 if there may be no lease.
+    """
+
+    above: int
+    below: int
+    until_ms: float
+
+
+# What the newest lease of a service may be.
+Candidate = Lease | Unknown
+
+
 class LeaseFold(Fold):
     """Determines the lease holder of each service by log order alone.
 
@@ -63,19 +88,33 @@
     A renewal that lands after the release of its lease withdraws the release. A reader that starts
     after the release can't tell such a renewal from any other, so all readers must count it, and
     the next holder waits for the end of the renewed lease.
+
+    A reader of a trimmed log can't tell whether an acquire record won over a lease that it does not
+    know. It keeps each lease that may be the newest one as a candidate and applies every record to
+    each of them, so the lease of a reader of the whole log is always among them. `leases` has only
+    leases that are the single candidate. A holder must act on no other, and must not renew it: that
+    would prove a lease that perhaps never won.
+
+    >>> fold = LeaseFold()
+    >>> fold.restart(5)
+    >>> fold.apply(Record(5, 0, acquire_record("r", "s", "i-1", 10_000, 4, 0)))
+    >>> [type(candidate).__name__ for candidate in fold.candidates["s"]]
+    ['Unknown', 'Lease']
     """
 
     def __init__(self) -> None:
         self.leases: dict[str, Lease] = {}
+        self.candidates: dict[str, tuple[Candidate, ...]] = {}
         self.unsupported = False
         self.restart(0)
 
     def restart(self, start: int) -> None:
         """Discards all state and restarts at `start`, the oldest retained offset."""
-        self.position = start
+        self.position = self.start = start
         self.leases.clear()
+        self.candidates.clear()
         self.first_ms: int | None = None
-        self.settled = start == 0
+        self.last_ms = 0
 
     def apply(self, record: Record) -> None:
         """Applies one record; malformed records are ignored."""
@@ -84,7 +123,7 @@
         self.position = record.offset + 1
         if self.first_ms is None:
             self.first_ms = record.time_ms
-        self.settled = self.settled or record.time_ms - self.first_ms > SETTLE_MS
+        self.last_ms = record.time_ms
         value = record.value
         try:
             if value["schema"] > SCHEMA:
@@ -92,37 +131,162 @@
                 return
             if not all(isinstance(value[name], str) for name in ("id", "service", "holder")):
                 return
-            self.apply_to_lease(value["service"], record)
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError):
             return
-
-    def apply_to_lease(self, service: str, record: Record) -> None:
-        """Applies a record to the lease of its service."""
-        value = record.value
-        current = self.leases.get(service)
-        match value["type"]:
+        service = value["service"]
+        results = [result for one in self.candidates_of(service) for result in applied(one, record)]
+        candidates = merged(results)
+        if len(candidates) > MAX_CANDIDATES:
+            candidates = (Unknown(-1, self.position, record.time_ms),)
+        self.candidates[service] = candidates
+        match candidates:
+            case (Lease() as lease,):
+                self.leases[service] = lease
+
+    def candidates_of(self, service: str) -> tuple[Candidate, ...]:
+        """Returns what the newest lease of a service may be."""
+        if service in self.candidates:
+            return self.candidates[service]
+        until_ms = -math.inf if self.start == 0 else float(self.first_ms or 0)
+        return (Unknown(-1, self.start, until_ms),)
+
+    @property
+    def settled(self) -> bool:
+        """True if the lease of every service is settled by the records alone."""
+        return self.is_settled("") and all(self.is_settled(service) for service in self.candidates)
+
+    def is_settled(self, service: str, quiet_ms: float = 0.0) -> bool:
+        """Returns True if no reader can have another lease of a service that is not stale.
+
+        That is so if there is one candidate, or if all are stale: then any acquire record wins.
+        `quiet_ms` is the time by this host's clock since it last read a record, or since the
+        restart.
+        """
+        elapsed_ms = self.last_ms - (self.first_ms or 0) + quiet_ms
+        if self.start > 0 and elapsed_ms <= SETTLE_MS:
+            return False
+        if service in self.leases:
+            return True
+        candidates = self.candidates_of(service)
+        ages_ms = [self.last_ms - last_record_ms(candidate) for candidate in candidates]
+        return all(age > STALE_LEASE_MS or age + quiet_ms > SETTLE_MS for age in ages_ms)
+
+
+def last_record_ms(candidate: Candidate) -> float:
+    """Returns the log time after which a candidate has no record."""
+    return candidate.record_ms if isinstance(candidate, Lease) else candidate.until_ms
+
+
+def is_stale(candidate: Candidate, record: Record) -> bool:
+    """Returns True if a candidate had no record for more than STALE_LEASE_MS before `record`."""
+    return record.time_ms - last_record_ms(candidate) > STALE_LEASE_MS
+
+
+def applied(candidate: Candidate, record: Record) -> tuple[Candidate, ...]:
+    """Returns what a candidate may be after a record; a malformed record changes nothing."""
+    try:
+        match record.value["type"]:
             case "acquire":
-                if (
-                    current is None
-                    or self.is_stale(current, record)
-                    or value["after"] == current.offset
-                ):
-                    self.leases[service] = lease_from(record, record.offset, current)
+                return after_acquire(candidate, record)
             case "renew":
-                offset = int(value["lease"])
-                if current is not None and offset == current.offset:
-                    if value["holder"] == current.holder:
-                        self.leases[service] = renewed(current, record)
-                elif (current is None or offset > current.offset) and offset < record.offset:
-                    self.leases[service] = lease_from(record, offset, current)
+                return after_renewal(candidate, record)
             case "release":
-                named = (value["lease"], value["holder"])
-                if current is not None and named == (current.offset, current.holder):
-                    self.leases[service] = current._replace(released=True)
+                return after_release(candidate, record)
+    except (KeyError, TypeError, ValueError):
+        pass
+    return (candidate,)
+
+
+@singledispatch
+def after_acquire(candidate: Candidate, record: Record) -> tuple[Candidate, ...]:
+    """Returns what a candidate may be after an acquire record."""
+    raise TypeError(type(candidate))
+
+
+@after_acquire.register
+def _(candidate: Lease, record: Record) -> tuple[Candidate, ...]:
+    if is_stale(candidate, record) or record.value["after"] == candidate.offset:
+        return (lease_from(record, record.offset, candidate),)
+    return (candidate,)
+
+
+@after_acquire.register
+def _(candidate: Unknown, record: Record) -> tuple[Candidate, ...]:
+    won = lease_from(record, record.offset, None)
+    return (won,) if is_stale(candidate, record) else (candidate, won)
+
 
-    def is_stale(self, lease: Lease, record: Record) -> bool:
-        """Returns True if the lease had no record for more than STALE_LEASE_MS."""
-        return record.time_ms - lease.record_ms > STALE_LEASE_MS
+@singledispatch
+def after_renewal(candidate: Candidate, record: Record) -> tuple[Candidate, ...]:
+    """Returns what a candidate may be after a renewal."""
+    raise TypeError(type(candidate))
+
+
+@after_renewal.register
+def _(candidate: Lease, record: Record) -> tuple[Candidate, ...]:
+    offset = int(record.value["lease"])
+    if offset == candidate.offset and record.value["holder"] == candidate.holder:
+        return (renewed(candidate, record),)
+    if candidate.offset < offset < record.offset:
+        return (lease_from(record, offset, candidate),)
+    return (candidate,)
+
+
+@after_renewal.register
+def _(candidate: Unknown, record: Record) -> tuple[Candidate, ...]:
+    offset = int(record.value["lease"])
+    if not candidate.above < offset < record.offset:
+        return (candidate,)
+    proved = lease_from(record, offset, None)
+    # The lease was current once, so the current one is either it or a newer one.
+    newer = candidate._replace(above=offset)
+    return (newer, proved) if offset + 1 < candidate.below else (proved,)
+
+
+@singledispatch
+def after_release(candidate: Candidate, record: Record) -> tuple[Candidate, ...]:
+    """Returns what a candidate may be after a release."""
+    raise TypeError(type(candidate))
+
+
+@after_release.register
+def _(candidate: Lease, record: Record) -> tuple[Candidate, ...]:
+    named = (record.value["lease"], record.value["holder"])
+    if named == (candidate.offset, candidate.holder):
+        return (candidate._replace(released=True),)
+    return (candidate,)
+
+
+@after_release.register
+def _(candidate: Unknown, record: Record) -> tuple[Candidate, ...]:
+    return (candidate,)
+
+
+def merged(candidates: Iterable[Candidate]) -> tuple[Candidate, ...]:
+    """Returns each candidate once, leases by offset after an unknown one."""
+    unknown = [one for one in candidates if isinstance(one, Unknown)]
+    leases: dict[int, Lease] = {}
+    for one in candidates:
+        if isinstance(one, Lease):
+            same = leases.get(one.offset)
+            leases[one.offset] = one if same is None else merged_lease(same, one)
+    return (*unknown, *(leases[offset] for offset in sorted(leases)))
+
+
+def merged_lease(first: Lease, second: Lease) -> Lease:
+    """Returns one lease for two candidates of the same offset that replaced different leases.
+
+    Its holder waits for the longer of their times.
+    """
+    newest = max(first, second, key=lambda lease: lease.record_offset)
+    return newest._replace(
+        ttl_ms=max(first.ttl_ms, second.ttl_ms),
+        config=max(first.config, second.config),
+        released=first.released and second.released,
+        replaced_record=max(first.replaced_record, second.replaced_record),
+        replaced_ttl_ms=max(first.replaced_ttl_ms, second.replaced_ttl_ms),
+        replaced_released=first.replaced_released and second.replaced_released,
+    )
 
 
 def parse_ttl_ms(value: dict[str, Any]) -> int:
--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -31,13 +31,7 @@
     is_managed,
     retry_after_ms,
 )
-from savoryfork.leasefold import (
-    SETTLE_MS,
-    LeaseFold,
-    acquire_record,
-    release_record,
-    renew_record,
-)
+from savoryfork.leasefold import LeaseFold, acquire_record, release_record, renew_record
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import Service
 from savoryfork.util import logs, rendezvous
@@ -111,7 +105,7 @@
         self.incarnation = incarnation
         self.fold = LeaseFold()
         self.read_ms = 0.0
-        self.settled_ms = 0.0
+        self.last_record_read_ms = 0.0
         self.services: dict[str, ServiceOrders] = {}
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True, socket_factory=order_socket),
@@ -217,7 +211,7 @@
     # The lease.
 
     async def read(self) -> bool:
-        """Reads the lease topic to its end; returns True if the leases' state is reliable.
+        """Reads the lease topic to its end; returns False if it has records of a newer schema.
 
         Raises LogUnavailable.
         """
@@ -229,10 +223,13 @@
                 )
             except OffsetExpired as gone:
                 self.fold.restart(gone.start)
-                self.settled_ms = self.clock.monotonic_ms() + SETTLE_MS
+                self.last_record_read_ms = self.clock.monotonic_ms()
+                logs.event(log, "lease_topic_expired", start=gone.start)
                 continue
             for record in page.records:
                 self.fold.apply(record)
+            if page.records:
+                self.last_record_read_ms = self.clock.monotonic_ms()
             if self.fold.position >= page.end:
                 break
         self.read_ms = started_ms
@@ -240,8 +237,12 @@
         for name, orders in self.services.items():
             orders.local_lease.update(self.fold.leases.get(name), now)
             self.update_lease_state(name, orders, orders.local_lease.remaining_ms(now) > 0)
-        settled = self.fold.settled or now >= self.settled_ms
-        return settled and not self.fold.unsupported
+        return not self.fold.unsupported
+
+    def lease_settled(self, service: str) -> bool:
+        """Returns True if every host reads the same lease of a service."""
+        quiet_ms = max(0.0, self.read_ms - self.last_record_read_ms)
+        return self.fold.is_settled(service, quiet_ms)
 
     async def append(self, services: Iterable[Service]) -> None:
         """Acquires, renews and releases leases in one append, then reads the outcome."""
@@ -259,6 +260,8 @@
 
     def lease_record(self, service: Service, now: float) -> dict[str, Any] | None:
         """Returns the lease record to append for a service now, if any."""
+        if not self.lease_settled(service.name):
+            return None
         orders = self.services[service.name]
         local_lease, lease = orders.local_lease, orders.local_lease.lease
         header = (str(uuid6.uuid7()), service.name, self.incarnation)
@@ -328,6 +331,8 @@
             self.read_ms
         ):
             return "paused"
+        if not self.lease_settled(service.name):
+            return "lease_unsettled"
         return orders.local_lease.blocking_reason(now, config, service.checks_orders)
 
     async def send(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,13 +24,15 @@
     def __init__(self) -> None:
         self.records: list[Record] = []
         self.start = 0
+        self.time_ms = 0
         self.down = False
         self.lose_answers = 0
         self.reads_down = False
 
     def add(self, value: Any) -> int:
         offset = self.start + len(self.records)
-        self.records.append(Record(offset, 0, msgspec.json.decode(msgspec.json.encode(value))))
+        decoded = msgspec.json.decode(msgspec.json.encode(value))
+        self.records.append(Record(offset, self.time_ms, decoded))
         return offset
 
     def retain(self, count: int) -> None:
--- a/tests/test_leasefold.py
+++ b/tests/test_leasefold.py
@@ -8,7 +8,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryfork.leasefold import SETTLE_MS, STALE_LEASE_MS, LeaseFold
+from savoryfork.leasefold import (
+    MAX_CANDIDATES,
+    SETTLE_MS,
+    STALE_LEASE_MS,
+    Candidate,
+    Lease,
+    LeaseFold,
+    Unknown,
+)
 from savoryfork.util.topic import Record
 
 STEPS = st.lists(
@@ -72,6 +80,17 @@
     return fold
 
 
+def possible(candidate: Candidate, lease: Lease | None) -> bool:
+    """Returns True if a reader of the whole log may have `lease` according to a candidate."""
+    if lease is None:
+        return isinstance(candidate, Unknown) and candidate.above < 0
+    if isinstance(candidate, Unknown):
+        in_range = candidate.above < lease.offset < candidate.below
+        return in_range and lease.record_ms <= candidate.until_ms
+    fields = ("offset", "record_ms", "released")
+    return all(getattr(candidate, name) == getattr(lease, name) for name in fields)
+
+
 class TestLeaseFold:
     @settings(derandomize=True, max_examples=400, deadline=None)
     @given(STEPS)
@@ -122,6 +141,58 @@
         check = TestLeaseFold.test_reader_past_retention_agrees_once_settled.hypothesis.inner_test
         check(self, steps, 4)
 
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(STEPS, st.integers(0, 30))
+    def test_lease_is_among_the_candidates_of_a_trimmed_log(
+        self, steps: list[tuple[str, str, int, int]], cut: int
+    ) -> None:
+        """Guards against a reader of a trimmed log that excludes the lease that all others read;
+        it would then count another one as settled at some later record."""
+        records = history(steps)
+        whole, partial = fold_of(records[:cut]), fold_of([], min(cut, len(records)))
+        for r in records[cut:]:
+            whole.apply(r)
+            partial.apply(r)
+            lease = whole.leases.get("s")
+            assert any(possible(candidate, lease) for candidate in partial.candidates["s"])
+
+    def test_acquire_after_a_late_renewal_is_not_settled(self) -> None:
+        """Guards against a host that settles on no live lease, acquires it, and sends orders
+        although a late renewal of the lease in effect arrived just before its acquire record."""
+        records = [record(0, 0, "acquire", "a", -1), record(1, 0, "acquire", "b", -1)]
+        records += [record(2, 0, "acquire", "b", -1)]
+        late = 2 * SETTLE_MS
+        records += [record(3, late, "renew", "a", 0), record(4, late, "acquire", "b", 2)]
+        assert fold_of(records).leases["s"].holder == "a"
+        partial = fold_of(records[:3], 1)
+        assert partial.is_settled("s", quiet_ms=late)
+        for r in records[3:]:
+            partial.apply(r)
+        assert not partial.settled
+
+    def test_many_acquire_records_take_bounded_time(self) -> None:
+        """Guards against a reader of a trimmed log that stops its host's event loop over a burst
+        of acquire records, or is sure of a lease after it."""
+        burst = [record(n, n, "acquire", "a", n - 1 if n % 2 else -1) for n in range(1_000)]
+        fold = fold_of(burst, 1)
+        assert len(fold.candidates["s"]) <= MAX_CANDIDATES and not fold.leases
+        lease = fold_of(burst).leases["s"]
+        assert any(possible(candidate, lease) for candidate in fold.candidates["s"])
+        fold.apply(record(1_000, 2 * STALE_LEASE_MS, "acquire", "a", -1))
+        assert fold.leases["s"].offset == 1_000
+
+    def test_quiet_time_settles_a_trimmed_log(self) -> None:
+        """Guards against a host that never acquires a lease because the log has no later record,
+        and one that relies on its own clock before every lease has become stale."""
+        fold = fold_of([record(n, 0, "acquire", "a", -1) for n in range(3)], 1)
+        assert not fold.is_settled("s", quiet_ms=SETTLE_MS)
+        assert fold.is_settled("s", quiet_ms=SETTLE_MS + 1)
+        assert fold_of([], 7).is_settled("s", quiet_ms=SETTLE_MS + 1)
+        times = [0, STALE_LEASE_MS, SETTLE_MS, SETTLE_MS + 1]
+        fold = fold_of([record(n, at, "acquire", "a", -1) for n, at in enumerate([0, *times])], 1)
+        assert not fold.is_settled("s", quiet_ms=SETTLE_MS)
+        assert fold.is_settled("s", quiet_ms=SETTLE_MS + 1)
+
     def test_renewal_after_its_release_makes_the_next_holder_wait(self) -> None:
         """Guards against a new holder that does not wait for the end of a renewed lease."""
         records = [record(0, 0, "acquire", "a", -1), record(1, 0, "release", "a", 0)]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,7 +14,7 @@
 from savoryfork import defaults, orders
 from savoryfork.board import Board, TargetView
 from savoryfork.declared import Declared, EngineState, Order, SentOrder, ServiceOrders, next_order
-from savoryfork.leasefold import Lease, LeaseFold, acquire_record, renew_record
+from savoryfork.leasefold import SETTLE_MS, Lease, LeaseFold, acquire_record, renew_record
 from savoryfork.metrics import Metrics
 from savoryfork.orders import OrderController
 from savoryfork.pipeline import EMPTY_CONFIGURATION, Service
@@ -202,6 +202,7 @@
 
         async def tick(wait_ms: float) -> None:
             clock.now_ms += wait_ms
+            controller.client.time_ms += int(wait_ms)
             timer.tick()
             clock.now_ms += 1  # the advance itself counts as a pause, which ends before the tick
             await controller.tick()
@@ -291,3 +292,42 @@
             controller.client.reads_down = False
             await tick(1_000)
         assert len(engine.received) == 1
+
+    async def test_nothing_is_sent_under_an_unsettled_lease(self) -> None:
+        """Guards against a host that starts past retention, sends orders on a guess of who holds
+        the lease, or never does."""
+        engine = Engine(202)
+        async with running_controller(engine) as (controller, _, tick):
+            for holder in ("a", "b", "i"):
+                controller.client.add(acquire_record(holder, "s", holder, TTL, -1, 3))
+            controller.client.retain(1)
+            await tick(0)
+            await tick(SETTLE_MS - 10)
+            assert engine.received == [] and len(controller.client.records) == 1
+            await tick(1_000)
+            assert controller.client.records[-1].value["type"] == "acquire"
+            # The lease that it replaces has surely ended after another TTL by this host's clock.
+            for _ in range((TTL + MARGIN) // 1_000 + 1):
+                await tick(1_000)
+        assert len(engine.received) == 1
+
+    async def test_acquire_after_a_late_renewal_sends_nothing(self) -> None:
+        """Guards against a host that settles on no live lease and sends orders under its own,
+        although a late renewal of the lease in effect was appended just before."""
+        engine = Engine(202)
+        async with running_controller(engine) as (controller, _, tick):
+            log = controller.client
+            for holder in ("a", "b", "c"):
+                log.add(acquire_record(holder, "s", holder, TTL, -1, 3))
+            log.retain(2)
+            await tick(0)
+            append = log.append
+
+            async def append_after_renewal(topic: str, records: Any) -> int:
+                log.add(renew_record("r", "s", "a", TTL, 0, 3))
+                return await append(topic, records)
+
+            log.append = append_after_renewal
+            await tick(SETTLE_MS + 10)
+            assert [record.value["type"] for record in log.records[2:]] == ["renew", "acquire"]
+        assert engine.received == []
