Send host lists to the platform one after the other

Cause, in part: each restart sends the whole host list, on a connection of its own if the pooled one is in use. A list that was made before another target was up can arrive after the one with that target's new incarnation. The platform then lists the old incarnation, which the hosts rightly ignore, until the next list.

Change: the launcher makes and sends one list at a time. A target that gets no call is now reported with its incarnation, its row of the host list and what the hosts logged of it. The bound is unchanged.

The new test of the launcher fails without the lock.

--- a/standins/launch.py
+++ b/standins/launch.py
@@ -120,6 +120,7 @@
         self.incarnations: dict[str, str] = {}
         self.states: dict[str, str] = {}
         self.ports = Ports(random.SystemRandom())
+        self.put_lock = asyncio.Lock()
 
     async def __aenter__(self) -> Deployment:
         self.directory = Path(tempfile.mkdtemp(prefix=f"{self.spec.name}-"))
@@ -374,20 +375,25 @@
         await self.wait_ready()
 
     async def put_hosts(self) -> None:
-        """Registers the started processes. Each stays in the host list until `remove`."""
-        hosts = [
-            {
-                "name": child.name,
-                "service": child.service,
-                "address": child.address,
-                "availability_zone": child.availability_zone,
-                "incarnation": self.incarnations[child.name],
-                "state": self.states[child.name],
-            }
-            for child in self.children.values()
-            if child.name in self.incarnations and child.name in self.states
-        ]
-        await self.call("PUT", f"{self.platform_url}/control/hosts", {"hosts": hosts})
+        """Registers the started processes. Each stays in the host list until `remove`.
+
+        One list is sent after the other: of two on different connections, the older one can arrive
+        last and would list a restarted process with its previous incarnation for good.
+        """
+        async with self.put_lock:
+            hosts = [
+                {
+                    "name": child.name,
+                    "service": child.service,
+                    "address": child.address,
+                    "availability_zone": child.availability_zone,
+                    "incarnation": self.incarnations[child.name],
+                    "state": self.states[child.name],
+                }
+                for child in self.children.values()
+                if child.name in self.incarnations and child.name in self.states
+            ]
+            await self.call("PUT", f"{self.platform_url}/control/hosts", {"hosts": hosts})
 
     async def drain(self, name: str, *, list_leaving: bool = True) -> None:
         """Drains a target and, with `list_leaving`, marks it as leaving in the host list."""
--- a/tests/failure/test_leaving.py
+++ b/tests/failure/test_leaving.py
@@ -68,6 +68,22 @@
     return last_s - started_s
 
 
+async def unused_message(site: Site, name: str) -> str:
+    """Describes what the platform and the hosts know of a target without calls."""
+    deployment = site.deployment
+    async with deployment.session.get(f"{deployment.platform_url}/hosts") as response:
+        rows = [row for row in (await response.json())["hosts"] if row["name"] == name]
+    lines = {
+        host: [line for line in deployment.stderr(host).splitlines() if f"target={name} " in line]
+        for host in deployment.host_names
+    }
+    lines = {host: found[-3:] for host, found in lines.items()}
+    return (
+        f"{name} got no call within {RETURN_BOUND_S} s; its incarnation is "
+        f"{deployment.incarnations[name]}, the host list has {rows}, the hosts logged {lines}"
+    )
+
+
 def leaving_source(site: Site, host: str, target: str) -> str:
     """Returns the source from which a host learned that a target is leaving, empty if none."""
     prefix = f"target={target} incarnation={site.deployment.incarnations[target]} source="
@@ -108,7 +124,10 @@
                     return (await site.deployment.state(name))["calls"] > 0
 
                 remaining_s = started_s + RETURN_BOUND_S - time.monotonic()
-                await wait_until_true(used, remaining_s)
+                try:
+                    await wait_until_true(used, remaining_s)
+                except TimeoutError:
+                    pytest.fail(await unused_message(site, name))
         assert not count_failures(load.outcomes)
 
     async def test_draining_propagates_from_one_host(self, shared: tuple[Site, Client]) -> None:
--- a/tests/standins/test_launch.py
+++ b/tests/standins/test_launch.py
@@ -7,6 +7,7 @@
 import shutil
 import subprocess
 import sys
+from typing import Any
 
 import psutil
 import pytest
@@ -63,6 +64,26 @@
             deployment.cont("models-0")
             assert set((await deployment.shutdown()).values()) == {0}
 
+    async def test_the_newest_host_list_arrives_last(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a restarted process that stays listed with its previous incarnation,
+        because a list that was sent before it was up arrives after the one with its new one."""
+        deployment = Deployment(SPEC)
+        deployment.plan_platform()
+        deployment.states["platform"], deployment.incarnations["platform"] = "live", "1"
+        delays_s, received = [0.05, 0.0], []
+
+        async def call(method: str, url: str, body: Any = None) -> None:
+            await asyncio.sleep(delays_s.pop(0))
+            received.append(body["hosts"][0]["incarnation"])
+
+        monkeypatch.setattr(deployment, "call", call)
+        first = asyncio.create_task(deployment.put_hosts())
+        await asyncio.sleep(0)
+        deployment.incarnations["platform"] = "2"
+        await deployment.put_hosts()
+        await first
+        assert received == ["1", "2"]
+
     async def test_nothing_is_left_after_a_failure(self) -> None:
         """Guards against processes and files that outlive a failed start."""
         deployment = Deployment(SPEC, flags={"bookings-1": ["--kind=unknown"]})
