Bound the readers that go on in one turn of the event loop

Seen: test_fifty_endless_targets_leave_memory_and_time_for_others[tiny chunks] failed once beside ten busy processes; which assertion was not kept. A call to the good target takes some ten turns of the loop. Beside eight busy processes its longest time was over the allowed 0.4 s in 20 of 20 runs, and in other runs its connect timed out (12 of 420 calls), which the test did not notice. The whole read also came near its bound of 20 s (21.7 s in one run).

Cause: a reader gave up its turn after BYTES_PER_TURN, but each of fifty connections had that budget in every turn, so a turn took 43 to 73 ms at rest.

Ruled out: memory (growth 5.4 MB of 40). A larger MIN_EVENT_BYTES (4,096) made the longest call 0.009 to 0.020 s at rest, but the whole read took a third longer.

Change: a reader that has used up its bytes queues, and four readers of a loop go on in each turn. Answers below BYTES_PER_TURN never queue. The test also fails now if a call to the good target fails, and two servers of its file close their connections, whose finalizers raised errors.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -19,13 +19,15 @@
 
 from savoryfork.forward.limits import DEFAULT_LIMITS, MIN_CHUNK_BYTES, ReadLimits
 from savoryfork.forward.model import Headers
+from savoryfork.forward.turns import wait_for_turn
 
 # Bytes that are handed to the parser at a time. It keeps what it has not parsed, so received data
 # of hundreds of kilobytes must not be handed over at once.
 PARSE_BYTES = 16_384
 
-# Bytes after which a reader lets other tasks run, if it did not have to wait in between. An event
-# counts as MIN_EVENT_BYTES at least: a body of tiny chunks takes long to parse.
+# Bytes after which a reader queues for another turn of the loop, if it did not have to wait in
+# between. Shorter answers never queue. An event counts as MIN_EVENT_BYTES at least: a body of tiny
+# chunks takes long to parse.
 BYTES_PER_TURN = 32_768
 MIN_EVENT_BYTES = 1_024
 
@@ -195,11 +197,11 @@
                 self.waiter = None
 
     async def yield_turn(self, size: int) -> None:
-        """Lets other tasks run after BYTES_PER_TURN bytes that needed no wait."""
+        """Queues for another turn after BYTES_PER_TURN bytes that needed no wait."""
         self.bytes_in_turn += size
         if self.bytes_in_turn >= BYTES_PER_TURN:
             self.bytes_in_turn = 0
-            await asyncio.sleep(0)
+            await wait_for_turn()
 
     async def read_head(self) -> Head:
         """Returns the head of the response; skips a bounded number of informational responses."""
--- a/tests/forward/test_limits.py
+++ b/tests/forward/test_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 from pathlib import Path
 
@@ -94,14 +95,20 @@
         times = []
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(HEAD + b"Content-Length: 2\r\n\r\nok")
+            writer.close()
 
         async def call_good_target(address: str) -> None:
             loop = asyncio.get_running_loop()
             while True:
                 started = loop.time()
-                await read_answer(await send_request(address))
+                connection = await send_request(address)
+                try:
+                    await read_answer(connection)
+                finally:
+                    connection.abort()
                 times.append(loop.time() - started)
 
         address = await endless(kind)
@@ -114,8 +121,11 @@
             results = await asyncio.gather(
                 *(read_answer(connection) for connection in connections), return_exceptions=True
             )
+        assert not good.done(), good  # no call to it failed
         good.cancel()
+        await asyncio.gather(good, return_exceptions=True)
         server.close()
+        await server.wait_closed()
         assert all(isinstance(result, TargetError) for result in results)
         assert peak_bytes() - before < MAX_GROWTH_BYTES
         assert times and max(times) < AIM_S
@@ -156,6 +166,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(interim + HEAD + b"Content-Length: 2\r\n\r\nok")
+            writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         ip, port = server.sockets[0].getsockname()
