Merge the settled leases of trimmed topics and the turns of busy readers

Resolved beside logs that go back: a controller waits out lost leases, and starts again to count the quiet time of the topic, after a restoration.

--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -31,13 +31,7 @@
     is_managed,
     retry_after_ms,
 )
-from savoryfork.leasefold import (
-    SETTLE_MS,
-    LeaseFold,
-    acquire_record,
-    release_record,
-    renew_record,
-)
+from savoryfork.leasefold import LeaseFold, acquire_record, release_record, renew_record
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import Service
 from savoryfork.util import logs, rendezvous
@@ -117,7 +111,7 @@
         self.incarnation = incarnation
         self.fold = LeaseFold()
         self.read_ms = 0.0
-        self.settled_ms = 0.0
+        self.last_record_read_ms = 0.0
         self.era: int | None = None
         self.restored_wait_until_ms = 0.0
         self.services: dict[str, ServiceOrders] = {}
@@ -225,7 +219,7 @@
     # The lease.
 
     async def read(self) -> bool:
-        """Reads the lease topic to its end; returns True if the leases' state is reliable.
+        """Reads the lease topic to its end; returns False if it has records of a newer schema.
 
         Raises LogUnavailable.
         """
@@ -240,7 +234,8 @@
                 continue
             except OffsetExpired as gone:
                 self.fold.restart(gone.start)
-                self.settled_ms = self.clock.monotonic_ms() + SETTLE_MS
+                self.last_record_read_ms = self.clock.monotonic_ms()
+                logs.event(log, "lease_topic_expired", start=gone.start)
                 continue
             if self.era is None and page.eras:
                 self.wait_for_lost_leases(page.eras[-1])
@@ -250,6 +245,8 @@
             self.era = len(page.eras)
             for record in page.records:
                 self.fold.apply(record)
+            if page.records:
+                self.last_record_read_ms = self.clock.monotonic_ms()
             if self.fold.advance(page):
                 break
         self.read_ms = started_ms
@@ -257,10 +254,12 @@
         for name, orders in self.services.items():
             orders.local_lease.update(self.fold.leases.get(name), now)
             self.update_lease_state(name, orders, orders.local_lease.remaining_ms(now) > 0)
-        settled = self.fold.settled or now >= self.settled_ms
-        if now < self.restored_wait_until_ms:
-            return False
-        return settled and not self.fold.unsupported
+        return now >= self.restored_wait_until_ms and not self.fold.unsupported
+
+    def lease_settled(self, service: str) -> bool:
+        """Returns True if every host reads the same lease of a service."""
+        quiet_ms = max(0.0, self.read_ms - self.last_record_read_ms)
+        return self.fold.is_settled(service, quiet_ms)
 
     def follow_restored(self, error: LogRestored) -> None:
         """Reads the leases anew after the log came back from an older copy.
@@ -270,8 +269,7 @@
         """
         report_restored(defaults.LEASE_TOPIC, self.fold.position, error)
         self.fold.restart(error.start)
-        if error.start > 0:
-            self.settled_ms = self.clock.monotonic_ms() + SETTLE_MS
+        self.last_record_read_ms = self.clock.monotonic_ms()
         self.era = len(error.eras)
         wait_ms = defaults.LEASE_TTL_MS + defaults.LEASE_MARGIN_MS
         self.restored_wait_until_ms = self.clock.monotonic_ms() + wait_ms
@@ -299,6 +297,8 @@
 
     def lease_record(self, service: Service, now: float) -> dict[str, Any] | None:
         """Returns the lease record to append for a service now, if any."""
+        if not self.lease_settled(service.name):
+            return None
         orders = self.services[service.name]
         local_lease, lease = orders.local_lease, orders.local_lease.lease
         header = (str(uuid6.uuid7()), service.name, self.incarnation)
@@ -370,6 +370,8 @@
             self.read_ms
         ):
             return "paused"
+        if not self.lease_settled(service.name):
+            return "lease_unsettled"
         return orders.local_lease.blocking_reason(now, config, service.checks_orders)
 
     async def send(
