--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -197,6 +197,23 @@
                 await asyncio.sleep(0.1)
                 assert max_config_age_ms(plane) < trusted_ms
 
+    async def test_versions_that_are_written_again_in_order(self):
+        """Guards against a host that starts meanwhile and takes a version before the last one."""
+        async with Plane() as plane:
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            for version in (2, 3):
+                plane.put_config(version)
+                await asyncio.sleep(0.5)
+            await plane.drill(copy)
+            await asyncio.sleep(0.5)
+            plane.put_config(2)
+            await asyncio.sleep(0.5)
+            plane.add(1, [host.address for host in plane.hosts[:3]])
+            await asyncio.sleep(2.0)
+            assert versions(plane.live()) == {3}
+            assert all(host.follower.config_age_ms() >= 4_000.0 for host in plane.live())
+
     async def test_two_drills_in_a_row(self):
         """Guards against hosts of three eras that hand each other old entries."""
         async with Plane() as plane:
