--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -166,3 +166,13 @@
             host.start_era(2, [], 0, 1_000.0)
             follow(host, started(Entry(3, "k", b"v", 1, (1, 0))))
             assert ("k" in host.entries) == keeps_missing
+
+    def test_a_record_of_the_new_era_replaces_a_kept_entry_with_a_huge_revision(self):
+        """Guards against an odd entry that one host has read and that shuts its target out."""
+        host = started(Entry(3, "t", b"odd", 1, (100, 10**18)))
+        other = started()
+        for table in (host, other):
+            table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        other.apply_records([Entry(1, "t", b"leaving", 2, (100, 6))], 2)
+        follow(host, other)
+        assert host.entries["t"].value == b"leaving" and not host.kept_keys
