--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -176,3 +176,32 @@
         other.apply_records([Entry(1, "t", b"leaving", 2, (100, 6))], 2)
         follow(host, other)
         assert host.entries["t"].value == b"leaving" and not host.kept_keys
+
+    def test_a_kept_deletion_survives_a_purge_and_reaches_a_starting_host(self):
+        """Guards against a target that has ended and that only the copy still has."""
+        copy = Entry(0, "t", b"v", 2, (100, 2))
+        table = started(Entry(0, "t", b"v", 1, (100, 5)))
+        table.apply_records([Entry(1, "t", b"", 1)], 2)
+        table.start_era(2, [copy], 1, 1_000.0)
+        table.purge_tombstones()
+        for host in (TopicTable(), started(Entry(0, "t", b"v", 1, (100, 1)))):
+            follow(host, table)
+            assert not host.entries["t"].value
+
+    def test_a_host_of_the_former_era_is_answered_at_once(self):
+        """Guards against hosts that wait for a change to hear of a new era."""
+        host, other = started(), started()
+        other.start_era(2, [], 0, 1_000.0)
+        assert other.has_changes_since(host.position())
+        assert not host.has_changes_since(other.position())
+        follow(host, other)
+        assert host.era == 2 and not other.has_changes_since(host.position())
+
+    def test_a_kept_deletion_ends_when_a_snapshot_lacks_the_key(self):
+        """Guards against entries that are kept, and sent or appended again, for good."""
+        table = started(Entry(0, "t", b"v", 1, (100, 5)))
+        table.apply_records([Entry(1, "t", b"", 1)], 2)
+        table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
+        assert table.kept_keys == {"t"}
+        table.apply_snapshot([], 2)
+        assert not table.kept_keys and not table.entries["t"].value
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -117,6 +117,27 @@
             await client.read(Topic.CONFIGURATION, 2, 0.0)
         assert (await client.newest(Topic.CONFIGURATION)).era == 2
 
+    async def test_restore_between_two_pages_is_an_outage(self, store, monkeypatch):
+        """Guards against a snapshot that is put together from two eras."""
+        _, client = store
+        body = b'{"end":9,"has_more":true,"entries":[{"key":"t","offset":0,"value":""}]}'
+        eras = iter((1, 2))
+
+        async def call(name: str, params: dict[str, str], wait_ms: float) -> tuple[bytes, int]:
+            return body, next(eras)
+
+        monkeypatch.setattr(client, "call", call)
+        with pytest.raises(LogUnavailable, match="between two pages"):
+            await client.newest(Topic.TARGETS)
+
+    @pytest.mark.parametrize("era", ["", "x", "-1", "9" * 19])
+    async def test_era_that_cant_be_read_is_an_outage(self, store, era):
+        """Guards against an odd header that ends the task that reads the store."""
+        fake, client = store
+        fake.era = era
+        with pytest.raises(LogUnavailable, match="era"):
+            await client.newest(Topic.TARGETS)
+
     async def test_other_keys_of_the_operator_are_left_out(self, store):
         """Guards against a lost key beside the configuration, which no store would confirm."""
         fake, client = store
