--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -214,6 +214,16 @@
             assert versions(plane.live()) == {3}
             assert all(host.follower.config_age_ms() >= 4_000.0 for host in plane.live())
 
+    async def test_configuration_that_the_copy_lacks_stays(self):
+        """Guards against a copy from before the first version: starting hosts would have none."""
+        async with Plane(5) as plane:
+            await asyncio.sleep(2.0)
+            await plane.drill(plane.store.copy() | {Topic.CONFIGURATION: []})
+            await asyncio.sleep(0.5)
+            plane.add(1, [host.address for host in plane.hosts[:3]])
+            await asyncio.sleep(1.0)
+            assert versions(plane.live()) == {1}
+
     async def test_two_drills_in_a_row(self):
         """Guards against hosts of three eras that hand each other old entries."""
         async with Plane() as plane:
