Keep the target of a move in preparation as a candidate

A move away from a silent target ruled the next target out as soon as it began to connect to it. If the silent target broke its stream off in that time, no candidate was left until the preparation had been cancelled one turn later, so the stream ended with a second engine at hand. The target counts as tried once it is ready or has failed.

The new test of test_silence lost its stream before the change and passes after it.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -537,27 +537,29 @@
             return None
 
     async def prepare_target(self, run: Run, target: Target) -> NextTarget | None:
-        """Connects to a target and spends the retry; returns None if either fails."""
-        run.tried_targets.add(target.name)
+        """Connects to a target and spends the retry; returns None if either fails.
+
+        The target stays a candidate until it is ready or has failed: the silent one may break off
+        meanwhile, and the request then goes on without this move.
+        """
         connection: Connection | None = None
-        ready = failed = False
+        ready = False
         try:
             connection = await self.connections.open(target.address, self.now())
             self.check_sendable(run, target)
             hosts = len(self.follower.members.alive(self.now()))
             ready = self.budget(run.service).try_spend(self.now(), hosts)
         except TargetError as error:
-            failed = True
+            run.tried_targets.add(target.name)
             logs.event(log, "move_not_prepared", request=run.id, reason=error.reason)
             self.record_failed_offer(run, target, error)
         finally:
-            if not ready:
-                if connection is not None:
-                    connection.abort()
-                if not failed:
-                    # Not for the target's sake, so it stays a candidate.
-                    run.tried_targets.discard(target.name)
-        return NextTarget(target, connection) if ready and connection is not None else None
+            if connection is not None and not ready:
+                connection.abort()
+        if connection is None or not ready:
+            return None
+        run.tried_targets.add(target.name)
+        return NextTarget(target, connection)
 
     def drop_next_target(self, run: Run) -> None:
         """Gives up a prepared move, as the silent target went on or the request has ended."""
--- a/tests/forward/test_silence.py
+++ b/tests/forward/test_silence.py
@@ -189,6 +189,45 @@
             assert event_ids(body) == list(range(1, EVENTS + 1))
             assert runs[0].tried_targets == {by_use(deployment)[0].name}
 
+    async def test_target_that_breaks_off_during_a_move_does_not_rule_out_the_next_one(
+        self, monkeypatch
+    ):
+        """Guards against a stream lost because its only other target was still being connected to.
+
+        The silent target broke its stream off while the move to the other one was being prepared,
+        which did not count as a candidate for so long.
+        """
+        opened = []
+
+        async def script(request, writer):
+            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
+            if "last-event-id" in request.headers:
+                writer.write(chunk(EVENT % 3) + chunk(b""))
+                return
+            writer.write(chunk(EVENT % 1) + chunk(EVENT % 2))
+            monkeypatch.setattr(connections, "open", open_slowly)
+            await until(lambda: opened)
+            writer.transport.abort()
+
+        async with Deployment() as deployment:
+            connections = deployment.hosts[0].connections
+            open_connection = connections.open
+
+            async def open_slowly(address, *args, **options):
+                opened.append(address)
+                if len(opened) == 1:
+                    await asyncio.sleep(DEAD_S)
+                return await open_connection(address, *args, **options)
+
+            scripted = Scripted(deployment)
+            await scripted.replace("engine", script, script)
+            # Without shared parts: the loss of a stream with them is first checked for a crash.
+            tokens = {**TOKENS, "Prefix_Hash": "aa:100"}
+            _, body, _ = await deployment.call("/chat/x", **tokens)
+            assert event_ids(body) == [1, 2, 3]
+            for server in scripted.servers:
+                server.close()
+
     async def test_streams_beyond_the_retry_budget_stay(self, monkeypatch):
         """Guards against leaving a target with many streams for which there are few retries."""
         async with Deployment(replicas=2) as deployment:
