Pause before calling a stage target again that was not reached

A call that does not reach its target uses up no attempt, and its pieces were dispatched again at once. With no other healthy target, one request opened 4,673 connections to a closed port in the 2 s until its deadline, each with a log line. Such a target now gets nothing for 50 ms.

test_pools failed with that number before the change and passes after it.

--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -40,6 +40,10 @@
 # Backoff for a target that refused a call because it was full.
 FULL_BACKOFF_MS = 120.0
 
+# Backoff for a target that a call did not reach. Such a call fails at once and uses up no attempt,
+# so without a pause it would be repeated until the deadline where no other target is left.
+UNREACHED_BACKOFF_MS = 50.0
+
 # Delay before waiting pieces are dispatched again.
 DISPATCH_RETRY_MS = 100.0
 
@@ -437,6 +441,9 @@
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
+            if not error.sent:
+                state = pool.state(target)
+                state.blocked_until = max(state.blocked_until, now + UNREACHED_BACKOFF_MS)
         for task, number in batch:
             if not self.is_open(pool, task):
                 continue
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -120,6 +120,24 @@
             assert loop.time() - started < 1.5
 
 
+class TestUnreachableTargets:
+    async def test_only_target_that_refuses_connections_is_not_called_in_a_loop(self):
+        """Guards against a piece that is offered again at once, as it never reached its target.
+
+        If no other target was left, one request opened thousands of connections until its deadline.
+        """
+        async with Deployment(replicas=1) as deployment:
+            host, (cave,) = deployment.hosts[0], deployment.replicas["cave"]
+            cave.address = deployment.ports.address()
+            deployment.register("cave", cave)
+            registry = host.follower.registry
+            await until(lambda: registry.usable("cave")[0].address == cave.address)
+            opened = host.connections.opened
+            status, _, _ = await deployment.call("/chat/x", Pieces="1,8", **TOKENS)
+            assert status == 503
+            assert host.connections.opened - opened < 100
+
+
 class TestResultSpace:
     async def test_targets_without_space_do_not_fail_a_request(self):
         """A new coordinator does not know the results that an earlier one had produced.
