Close the connection of an attempt that was stopped before its send

An attempt closed its connection only if a request had been written on it. If the key was revoked, the prompt quarantined, or the target left or pushed back while the connection was being opened, it was neither closed nor pooled and stayed open until its target closed it. The same held for the connection of a prepared move.

Both cases of the new test of test_forwarder found an open connection before the change.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -258,7 +258,7 @@
                 run.input_release_timer.cancel()
             self.selector.add_outstanding(target, -1)
             mark_prefilled()
-            if connection is not None and connection.busy:
+            if connection is not None and (connection.busy or run.attempt.sent_at is None):
                 connection.abort()
 
     def check_sendable(self, run: Run, target: Target) -> None:
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -426,3 +426,32 @@
         """Guards against an empty success from an engine that crashed as it began to write."""
         data = await self.call(scripted, b"")
         assert data.startswith(b"HTTP/1.1 502")
+
+
+class TestUnusedConnections:
+    @pytest.mark.parametrize("change", ["push-back", "key"])
+    async def test_connection_of_a_request_that_is_not_sent_is_closed(self, change, monkeypatch):
+        """Guards against connections that stay open since their request was stopped before the
+        send.
+
+        They were neither closed nor pooled, so they lasted until their target closed them.
+        """
+        async with Deployment(replicas=1) as deployment:
+            host, opened = deployment.hosts[0], []
+            open_connection = host.connections.open
+
+            async def open_and_change(*args, **options):
+                connection = await open_connection(*args, **options)
+                opened.append(connection)
+                registry = host.follower.registry
+                if change == "push-back":
+                    (target,) = registry.usable("engine")
+                    registry.push_backs.record(target, 5.0, host.follower.now())
+                else:
+                    host.follower.catalog = host.follower.catalog._replace(keys={})
+                return connection
+
+            monkeypatch.setattr(host.connections, "open", open_and_change)
+            status, _, _ = await deployment.call("/chat/x", **TOKENS)
+            assert status == (429 if change == "push-back" else 401)
+            assert [connection.closed for connection in opened] == [True]
