Keep a stage while a call with its piece is open

A stage call that takes longer than expected is repeated elsewhere, with the first call left open. If no retry was left for that, or if the repeat failed without one, the whole stage failed at once, and with it the request, although the first call was only slow. A stage now fails for lack of a retry only once no call with the piece is open.

--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -20,7 +20,8 @@
 class StageTask:
     """One stage of a request: its waiting pieces, and its results so far.
 
-    `due_at` is when it must finish for the request to be on time.
+    `due_at` is when it must finish for the request to be on time. `calls` counts the open calls
+    with each piece, `attempts` all that may have run it.
     """
 
     def __init__(self, number: int, work: Work, stage: int, due_at: float) -> None:
@@ -40,6 +41,7 @@
         self.zone = work.zone if stage in work.final_stages() else None
         self.waiting: deque[int] = deque(range(self.pieces))
         self.attempts = [0] * self.pieces
+        self.calls = [0] * self.pieces
         self.results: dict[int, StageResult] = {}
         self.future: asyncio.Future[StageFailure | None] = (
             asyncio.get_running_loop().create_future()
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -270,6 +270,7 @@
             for _ in range(allocation.pieces):
                 number = task.waiting.popleft()
                 task.attempts[number] += 1
+                task.calls[number] += 1
                 batch.append((task, number))
             reserved_bytes += allocation.pieces * task.plan.result_bytes
         state.calls += 1
@@ -316,6 +317,8 @@
             state.calls -= 1
             state.stuck = False
             state.reserved_bytes -= reserved_bytes
+            for task, number in batch:
+                task.calls[number] -= 1
         now = self.now()
         duration_ms = now - started
         logs.event(
@@ -417,11 +420,15 @@
         return task.number in pool.tasks and not task.future.done()
 
     def requeue(self, pool: Pool, task: StageTask, number: int, now: float) -> None:
-        """Queues a piece for a retry; fails its task if no attempts or retry budget are left."""
+        """Queues a piece for a retry, if attempts and retry budget are left.
+
+        Otherwise its task fails, unless another call with the piece is open: that may be slow only.
+        """
         if number in task.waiting or number in task.results:
             return
         if task.attempts[number] >= MAX_ATTEMPTS or not pool.budget.try_spend(now, hosts=2):
-            task.finish(StageFailure.FAILED)
+            if not task.calls[number]:
+                task.finish(StageFailure.FAILED)
             return
         task.waiting.appendleft(number)
 
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from savoryfork.forward.cells import UNDIVIDED
+from savoryfork.forward.connection import TargetError
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.messages import StageResult
 from tests.forward.deployment import Deployment, configuration, until
@@ -120,6 +121,36 @@
             assert loop.time() - started < 1.5
 
 
+class TestSlowCalls:
+    """Guards against failing a stage for lack of a repeat while a call with its piece is open."""
+
+    async def test_slow_call_counts_if_no_retry_is_left(self):
+        async with Deployment() as deployment:
+            for replica in deployment.replicas["cave"]:
+                replica.delay_s = 0.9
+            deployment.hosts[0].retry_budget("cave").set_bounds(0.0, 0.0, 10_000.0)
+            assert (await deployment.call("/chat/x", Pieces="1,8", **TOKENS))[0] == 200
+
+    async def test_slow_call_counts_if_its_repeat_fails_and_no_retry_is_left(self):
+        async with Deployment() as deployment:
+            host, cave = deployment.hosts[0], deployment.replicas["cave"]
+            for replica in cave:
+                replica.delay_s = 0.9
+            # One retry, for the call that is overdue.
+            host.retry_budget("cave").set_bounds(0.0, 3.0, 10_000.0)
+            exchange, calls = host.pools.exchange, []
+
+            async def fail_repeat(*args):
+                calls.append(args)
+                if len(calls) == 2:
+                    raise TargetError("closed", sent=True)
+                return await exchange(*args)
+
+            host.pools.exchange = fail_repeat
+            assert (await deployment.call("/chat/x", Pieces="1,1", **TOKENS))[0] == 200
+            assert len(calls) > 1
+
+
 class TestUnreachableTargets:
     async def test_only_target_that_refuses_connections_is_not_called_in_a_loop(self):
         """Guards against a piece that is offered again at once, as it never reached its target.
