Do not make a request that stays at its target a probe

The review of a silent target asked whether its prompt may be sent by the same check as a send, which makes the request the probe of suspected parts. A stream that had begun and stayed kept that until its end, up to its deadline, and all other requests with the parts were refused by this host. The reviews check without that; the send itself still takes the probe.

The new test of test_silence found the stream as the probe before the change.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -66,15 +66,19 @@
             self.runs.add(run)
             self.check(run)
 
-    def check(self, run: Run) -> None:
-        """Raises ServiceError if a request must not reach an engine, or not now."""
+    def check(self, run: Run, *, sending: bool = True) -> None:
+        """Raises ServiceError if a request must not reach an engine, or not now.
+
+        A request that is about to be sent becomes the probe of its suspected parts.
+        """
         verdict = self.quarantine.verdict(run.parts, self.follower.now())
         if verdict is Verdict.ALLOWED:
             return
         watched = self.quarantine.watched(run.parts)
         holders = {self.probes[part] for part in watched if part in self.probes}
         if verdict is Verdict.PROBE and holders <= {run}:
-            self.probes.update(dict.fromkeys(watched, run))
+            if sending:
+                self.probes.update(dict.fromkeys(watched, run))
             return
         raise self.refusal(run, verdict)
 
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -261,10 +261,10 @@
             if connection is not None and (connection.busy or run.attempt.sent_at is None):
                 connection.abort()
 
-    def check_sendable(self, run: Run, target: Target) -> None:
+    def check_sendable(self, run: Run, target: Target, *, sending: bool = True) -> None:
         """Rechecks the key, the prompt and the target, which may have changed since the choice."""
         self.gate.check_key(run, self.gate.current_catalog())
-        self.crashes.check(run)
+        self.crashes.check(run, sending=sending)
         if not self.registry.is_current(target):
             raise TargetError("left", sent=False)
         if self.registry.push_backs.is_blocked(target, self.now()):
@@ -520,7 +520,7 @@
         """Returns whether the key and the prompt of a request would be accepted now."""
         try:
             self.gate.check_key(run, self.gate.current_catalog())
-            self.crashes.check(run)
+            self.crashes.check(run, sending=False)
         except ServiceError:
             return False
         return True
@@ -546,7 +546,7 @@
         ready = False
         try:
             connection = await self.connections.open(target.address, self.now())
-            self.check_sendable(run, target)
+            self.check_sendable(run, target, sending=False)
             hosts = len(self.follower.members.alive(self.now()))
             ready = self.budget(run.service).try_spend(self.now(), hosts)
         except TargetError as error:
--- a/tests/forward/test_silence.py
+++ b/tests/forward/test_silence.py
@@ -239,6 +239,26 @@
             runs = sum(sum(r.run_counts.values()) for r in deployment.replicas["engine"])
             assert runs == 7
 
+    async def test_stream_that_stays_does_not_hold_a_probe(self, caplog):
+        """Guards against a review that keeps a suspected prompt from all other requests.
+
+        Reviews asked whether the prompt may be sent in the way in which a send does, which makes
+        the request the probe of its parts. A stream that had begun kept them until its end.
+        """
+        caplog.set_level("INFO")
+        async with Deployment(replicas=2) as deployment:
+            fall_silent(deployment, 3, LONG_SILENCE_S)
+            host = deployment.hosts[0]
+            host.retry_budget("engine").set_bounds(0.0, 0.0, 10_000.0)
+            task = asyncio.create_task(deployment.call("/chat/x", **TOKENS))
+            await fallen_silent(deployment)
+            host.crashes.quarantine.verdict = lambda *_: Verdict.PROBE
+            host.crashes.quarantine.watched = lambda parts: parts
+            await until(lambda: any(r.msg["event"] == "target_silent" for r in caplog.records))
+            assert not host.crashes.probes
+            _, body, _ = await task
+            assert event_ids(body) == list(range(1, EVENTS + 1))
+
 
 class TestDeadTargets:
     async def test_stream_moves_before_its_caller_gives_up(self):
