Spend no retry on a silent target that gets nothing any more

A stream that had left a silent target counted it as one that is left to try, though it had left since or pushed back. A refusal by the next target then spent a retry, and might have run stages, for an offer that could not be made.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -141,7 +141,13 @@
 
     def has_targets_left(self, run: Run) -> bool:
         """Returns whether the request can be offered again, maybe to a target that it left."""
-        return bool(self.selector.candidates(run) or run.silent_targets)
+        return bool(self.selector.candidates(run) or self.silent_targets(run))
+
+    def silent_targets(self, run: Run) -> list[Target]:
+        """Returns the targets that a request left while silent and that may get it again."""
+        push_backs = self.registry.push_backs
+        current = [target for target in run.silent_targets if self.registry.is_current(target)]
+        return push_backs.unblocked(current, self.now())
 
     def choose_target(self, run: Run) -> Target | None:
         """Returns the target of the next attempt, or None if there is none.
@@ -153,7 +159,7 @@
             return run.next_target.target
         target = self.selector.choose(run) if len(run.offers) < MAX_OFFERS else None
         if target is None:
-            run.silent_targets = [t for t in run.silent_targets if self.registry.is_current(t)]
+            run.silent_targets = self.silent_targets(run)
             if run.silent_targets:
                 target = run.silent_targets.pop()
         return target
--- a/tests/forward/test_silence.py
+++ b/tests/forward/test_silence.py
@@ -152,6 +152,28 @@
             assert event_ids(body) == list(range(1, EVENTS + 1))
             assert second.refusals == 1 and first.run_counts["r"] == 2
 
+    @pytest.mark.parametrize("change", ["draining", "push-back"])
+    async def test_no_retry_is_spent_on_a_silent_target_that_gets_nothing(self, change):
+        """Guards against a retry for a target that has left or pushes back since it was left."""
+        async with Deployment(replicas=2) as deployment:
+            fall_silent(deployment, 3, DEAD_S)
+            host = deployment.hosts[0]
+            task = asyncio.create_task(deployment.call("/chat/x", Request_Id="r", **TOKENS))
+            await fallen_silent(deployment)
+            first, second = by_use(deployment)
+            second.refuse = True
+            registry = host.follower.registry
+            target = registry.targets[first.name]
+            if change == "draining":
+                deployment.register("engine", first, "draining")
+                await until(lambda: not registry.is_current(target))
+            else:
+                registry.push_backs.record(target, 60.0, host.follower.now())
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await task
+            assert second.refusals == 1 and first.run_counts["r"] == 1
+            assert len(host.retry_budget("engine").retries) == 1
+
     @pytest.mark.parametrize("obstacle", ["budget", "port", "stages", "quarantine"])
     async def test_stream_stays_if_the_move_fails(self, obstacle):
         """Guards against giving up a sound target for a move that turns out to be impossible."""
