Queue a piece once that its target did not run

A piece of an overdue call is queued for its repeat. If the call then ended without having run it, for lack of space or of a connection, it was queued once more: with one target, a stage of one piece was called with that piece twice.

The new test of test_pools saw a call of two pieces before the change.

--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -432,6 +432,12 @@
             return
         task.waiting.appendleft(number)
 
+    def return_piece(self, task: StageTask, number: int) -> None:
+        """Queues a piece again that its target did not run, unless a repeat is queued or done."""
+        task.attempts[number] -= 1
+        if number not in task.waiting and number not in task.results:
+            task.waiting.appendleft(number)
+
     def handle_call_failure(
         self,
         pool: Pool,
@@ -457,8 +463,7 @@
             if error.sent:
                 self.requeue(pool, task, number, now)
             else:
-                task.attempts[number] -= 1
-                task.waiting.appendleft(number)
+                self.return_piece(task, number)
 
     def handle_result(
         self,
@@ -481,8 +486,7 @@
             elif result is PieceFailure.NO_ROOM:
                 # The target has not run the piece.
                 state.blocked_until = now + NO_ROOM_BACKOFF_MS
-                task.attempts[number] -= 1
-                task.waiting.appendleft(number)
+                self.return_piece(task, number)
             else:
                 self.requeue(pool, task, number, now)
             return
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -151,6 +151,28 @@
             assert len(calls) > 1
 
 
+class TestOverdueCalls:
+    async def test_piece_of_an_overdue_call_without_space_is_queued_once(self):
+        """Guards against a piece that runs twice in one call.
+
+        It waited for its repeat when its first target answered that it had no space, which queued
+        it once more.
+        """
+        async with Deployment(replicas=1) as deployment:
+            (cave,) = deployment.replicas["cave"]
+            cave.delay_s, cave.no_room = 0.7, True
+            task = asyncio.create_task(
+                deployment.call("/chat/x", Pieces="1,8", Deadline_Ms="6000", **TOKENS)
+            )
+            await until(lambda: cave.batch_sizes)
+            await asyncio.sleep(0.6)
+            cave.delay_s = 0.0
+            await until(lambda: cave.batch_sizes[1:])
+            cave.no_room = False
+            assert (await task)[0] == 200
+            assert set(cave.batch_sizes) == {1}
+
+
 class TestUnreachableTargets:
     async def test_only_target_that_refuses_connections_is_not_called_in_a_loop(self):
         """Guards against a piece that is offered again at once, as it never reached its target.
