--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -141,7 +141,13 @@
 
     def has_targets_left(self, run: Run) -> bool:
         """Returns whether the request can be offered again, maybe to a target that it left."""
-        return bool(self.selector.candidates(run) or run.silent_targets)
+        return bool(self.selector.candidates(run) or self.silent_targets(run))
+
+    def silent_targets(self, run: Run) -> list[Target]:
+        """Returns the targets that a request left while silent and that may get it again."""
+        push_backs = self.registry.push_backs
+        current = [target for target in run.silent_targets if self.registry.is_current(target)]
+        return push_backs.unblocked(current, self.now())
 
     def choose_target(self, run: Run) -> Target | None:
         """Returns the target of the next attempt, or None if there is none.
@@ -153,7 +159,7 @@
             return run.next_target.target
         target = self.selector.choose(run) if len(run.offers) < MAX_OFFERS else None
         if target is None:
-            run.silent_targets = [t for t in run.silent_targets if self.registry.is_current(t)]
+            run.silent_targets = self.silent_targets(run)
             if run.silent_targets:
                 target = run.silent_targets.pop()
         return target
@@ -258,13 +264,13 @@
                 run.input_release_timer.cancel()
             self.selector.add_outstanding(target, -1)
             mark_prefilled()
-            if connection is not None and connection.busy:
+            if connection is not None and (connection.busy or run.attempt.sent_at is None):
                 connection.abort()
 
-    def check_sendable(self, run: Run, target: Target) -> None:
+    def check_sendable(self, run: Run, target: Target, *, sending: bool = True) -> None:
         """Rechecks the key, the prompt and the target, which may have changed since the choice."""
         self.gate.check_key(run, self.gate.current_catalog())
-        self.crashes.check(run)
+        self.crashes.check(run, sending=sending)
         if not self.registry.is_current(target):
             raise TargetError("left", sent=False)
         if self.registry.push_backs.is_blocked(target, self.now()):
@@ -520,7 +526,7 @@
         """Returns whether the key and the prompt of a request would be accepted now."""
         try:
             self.gate.check_key(run, self.gate.current_catalog())
-            self.crashes.check(run)
+            self.crashes.check(run, sending=False)
         except ServiceError:
             return False
         return True
@@ -537,27 +543,29 @@
             return None
 
     async def prepare_target(self, run: Run, target: Target) -> NextTarget | None:
-        """Connects to a target and spends the retry; returns None if either fails."""
-        run.tried_targets.add(target.name)
+        """Connects to a target and spends the retry; returns None if either fails.
+
+        The target stays a candidate until it is ready or has failed: the silent one may break off
+        meanwhile, and the request then goes on without this move.
+        """
         connection: Connection | None = None
-        ready = failed = False
+        ready = False
         try:
             connection = await self.connections.open(target.address, self.now())
-            self.check_sendable(run, target)
+            self.check_sendable(run, target, sending=False)
             hosts = len(self.follower.members.alive(self.now()))
             ready = self.budget(run.service).try_spend(self.now(), hosts)
         except TargetError as error:
-            failed = True
+            run.tried_targets.add(target.name)
             logs.event(log, "move_not_prepared", request=run.id, reason=error.reason)
             self.record_failed_offer(run, target, error)
         finally:
-            if not ready:
-                if connection is not None:
-                    connection.abort()
-                if not failed:
-                    # Not for the target's sake, so it stays a candidate.
-                    run.tried_targets.discard(target.name)
-        return NextTarget(target, connection) if ready and connection is not None else None
+            if connection is not None and not ready:
+                connection.abort()
+        if connection is None or not ready:
+            return None
+        run.tried_targets.add(target.name)
+        return NextTarget(target, connection)
 
     def drop_next_target(self, run: Run) -> None:
         """Gives up a prepared move, as the silent target went on or the request has ended."""
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -40,6 +40,10 @@
 # Backoff for a target that refused a call because it was full.
 FULL_BACKOFF_MS = 120.0
 
+# Backoff for a target that a call did not reach. Such a call fails at once and uses up no attempt,
+# so without a pause it would be repeated until the deadline where no other target is left.
+UNREACHED_BACKOFF_MS = 50.0
+
 # Delay before waiting pieces are dispatched again.
 DISPATCH_RETRY_MS = 100.0
 
@@ -266,6 +270,7 @@
             for _ in range(allocation.pieces):
                 number = task.waiting.popleft()
                 task.attempts[number] += 1
+                task.calls[number] += 1
                 batch.append((task, number))
             reserved_bytes += allocation.pieces * task.plan.result_bytes
         state.calls += 1
@@ -312,6 +317,8 @@
             state.calls -= 1
             state.stuck = False
             state.reserved_bytes -= reserved_bytes
+            for task, number in batch:
+                task.calls[number] -= 1
         now = self.now()
         duration_ms = now - started
         logs.event(
@@ -413,14 +420,24 @@
         return task.number in pool.tasks and not task.future.done()
 
     def requeue(self, pool: Pool, task: StageTask, number: int, now: float) -> None:
-        """Queues a piece for a retry; fails its task if no attempts or retry budget are left."""
+        """Queues a piece for a retry, if attempts and retry budget are left.
+
+        Otherwise its task fails, unless another call with the piece is open: that may be slow only.
+        """
         if number in task.waiting or number in task.results:
             return
         if task.attempts[number] >= MAX_ATTEMPTS or not pool.budget.try_spend(now, hosts=2):
-            task.finish(StageFailure.FAILED)
+            if not task.calls[number]:
+                task.finish(StageFailure.FAILED)
             return
         task.waiting.appendleft(number)
 
+    def return_piece(self, task: StageTask, number: int) -> None:
+        """Queues a piece again that its target did not run, unless a repeat is queued or done."""
+        task.attempts[number] -= 1
+        if number not in task.waiting and number not in task.results:
+            task.waiting.appendleft(number)
+
     def handle_call_failure(
         self,
         pool: Pool,
@@ -437,14 +454,16 @@
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
+            if not error.sent:
+                state = pool.state(target)
+                state.blocked_until = max(state.blocked_until, now + UNREACHED_BACKOFF_MS)
         for task, number in batch:
             if not self.is_open(pool, task):
                 continue
             if error.sent:
                 self.requeue(pool, task, number, now)
             else:
-                task.attempts[number] -= 1
-                task.waiting.appendleft(number)
+                self.return_piece(task, number)
 
     def handle_result(
         self,
@@ -467,8 +486,7 @@
             elif result is PieceFailure.NO_ROOM:
                 # The target has not run the piece.
                 state.blocked_until = now + NO_ROOM_BACKOFF_MS
-                task.attempts[number] -= 1
-                task.waiting.appendleft(number)
+                self.return_piece(task, number)
             else:
                 self.requeue(pool, task, number, now)
             return
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from savoryfork.forward.cells import UNDIVIDED
+from savoryfork.forward.connection import TargetError
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.messages import StageResult
 from tests.forward.deployment import Deployment, configuration, until
@@ -120,6 +121,76 @@
             assert loop.time() - started < 1.5
 
 
+class TestSlowCalls:
+    """Guards against failing a stage for lack of a repeat while a call with its piece is open."""
+
+    async def test_slow_call_counts_if_no_retry_is_left(self):
+        async with Deployment() as deployment:
+            for replica in deployment.replicas["cave"]:
+                replica.delay_s = 0.9
+            deployment.hosts[0].retry_budget("cave").set_bounds(0.0, 0.0, 10_000.0)
+            assert (await deployment.call("/chat/x", Pieces="1,8", **TOKENS))[0] == 200
+
+    async def test_slow_call_counts_if_its_repeat_fails_and_no_retry_is_left(self):
+        async with Deployment() as deployment:
+            host, cave = deployment.hosts[0], deployment.replicas["cave"]
+            for replica in cave:
+                replica.delay_s = 0.9
+            # One retry, for the call that is overdue.
+            host.retry_budget("cave").set_bounds(0.0, 3.0, 10_000.0)
+            exchange, calls = host.pools.exchange, []
+
+            async def fail_repeat(*args):
+                calls.append(args)
+                if len(calls) == 2:
+                    raise TargetError("closed", sent=True)
+                return await exchange(*args)
+
+            host.pools.exchange = fail_repeat
+            assert (await deployment.call("/chat/x", Pieces="1,1", **TOKENS))[0] == 200
+            assert len(calls) > 1
+
+
+class TestOverdueCalls:
+    async def test_piece_of_an_overdue_call_without_space_is_queued_once(self):
+        """Guards against a piece that runs twice in one call.
+
+        It waited for its repeat when its first target answered that it had no space, which queued
+        it once more.
+        """
+        async with Deployment(replicas=1) as deployment:
+            (cave,) = deployment.replicas["cave"]
+            cave.delay_s, cave.no_room = 0.7, True
+            task = asyncio.create_task(
+                deployment.call("/chat/x", Pieces="1,8", Deadline_Ms="6000", **TOKENS)
+            )
+            await until(lambda: cave.batch_sizes)
+            await asyncio.sleep(0.6)
+            cave.delay_s = 0.0
+            await until(lambda: cave.batch_sizes[1:])
+            cave.no_room = False
+            assert (await task)[0] == 200
+            assert set(cave.batch_sizes) == {1}
+
+
+class TestUnreachableTargets:
+    async def test_only_target_that_refuses_connections_is_not_called_in_a_loop(self):
+        """Guards against a piece that is offered again at once, as it never reached its target.
+
+        If no other target was left, one request opened thousands of connections until its deadline.
+        """
+        async with Deployment(replicas=1) as deployment:
+            host, (cave,) = deployment.hosts[0], deployment.replicas["cave"]
+            cave.address = deployment.ports.address()
+            deployment.register("cave", cave)
+            registry = host.follower.registry
+            await until(lambda: registry.usable("cave")[0].address == cave.address)
+            opened = host.connections.opened
+            status, _, _ = await deployment.call("/chat/x", Pieces="1,8", **TOKENS)
+            assert status == 503
+            assert host.connections.opened - opened < 100
+
+
 class TestResultSpace:
     async def test_targets_without_space_do_not_fail_a_request(self):
         """A new coordinator does not know the results that an earlier one had produced.
--- a/tests/forward/test_silence.py
+++ b/tests/forward/test_silence.py
@@ -152,6 +152,28 @@
             assert event_ids(body) == list(range(1, EVENTS + 1))
             assert second.refusals == 1 and first.run_counts["r"] == 2
 
+    @pytest.mark.parametrize("change", ["draining", "push-back"])
+    async def test_no_retry_is_spent_on_a_silent_target_that_gets_nothing(self, change):
+        """Guards against a retry for a target that has left or pushes back since it was left."""
+        async with Deployment(replicas=2) as deployment:
+            fall_silent(deployment, 3, DEAD_S)
+            host = deployment.hosts[0]
+            task = asyncio.create_task(deployment.call("/chat/x", Request_Id="r", **TOKENS))
+            await fallen_silent(deployment)
+            first, second = by_use(deployment)
+            second.refuse = True
+            registry = host.follower.registry
+            target = registry.targets[first.name]
+            if change == "draining":
+                deployment.register("engine", first, "draining")
+                await until(lambda: not registry.is_current(target))
+            else:
+                registry.push_backs.record(target, 60.0, host.follower.now())
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await task
+            assert second.refusals == 1 and first.run_counts["r"] == 1
+            assert len(host.retry_budget("engine").retries) == 1
+
     @pytest.mark.parametrize("obstacle", ["budget", "port", "stages", "quarantine"])
     async def test_stream_stays_if_the_move_fails(self, obstacle):
         """Guards against giving up a sound target for a move that turns out to be impossible."""
@@ -189,6 +211,45 @@
             assert event_ids(body) == list(range(1, EVENTS + 1))
             assert runs[0].tried_targets == {by_use(deployment)[0].name}
 
+    async def test_target_that_breaks_off_during_a_move_does_not_rule_out_the_next_one(
+        self, monkeypatch
+    ):
+        """Guards against a stream lost because its only other target was still being connected to.
+
+        The silent target broke its stream off while the move to the other one was being prepared,
+        which did not count as a candidate for so long.
+        """
+        opened = []
+
+        async def script(request, writer):
+            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
+            if "last-event-id" in request.headers:
+                writer.write(chunk(EVENT % 3) + chunk(b""))
+                return
+            writer.write(chunk(EVENT % 1) + chunk(EVENT % 2))
+            monkeypatch.setattr(connections, "open", open_slowly)
+            await until(lambda: opened)
+            writer.transport.abort()
+
+        async with Deployment() as deployment:
+            connections = deployment.hosts[0].connections
+            open_connection = connections.open
+
+            async def open_slowly(address, *args, **options):
+                opened.append(address)
+                if len(opened) == 1:
+                    await asyncio.sleep(DEAD_S)
+                return await open_connection(address, *args, **options)
+
+            scripted = Scripted(deployment)
+            await scripted.replace("engine", script, script)
+            # Without shared parts: the loss of a stream with them is first checked for a crash.
+            tokens = {**TOKENS, "Prefix_Hash": "aa:100"}
+            _, body, _ = await deployment.call("/chat/x", **tokens)
+            assert event_ids(body) == [1, 2, 3]
+            for server in scripted.servers:
+                server.close()
+
     async def test_streams_beyond_the_retry_budget_stay(self, monkeypatch):
         """Guards against leaving a target with many streams for which there are few retries."""
         async with Deployment(replicas=2) as deployment:
@@ -200,6 +261,26 @@
             runs = sum(sum(r.run_counts.values()) for r in deployment.replicas["engine"])
             assert runs == 7
 
+    async def test_stream_that_stays_does_not_hold_a_probe(self, caplog):
+        """Guards against a review that keeps a suspected prompt from all other requests.
+
+        Reviews asked whether the prompt may be sent in the way in which a send does, which makes
+        the request the probe of its parts. A stream that had begun kept them until its end.
+        """
+        caplog.set_level("INFO")
+        async with Deployment(replicas=2) as deployment:
+            fall_silent(deployment, 3, LONG_SILENCE_S)
+            host = deployment.hosts[0]
+            host.retry_budget("engine").set_bounds(0.0, 0.0, 10_000.0)
+            task = asyncio.create_task(deployment.call("/chat/x", **TOKENS))
+            await fallen_silent(deployment)
+            host.crashes.quarantine.verdict = lambda *_: Verdict.PROBE
+            host.crashes.quarantine.watched = lambda parts: parts
+            await until(lambda: any(r.msg["event"] == "target_silent" for r in caplog.records))
+            assert not host.crashes.probes
+            _, body, _ = await task
+            assert event_ids(body) == list(range(1, EVENTS + 1))
+
 
 class TestDeadTargets:
     async def test_stream_moves_before_its_caller_gives_up(self):
