Wait for the writers of a restored store after a long outage

The shorter the gap since the last confirmation, the more time is left until a key that was taken away in it must stop working. After a gap of up to 4 s, 0.4 s stay enough, so a drill of 2 s refuses nothing; after a longer one, and on a host that starts in a store that was ever restored, reads confirm 2 s after the restore. Keyed requests are refused then anyway, as the configuration is out of date.

The new test, and the one of starting hosts with the longer time, fail without the change and pass with it.

--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -25,10 +25,15 @@
 # An offset beyond all others, by which a requester asks for no entries.
 NO_ENTRIES_OFFSET = 2**62
 
-# The operator writes again what a restore has lost. A read within this time does not show that no
-# newer version was written before the restore. It has to fit into the time for which keyed requests
-# are served without a confirmation, together with the outage.
+# Within this time after a restore writers write again what it has lost. Until then a read does not
+# show that no newer version was written before the restore.
+REWRITE_MS = 2_000.0
+
+# Settle time of hosts whose entries were confirmed within MAX_GAP_MS before the restore. A key that
+# was taken away unseen in that gap has a second or more left until it must stop working; with a
+# longer settle time hosts would refuse keyed requests after a drill of 2 s.
 RESTORE_SETTLE_MS = 400.0
+MAX_GAP_MS = 4_000.0
 
 # Age from which entries count as unconfirmed for long: reads no longer wait for changes.
 TRUST_LOST_MS = 2_000.0
@@ -119,6 +124,7 @@
         self.kept_keys: set[str] = set()
         self.era = 0
         self.era_since = -math.inf
+        self.settled_at = -math.inf
         self.era_start = 0
         self.next_offset = -1
         self.confirmed_at = -math.inf
@@ -255,6 +261,8 @@
         keys = {entry.key for entry in snapshot}
         self.era = era
         self.era_since = now
+        gap_ms = self.trusted_age_ms(now)
+        self.settled_at = now + (RESTORE_SETTLE_MS if gap_ms <= MAX_GAP_MS else REWRITE_MS)
         self.era_start = next_offset
         self.next_offset = next_offset
         self.full_sync_before = next_offset
@@ -289,7 +297,7 @@
 
     def settle_ms(self, now: float) -> float:
         """Returns the time until reads show again that nothing newer was written."""
-        return max(0.0, self.era_since + RESTORE_SETTLE_MS - now)
+        return max(0.0, self.settled_at - now)
 
     def poll_ms(self, wait_ms: float, now: float) -> float:
         """Returns how long a read of the store may wait for records, `wait_ms` at most.
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -17,7 +17,7 @@
 from savoryfork.forward import quarantine as quarantines
 from savoryfork.forward.follower import Topic, stale_ms
 from savoryfork.forward.gate import TRUSTED_SHARE
-from savoryfork.forward.knowledge import RESTORE_SETTLE_MS
+from savoryfork.forward.knowledge import RESTORE_SETTLE_MS, REWRITE_MS
 from savoryfork.forward.quarantine import Report
 from savoryfork.forward.registry import LAPSE_GRACE_MS
 from tests.forward.controlplane import ControlPlane, Host
@@ -178,7 +178,7 @@
             await plane.until(lambda: any(table.next_offset >= 0 for table in tables))
             read_at = min(table.era_since for table in tables if table.next_offset >= 0)
             assert math.isfinite(read_at)
-            while (now := asyncio.get_running_loop().time() * 1000) < read_at + RESTORE_SETTLE_MS:
+            while (now := asyncio.get_running_loop().time() * 1000) < read_at + REWRITE_MS:
                 assert all(table.trusted_age_ms(now) == math.inf for table in tables)
                 await asyncio.sleep(0.02)
             await plane.until(lambda: versions(plane.live()) == {1})
@@ -240,6 +240,24 @@
             await asyncio.sleep(1.0)
             assert versions(plane.live()) == {1}
 
+    async def test_copy_is_not_trusted_after_a_long_outage(self):
+        """Guards against a key that was taken away unseen, and is served until that is written
+        again."""
+        async with Plane() as plane:
+            plane.put_config(2)
+            await asyncio.sleep(2.0)
+            copy = plane.store.copy()
+            drill = asyncio.create_task(plane.drill(copy, away_s=4.5))
+            await asyncio.sleep(0.1)
+            plane.put_config(3)
+            await drill
+            for _ in range(18):
+                await asyncio.sleep(0.1)
+                assert min(h.follower.config_age_ms() for h in plane.live()) >= 4_000.0
+            plane.put_config(3)
+            await plane.until(lambda: versions(plane.live()) == {3})
+            await plane.until(lambda: max_config_age_ms(plane) < FRESH_MS, 3.0)
+
     async def test_two_drills_in_a_row(self):
         """Guards against hosts of three eras that hand each other old entries."""
         async with Plane() as plane:
