Log the fingerprint of requests whose attempt broke off

Callers see 502 for a request that crashes its target, and the service loses one target after the other. attempt_broken names the request by its id, which is new each time that a request comes again, so the logs can't tell a request that returns from others that were lost in the same crash.

The line now has a hash of method, host, path, caller and body. It is computed only for attempts that break off.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -441,6 +441,7 @@
             progress=attempt.progress().value,
             events=attempt.events,
             parts=shared_parts_label(run.request),
+            fingerprint=f"{run.fingerprint():x}",
         )
 
     async def after_failure(
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -6,6 +6,8 @@
 import enum
 from typing import NamedTuple, Protocol
 
+import xxhash
+
 from savoryfork.forward.connection import Connection
 from savoryfork.forward.model import (
     AnswerHead,
@@ -97,6 +99,19 @@
     EVENTS = "events"
 
 
+def fingerprint(request: CallerRequest, workspace: str, body: bytes | None) -> int:
+    """Returns the 63-bit hash of what a request and its repetitions have in common.
+
+    These are its method, host, path, caller and body; its id differs each time that it comes.
+    """
+    digest = xxhash.xxh3_64()
+    for field in (request.method, request.path, request.host.encode(), workspace.encode()):
+        digest.update(b"%d:" % len(field))
+        digest.update(field)
+    digest.update(body or b"")
+    return digest.intdigest() >> 1
+
+
 class Attempt:
     """The progress of a request at one target; `events` counts the events that it sent.
 
@@ -167,10 +182,18 @@
         self.next_target: NextTarget | None = None
         self.silent_targets: list[Target] = []
         self.parts: tuple[int, ...] = ()
+        self.known_fingerprint: int | None = None
         self.first_event_at: float | None = None
         self.failed_answer: tuple[AnswerHead, bytes] | None = None
         self.retry_ms = DEFAULT_RETRY_MS
 
+    def fingerprint(self) -> int:
+        """Returns the request's fingerprint; bodies are large, so it is computed when needed."""
+        if self.known_fingerprint is None:
+            workspace = self.workspace.name if self.workspace is not None else ""
+            self.known_fingerprint = fingerprint(self.request, workspace, self.body)
+        return self.known_fingerprint
+
     def may_have_run(self) -> bool:
         """Whether a target may have run the request, or runs it now."""
         if self.possible_executions:
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -182,6 +182,20 @@
         assert (line["request"], line["progress"], line["events"]) == ("cut", "events", 3)
         assert line["parts"] == "aa,bb"
 
+    async def test_log_tells_which_broken_attempts_were_of_the_same_request(
+        self, deployment, caplog
+    ):
+        """Guards against logs that can't tell a request that comes again from others."""
+        caplog.set_level("INFO")
+        for replica in deployment.replicas["engine"]:
+            replica.break_after = 3
+        for path in ("/ask/x", "/ask/x", "/ask/y"):
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await deployment.call(path, **TOKENS)
+        lines = [r.msg for r in caplog.records if r.msg["event"] == "attempt_broken"]
+        first, again, other = [line["fingerprint"] for line in lines]
+        assert first == again != other
+
     async def test_non_resumable_stream_ends_incomplete(self, deployment):
         for replica in deployment.replicas["engine"]:
             replica.break_after = 3
