Test requests that crash their targets and come again

Callers of the same service lose their requests in each crash. The test sends one request over and over to three hosts, plain and streamed, with others of the same caller and the same prompt parts beside it.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -34,8 +34,8 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`. It
-    sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`, or on a
+    request with one of the `crash_paths`; an answer that is no stream has no head by then. It sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
     While `pause_s` is set, its streams are silent for that time after `PAUSE_AFTER` events.
     `broken_off` lists the streams whose connection ended during such a pause: the request id, the
     time at which the pause began and the time at which it ended.
@@ -62,6 +62,7 @@
         self.batch_sizes: list[int] = []
         self.no_room = False
         self.crash_parts: set[str] = set()
+        self.crash_paths: set[str] = set()
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
@@ -119,15 +120,16 @@
         self.run_counts[request_id] += 1
         headers = {"Request-Id": request_id, "Response-Seal": f"seal-{self.name}"}
         await asyncio.sleep(self.delay_s)
+        crashing = request.raw_path in self.crash_paths
         if "Token-Usage" not in request.headers:
+            if crashing:
+                return await self.crash(web.Response())
             return web.Response(status=self.status, body=b"done " + body, headers=headers)
         count = int(request.headers["Token-Usage"].split(",")[1])
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
-        if self.crash_parts.intersection(prompt_parts(request)):
-            self.crashes += 1
-            await self.on_crash()
-            return response
+        if crashing or self.crash_parts.intersection(prompt_parts(request)):
+            return await self.crash(response)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, count + 1):
             if number - 1 == self.silent_after and "Last-Event-Id" not in request.headers:
@@ -144,6 +146,12 @@
                 await self.pause(request)
         return response
 
+    async def crash(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Crashes in the middle of a request; returns the answer that can't be sent any more."""
+        self.crashes += 1
+        await self.on_crash()
+        return response
+
     async def pause(self, request: web.Request) -> None:
         """Stays silent in the middle of a stream, and notes if its connection ends meanwhile."""
         began_at = asyncio.get_running_loop().time()
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -174,7 +174,9 @@
         """Returns the URL of a path at a host."""
         return f"http://{self.hosts[host].settings.caller_address}{path}"
 
-    async def call(self, path: str, *, host: int = 0, **headers: str) -> tuple[int, bytes, Any]:
+    async def call(
+        self, path: str, *, host: int = 0, content: bytes = b"body", **headers: str
+    ) -> tuple[int, bytes, Any]:
         """Sends a request; returns status, body and headers. Header names have _ for -."""
         request_headers = {"Host": "a.example", "Request-Id": uuid.uuid4().hex[:16], "Key": "k1"}
         request_headers |= {"Deadline-Ms": "3000"}
@@ -184,7 +186,7 @@
             method,
             self.url(path, host),
             headers=request_headers,
-            data=None if method == "GET" else b"body",
+            data=None if method == "GET" else content,
         ) as response:
             return response.status, await response.read(), response.headers
 
--- /dev/null
+++ b/tests/forward/test_crashes.py
@@ -0,0 +1,79 @@
+"""Requests that crash their targets and come again stop reaching targets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+
+from tests.forward.deployment import Deployment, until
+
+# The bound on hosts in touch: a request may not reach targets in more than three retries after its
+# third crash is known.
+CRASHES_BEFORE_BOUND = 3
+REQUESTS_AFTER_BOUND = 3
+
+REQUEST_GAP_S = 0.1
+
+# A prompt whose shared parts are in other requests too.
+PROMPT = {"Token_Usage": "100,6", "Prefix_Hash": "first:60,middle:30,own:10", "Model": "m"}
+
+KINDS = ["/book/", "/view/", "/ask/", "/chat/"]
+
+
+def headers_of(path: str) -> dict[str, str]:
+    """Returns the headers of a request that make it a stream on the routes of engines."""
+    return PROMPT if path.startswith(("/ask/", "/chat/")) else {}
+
+
+class Traffic:
+    """Sends requests of one kind to the hosts in turn."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.numbers = itertools.count()
+
+    def crash_on(self, path: str) -> None:
+        """Makes every target crash on requests with a path."""
+        for replica in itertools.chain(*self.deployment.replicas.values()):
+            replica.crash_paths.add(path)
+
+    def arrivals(self, path: str) -> int:
+        """Returns how many requests with a path have reached targets."""
+        replicas = itertools.chain(*self.deployment.replicas.values())
+        return sum(r.get("path") == path for replica in replicas for r in replica.received)
+
+    async def send(self, path: str, content: bytes = b"body") -> int:
+        """Sends one request to the next host; returns the status, or 0 if the answer breaks off."""
+        host = next(self.numbers) % len(self.deployment.hosts)
+        try:
+            return (
+                await self.deployment.call(path, host=host, content=content, **headers_of(path))
+            )[0]
+        except aiohttp.ClientError:
+            return 0
+
+
+class TestRequestThatComesAgain:
+    @pytest.mark.parametrize("kind", KINDS)
+    async def test_stops_reaching_targets_and_others_go_on(self, kind):
+        """Guards against targets that crash one after the other under one request.
+
+        The other requests are of the same caller and route, and their prompts have all its parts.
+        """
+        async with Deployment(hosts=3, replicas=4) as deployment:
+            traffic = Traffic(deployment)
+            traffic.crash_on(kind + "bad")
+            sound: list[asyncio.Task[int]] = []
+            crashing: list[int] = []
+            for number in range(15):
+                sound.append(asyncio.create_task(traffic.send(f"{kind}{number}")))
+                crashing.append(await traffic.send(kind + "bad"))
+                await asyncio.sleep(REQUEST_GAP_S)
+            statuses = await asyncio.gather(*sound)
+            assert 200 not in crashing
+            assert traffic.arrivals(kind + "bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
+            assert crashing[-5:] == [503] * 5
+            assert statuses[-8:] == [200] * 8
