Quarantine whole requests that crash their targets and come again

A burn-plan of the same kind had a part of its prompt quarantined, so that sound requests with the part were refused.

Cause: the quarantine knew a request only by the shared parts of its prompt. One without a prompt has none, and a part stood for the whole request. Evidence: fingerprint= of attempt_broken, one value at 11 of 11, 8 of 8 and 4 of 4 crashes, no other one twice. Ruled out by it: targets that crash by themselves, and a caller or path whose requests all crash.

Now a report also names the fingerprint of the lost request, its hash of path, caller and body, as one more possible cause in the same fold. A request is accused by each crash it was lost in (three crashes if nothing had begun), a part only by crashes of different requests. Bodies are hashed for lost requests, and for others only while some request is suspected.

The traffic of TestCrashingPart sent the same path, caller and body each time, which now means one request; each has a path of its own instead, as on the platform, with the same bounds.

--- a/savoryfork/errors.py
+++ b/savoryfork/errors.py
@@ -36,6 +36,7 @@
     LOG_UNAVAILABLE = "log_unavailable"
     NO_TARGETS = "no_targets"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     STAGE_FAILED = "stage_failed"
     ACTION_REJECTED = "action_rejected"
@@ -74,6 +75,7 @@
     ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.NO, True),
     ErrorKind.NO_TARGETS: Answer(503, Ran.NO, True),
     ErrorKind.PROMPT_QUARANTINED: Answer(503, Ran.NO, True),
+    ErrorKind.REQUEST_QUARANTINED: Answer(503, Ran.NO, True),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, Ran.NO, True),
     ErrorKind.STAGE_FAILED: Answer(502, Ran.NO, True),
     ErrorKind.ACTION_REJECTED: Answer(422, Ran.YES, False),
--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -1,4 +1,4 @@
-"""Reports requests that were lost when an engine crashed, and keeps their like from engines.
+"""Reports requests that were lost when a target crashed, and keeps their like from targets.
 
 The verdicts come from `quarantine`. Reports and clearances go to a topic of the store, so a host
 that starts or returns learns them with the configuration. While the store does not answer, each
@@ -24,11 +24,12 @@
 
 log = logging.getLogger(__name__)
 
-# Retry-after of a request with a quarantined part, and of one whose parts are being probed.
+# Retry-after of a quarantined request, and of one that another request is a probe for.
 QUARANTINE_RETRY_MS = 30_000.0
 PROBE_RETRY_MS = 400.0
 
-# Bystanders of a crash are reported only if no likelier cause is reported within this time.
+# A request with a prompt that had not begun is reported only if no likelier cause of the crash is
+# reported within this time.
 BYSTANDER_DELAY_MS = 250.0
 
 # Entries are collected for this long before an append, and appended again after a failure.
@@ -41,7 +42,7 @@
 
 
 class CrashMonitor:
-    """Watches this host's requests for those that crash engines."""
+    """Watches this host's requests for those that crash targets."""
 
     def __init__(self, follower: Follower, background: BackgroundTasks) -> None:
         self.follower = follower
@@ -54,28 +55,36 @@
         self.waiting: dict[str, bytes] = {}
         self.appending = False
         self.closed = False
-        self.quarantined: set[int] = set()
+        self.quarantined_parts: set[int] = set()
+        self.quarantined_requests: set[int] = set()
         follower.on_crash_reports = self.handle_reports
 
     # Admission.
 
     def admit(self, run: Run) -> None:
-        """Starts to watch a request; raises ServiceError if it must not reach an engine."""
+        """Starts to watch a request; raises ServiceError if it must not reach a target."""
         run.parts = quarantines.shared_part_ids(run.request.prompt)
-        if run.parts:
-            self.runs.add(run)
-            self.check(run)
+        self.runs.add(run)
+        self.check(run)
+
+    def causes(self, run: Run) -> tuple[int, ...]:
+        """Returns the ids by which a request may be quarantined.
+
+        The whole request is hashed only while there are requests to compare it with.
+        """
+        return (*run.parts, run.fingerprint()) if self.quarantine.requests else run.parts
 
     def check(self, run: Run, *, sending: bool = True) -> None:
-        """Raises ServiceError if a request must not reach an engine, or not now.
+        """Raises ServiceError if a request must not reach a target, or not now.
 
-        A request that is about to be sent becomes the probe of its suspected parts.
+        A request that is about to be sent becomes the probe of its suspected causes.
         """
-        verdict = self.quarantine.verdict(run.parts, self.follower.now())
+        causes = self.causes(run)
+        verdict = self.quarantine.verdict(causes, self.follower.now())
         if verdict is Verdict.ALLOWED:
             return
-        watched = self.quarantine.watched(run.parts)
-        holders = {self.probes[part] for part in watched if part in self.probes}
+        watched = self.quarantine.watched(causes)
+        holders = {self.probes[cause] for cause in watched if cause in self.probes}
         if verdict is Verdict.PROBE and holders <= {run}:
             if sending:
                 self.probes.update(dict.fromkeys(watched, run))
@@ -83,16 +92,15 @@
         raise self.refusal(run, verdict)
 
     def refusal(self, run: Run, verdict: Verdict) -> ServiceError:
-        """Returns the refusal of a request by the parts of its prompt."""
+        """Returns the refusal of a request that may crash its target."""
         refused = verdict is Verdict.REFUSED
+        whole = run.fingerprint() in self.quarantine.requests
         run.retry_ms = QUARANTINE_RETRY_MS if refused else PROBE_RETRY_MS
+        crash = "targets crash on" if refused else "targets may crash on"
+        cause = "this request" if whole else "a part of this prompt"
         return ServiceError(
-            ErrorKind.PROMPT_QUARANTINED,
-            (
-                "engines crash on a part of this prompt"
-                if refused
-                else "engines may crash on a part of this prompt, which is being probed"
-            ),
+            ErrorKind.REQUEST_QUARANTINED if whole else ErrorKind.PROMPT_QUARANTINED,
+            f"{crash} {cause}" if refused else f"{crash} {cause}, which is being probed",
             ran=Ran.UNKNOWN if run.possible_executions else Ran.NO,
         )
 
@@ -102,8 +110,8 @@
         self.end_probe(run)
 
     def end_probe(self, run: Run) -> None:
-        """Lets another request probe the parts that a request was a probe for."""
-        self.probes = {part: holder for part, holder in self.probes.items() if holder is not run}
+        """Lets another request probe the causes that a request was a probe for."""
+        self.probes = {cause: held for cause, held in self.probes.items() if held is not run}
 
     # Observations.
 
@@ -113,32 +121,39 @@
             self.record_answer(run)
 
     def record_answer(self, run: Run) -> None:
-        """Records that the engine has written on the prompt of a request, once an attempt."""
-        if not run.parts or run.attempt is None or run.attempt.answered:
+        """Records that the target has written on a request, once an attempt."""
+        if run.attempt is None or run.attempt.answered:
             return
         run.attempt.answered = True
         self.end_probe(run)
-        for part in self.quarantine.record_answer(run.parts, self.follower.now()):
-            clearance = self.quarantine.clear(part)
-            logs.event(log, "part_cleared", request=run.id, part=f"{part:x}")
+        for cause in self.quarantine.record_answer(self.causes(run), self.follower.now()):
+            whole = cause in self.quarantine.requests
+            clearance = self.quarantine.clear(cause)
+            if whole:
+                logs.event(log, "request_cleared", request=run.id, fingerprint=f"{cause:x}")
+            else:
+                logs.event(log, "part_cleared", request=run.id, part=f"{cause:x}")
             self.append(*quarantines.clearance_entry(clearance))
 
     async def record_loss(self, run: Run) -> bool:
-        """Records a request whose connection was closed by its engine before events came.
+        """Records a request whose connection was closed by its target before events came.
 
-        Returns True if the engine has crashed and the request may be the cause, so that it must not
+        Returns True if the target has crashed and the request may be the cause, so that it must not
         be sent to another one. A target that is leaving or was replaced has not crashed.
         """
         attempt = run.attempt
-        if not run.parts or attempt is None or attempt.answered:
+        if attempt is None or attempt.answered:
             return False
         target = attempt.target
         if not self.follower.registry.is_current(target) or not await self.has_crashed(target):
             return False
         now = self.follower.now()
-        proven = self.quarantine.all_answered_recently(run.parts, now)
+        request = run.fingerprint()
+        proven = bool(run.parts) and self.quarantine.all_answered_recently(run.parts, now)
         began = attempt.progress() is Progress.NO_EVENT
-        report = Report(target.name, target.born, run.parts, began)
+        # Parts that were just answered are not the cause if nothing had begun; the request may be.
+        parts = () if proven and not began else run.parts
+        report = Report(target.name, target.born, parts, began, request)
         self.metrics.crash_losses.inc({"service": run.service, "began": str(began).lower()})
         logs.event(
             log,
@@ -148,13 +163,18 @@
             began=began,
             proven=proven,
             parts=shared_parts_label(run.request),
+            fingerprint=f"{request:x}",
         )
-        if began:
+        # Without a prompt nothing begins before its answer is complete, so no likelier cause comes.
+        if began or run.request.prompt is None:
             self.report(report, run.id)
-        elif not proven:
+        else:
             self.background.spawn(self.report_bystander(report, run.id))
-        suspected = self.quarantine.verdict(run.parts, now) is not Verdict.ALLOWED
-        return (began and not proven) or suspected
+        return (
+            (began and not proven)
+            or self.quarantine.verdict(run.parts, now) is not Verdict.ALLOWED
+            or self.quarantine.crash_count(request) > 1
+        )
 
     async def has_crashed(self, target: Target) -> bool:
         """Returns whether a target refuses connections, as it does if its process has ended.
@@ -187,19 +207,26 @@
 
     def handle_reports(self) -> None:
         """Logs changes of the verdicts and cancels quarantined requests on engines."""
-        quarantined = self.quarantine.quarantined_parts()
-        for part in quarantined - self.quarantined:
+        parts = self.quarantine.quarantined_parts()
+        requests = self.quarantine.quarantined_requests()
+        for part in parts - self.quarantined_parts:
             logs.event(log, "part_quarantined", logging.WARNING, part=f"{part:x}")
-        for part in self.quarantined - quarantined:
+        for part in self.quarantined_parts - parts:
             logs.event(log, "part_released", part=f"{part:x}")
-        self.quarantined = quarantined
-        self.metrics.quarantined_parts.set({}, len(quarantined))
+        for request in requests - self.quarantined_requests:
+            logs.event(log, "request_quarantined", logging.WARNING, fingerprint=f"{request:x}")
+        for request in self.quarantined_requests - requests:
+            logs.event(log, "request_released", fingerprint=f"{request:x}")
+        self.quarantined_parts = parts
+        self.quarantined_requests = requests
+        self.metrics.quarantined_parts.set({}, len(parts))
+        self.metrics.quarantined_requests.set({}, len(requests))
         now = self.follower.now()
         for run in list(self.runs):
             attempt = run.attempt
             if attempt is None or attempt.connection is None or attempt.events:
                 continue
-            if self.quarantine.verdict(run.parts, now) is Verdict.REFUSED:
+            if self.quarantine.verdict(self.causes(run), now) is Verdict.REFUSED:
                 attempt.cancelled = True
                 attempt.connection.abort()
 
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -29,7 +29,10 @@
         )
         self.crash_losses = self.counter(
             "savoryfork_crash_losses_total",
-            "Requests lost when an engine crashed, by service and whether their answer had begun",
+            "Requests lost when a target crashed, by service and whether their answer had begun",
+        )
+        self.quarantined_requests = self.gauge(
+            "savoryfork_quarantined_requests", "Whole requests that are kept from targets"
         )
         self.quarantined_parts = self.gauge(
             "savoryfork_quarantined_parts", "Prompt parts that are kept from engines"
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -1,9 +1,15 @@
-"""Decides which prompt parts are kept from engines because engines crash on them.
+"""Decides which requests are kept from targets because targets crash on them.
 
-A crash of an engine ends all requests on it, and only one of them caused it. Hosts report the lost
+A crash of a target ends all requests on it, and only one of them caused it. Hosts report the lost
 requests to a topic that all hosts follow; each host folds the reports and its own observations into
-a verdict. A part that every crash has in common, and that no answered request has, is quarantined:
-requests with it are refused. A part on which an engine has answered since is cleared.
+a verdict. There are two kinds of causes, both named by 63-bit hashes:
+
+* A whole request that comes again: the same path, caller and body, whatever its prompt is.
+* A part of a prompt, on which engines crash whatever else the prompt holds.
+
+A cause that crashes have in common, and that no answered request has, is quarantined: requests with
+it are refused. One on which a target has answered since is cleared. Crashes under a single request
+that comes again say nothing about its parts: other requests with them are served as before.
 
 Nothing here does I/O; `crashes` reports, clears and enforces.
 """
@@ -26,23 +32,27 @@
 
 log = logging.getLogger(__name__)
 
-# Weight of a report in the score of a part. An engine crashes as it begins to write, so a request
+# Weight of a report in the score of a cause. An engine crashes as it begins to write, so a request
 # whose answer had begun, without an event, is the likely cause; the others only shared the engine.
 BEGAN_WEIGHT = 1.0
 BYSTANDER_WEIGHT = 0.4
 
-# Factor for a part on which this host has seen an answer shortly before the crash: either the part
-# is sound, or engines crash on it only since a change.
+# As above for a whole request whose answer had not begun. Three crashes quarantine it: its caller
+# repeats a request once, so a sound one may be lost twice, but hardly three times.
+LOST_REQUEST_WEIGHT = 0.7
+
+# Factor for a cause on which this host has seen an answer shortly before the crash: either it is
+# sound, or targets crash on it only since a change.
 ANSWERED_FACTOR = 0.5
 ANSWERED_WINDOW_MS = 60_000.0
 
-# Score from which requests with a part are sent one at a time, and from which it is quarantined.
+# Score from which requests with a cause are sent one at a time, and from which it is quarantined.
 SUSPECT_SCORE = 1.0
 QUARANTINE_SCORE = 2.0
 
-# A quarantined part is probed with single requests after this long without a crash: too few crashes
-# may have quarantined it wrongly, or a new version of the engines may bear it. Each host adds a
-# share of its own, up to the same time again, so that not all hosts probe at once.
+# A quarantined cause is probed with single requests after this long without a crash: too few
+# crashes may have quarantined it wrongly, or a new version of the targets may bear it. Each host
+# adds a share of its own, up to the same time again, so that not all hosts probe at once.
 FIRST_COOLDOWN_MS = 60_000.0
 COOLDOWN_MS = 1_800_000.0
 
@@ -53,12 +63,13 @@
 # one before it crashes.
 ANSWERED_EVENTS = 2
 
-# Bounds of what a host keeps: parts of one prompt, parts answered by engines, and reports.
+# Bounds of what a host keeps: parts of one prompt, answered causes, and reports.
 MAX_PROMPT_PARTS = 64
-MAX_ANSWERED_PARTS = 4_096
+MAX_ANSWERED = 4_096
 MAX_REPORTS = 256
 
-# Retention of reports. Those of bystanders matter only while several come together.
+# Retention of reports. Those of bystanders matter only while several come together, unless their
+# request is quarantined.
 BYSTANDER_RETENTION_MS = 600_000.0
 REPORT_RETENTION_MS = 86_400_000.0
 
@@ -68,14 +79,14 @@
 # One crash: the name of the engine and its incarnation.
 CrashId = tuple[str, int]
 
-# The weights of the parts in each crash.
+# The weights of the possible causes in each crash.
 Crashes = dict[CrashId, dict[int, float]]
 
 
 class Verdict(enum.Enum):
-    """What may happen to a request by the parts of its prompt.
+    """What may happen to a request, as far as it may crash its target.
 
-    A request that is a probe is sent while no other one with the same parts is in flight.
+    A request that is a probe is sent while no other one with the same causes is in flight.
     """
 
     ALLOWED = "allowed"
@@ -84,33 +95,38 @@
 
 
 class Report(NamedTuple):
-    """A request that was lost when an engine crashed.
+    """A request that was lost when a target crashed.
 
     `parts` are the ids of its shared parts; `began` is True if its answer had begun without an
-    event.
+    event. `request` is its fingerprint, 0 if the reporting host sends none.
     """
 
     target: str
     born: int
     parts: tuple[int, ...]
     began: bool
+    request: int = 0
+
+    def causes(self) -> tuple[int, ...]:
+        """Returns the ids of what may have caused the crash: the parts and the whole request."""
+        return (*self.parts, self.request) if self.request else self.parts
 
 
 class Clearance(NamedTuple):
-    """An engine has answered on a part, so it was not the cause of the crashes.
+    """A target has answered on a part or request, so it was not the cause of the crashes.
 
     `crashes` are their ids, not offsets of the topic: a store that is restored from an older copy
     gives out offsets again.
     """
 
-    part: int
+    cause: int
     crashes: tuple[int, ...]
 
 
 class QuarantinedGroup(NamedTuple):
-    """Parts that explain the same crashes and can't be told apart; refused until `until`."""
+    """Causes that explain the same crashes and can't be told apart; refused until `until`."""
 
-    parts: frozenset[int]
+    causes: frozenset[int]
     until: float
 
 
@@ -139,22 +155,22 @@
 
 def clearance_entry(clearance: Clearance) -> tuple[str, bytes]:
     """Returns the key and the value of a clearance."""
-    return f"{CLEARANCE_PREFIX}{clearance.part:x}", msgspec.json.encode(clearance)
+    return f"{CLEARANCE_PREFIX}{clearance.cause:x}", msgspec.json.encode(clearance)
 
 
 class Judgement(NamedTuple):
-    """Groups of quarantined parts, and the crashes that these do not explain."""
+    """Groups of quarantined causes, and the crashes that these do not explain."""
 
     groups: list[frozenset[int]]
     unexplained: Crashes
 
 
 def judge(crashes: Crashes) -> Judgement:
-    """Quarantines the parts that explain crashes, given the weights of the parts in each crash.
+    """Quarantines what explains crashes, given the weights of the possible causes in each crash.
 
-    The part with the highest score explains the crashes that it was the likeliest cause of; the
-    parts that shared only these with it are not held against any longer. Parts that explain the
-    same crashes form one group.
+    The one with the highest score explains the crashes that it was the likeliest cause of; those
+    that shared only these with it are not held against any longer. Causes that explain the same
+    crashes form one group.
 
     >>> judge({("e1", 1): {7: 1.0, 8: 1.0}, ("e2", 1): {7: 1.0, 9: 1.0}}).groups
     [frozenset({7})]
@@ -170,34 +186,40 @@
         best = max(totals.values(), default=0.0)
         if best < QUARANTINE_SCORE:
             return Judgement(groups, unexplained)
-        first = min(part for part, total in totals.items() if total == best)
+        first = min(cause for cause, total in totals.items() if total == best)
         common = {crash for crash, weights in unexplained.items() if first in weights}
         group = frozenset(
-            part
-            for part, total in totals.items()
+            cause
+            for cause, total in totals.items()
             if total == best
-            and common == {crash for crash, weights in unexplained.items() if part in weights}
+            and common == {crash for crash, weights in unexplained.items() if cause in weights}
         )
         groups.append(group)
         for crash in common:
             weights = unexplained.pop(crash)
             if weights[first] < max(weights.values()):
-                unexplained[crash] = {p: w for p, w in weights.items() if p not in group}
+                unexplained[crash] = {c: w for c, w in weights.items() if c not in group}
 
 
 def scores(crashes: Crashes) -> dict[int, float]:
-    """Returns the sum of the weights of each part.
+    """Returns the sum of the weights of each cause.
 
     >>> scores({("e1", 1): {7: 1.0, 8: 0.5}, ("e2", 1): {7: 0.5}})
     {7: 1.5, 8: 0.5}
     """
     totals: dict[int, float] = {}
     for weights in crashes.values():
-        for part, weight in weights.items():
-            totals[part] = totals.get(part, 0.0) + weight
+        for cause, weight in weights.items():
+            totals[cause] = totals.get(cause, 0.0) + weight
     return totals
 
 
+def add_weight(crashes: Crashes, report: Report, cause: int, weight: float) -> None:
+    """Adds the weight of a cause to the crash of a report; the highest of a crash counts."""
+    weights = crashes.setdefault((report.target, report.born), {})
+    weights[cause] = max(weights.get(cause, 0.0), weight)
+
+
 class StoredReport(NamedTuple):
     """A report, whether it was read from the topic, and when this host learned of it."""
 
@@ -209,7 +231,8 @@
 class Quarantine:
     """The reports and clearances that a host knows, its own observations, and the verdicts.
 
-    `cooldown_share`, from 0 to 1, is what this host adds to cooldowns.
+    `cooldown_share`, from 0 to 1, is what this host adds to cooldowns. `requests` are the
+    fingerprints of whole requests that are quarantined or suspected.
 
     >>> quarantine = Quarantine()
     >>> for engine in ("e1", "e2"):
@@ -225,6 +248,7 @@
         self.reports: dict[str, StoredReport] = {}
         self.cleared: dict[int, frozenset[int]] = {}
         self.clearance_keys: dict[str, int] = {}
+        self.requests: frozenset[int] = frozenset()
         self.answered_at: OrderedDict[int, float] = OrderedDict()
         self.answered_before: dict[CrashId, frozenset[int]] = {}
         self.groups: list[QuarantinedGroup] = []
@@ -246,9 +270,9 @@
         """Applies one entry of the topic; raises UndecodableError if it is malformed."""
         if not entry.value:
             self.reports.pop(entry.key, None)
-            part = self.clearance_keys.pop(entry.key, None)
-            if part is not None:
-                self.cleared.pop(part, None)
+            cause = self.clearance_keys.pop(entry.key, None)
+            if cause is not None:
+                self.cleared.pop(cause, None)
         elif entry.key.startswith(REPORT_PREFIX):
             report = decode_json(entry.value, Report)
             if len(report.parts) > MAX_PROMPT_PARTS:
@@ -258,9 +282,9 @@
             clearance = decode_json(entry.value, Clearance)
             if len(clearance.crashes) > MAX_REPORTS:
                 raise UndecodableError(f"over {MAX_REPORTS} crashes")
-            self.clearance_keys[entry.key] = clearance.part
-            known = self.cleared.get(clearance.part, frozenset())
-            self.cleared[clearance.part] = known.union(clearance.crashes)
+            self.clearance_keys[entry.key] = clearance.cause
+            known = self.cleared.get(clearance.cause, frozenset())
+            self.cleared[clearance.cause] = known.union(clearance.crashes)
 
     def add_local(self, key: str, report: Report, now: float) -> None:
         """Adds a report of this host, which counts before it has been read back."""
@@ -269,50 +293,89 @@
             self.review()
 
     def put(self, key: str, report: Report, was_read: bool, now: float) -> None:
-        """Stores a report and notes which of its parts were answered shortly before."""
+        """Stores a report and notes which of its causes were answered shortly before."""
         known = self.reports.get(key)
         learned_at = known.learned_at if known is not None else now
         self.reports[key] = StoredReport(was_read, learned_at, report)
-        answered = {p for p in report.parts if self.answered_recently(p, learned_at)}
+        answered = {c for c in report.causes() if self.answered_recently(c, learned_at)}
         crash = (report.target, report.born)
         self.answered_before[crash] = self.answered_before.get(crash, frozenset()) | answered
 
-    def is_cleared(self, report: Report, part: int) -> bool:
-        """Returns whether a part of a report was cleared of its crash."""
-        return crash_id(report) in self.cleared.get(part, ())
+    def is_cleared(self, report: Report, cause: int) -> bool:
+        """Returns whether a part of a report, or its whole request, was cleared of its crash."""
+        return crash_id(report) in self.cleared.get(cause, ())
+
+    def weight(self, report: Report, cause: int, weight: float) -> float:
+        """Returns the weight of a cause in a report; less if it was answered shortly before."""
+        answered = cause in self.answered_before[(report.target, report.born)]
+        return weight * ANSWERED_FACTOR if answered else weight
 
-    def crash_weights(self) -> Crashes:
-        """Returns the weights of the parts that each crash still counts against."""
+    def request_weights(self) -> Crashes:
+        """Returns the weights of the whole requests that each crash still counts against."""
         crashes: Crashes = {}
         for stored in self.reports.values():
             report = stored.report
-            crash = (report.target, report.born)
+            if report.request and not self.is_cleared(report, report.request):
+                weight = BEGAN_WEIGHT if report.began else LOST_REQUEST_WEIGHT
+                weight = self.weight(report, report.request, weight)
+                add_weight(crashes, report, report.request, weight)
+        return crashes
+
+    def part_weights(self, groups: list[frozenset[int]]) -> Crashes:
+        """Returns the weights of the parts that each crash still counts against.
+
+        `groups` are the quarantined requests. In their crashes other requests are bystanders. A
+        part that only one of the groups has is sound, as far as these crashes tell.
+        """
+        group_of = {request: number for number, group in enumerate(groups) for request in group}
+        explained = {
+            (stored.report.target, stored.report.born)
+            for stored in self.reports.values()
+            if stored.report.request in group_of
+        }
+        crashes: Crashes = {}
+        accusers: dict[int, set[str | int]] = {}
+        for key, stored in self.reports.items():
+            report = stored.report
+            if (report.target, report.born) in explained and report.request not in group_of:
+                continue
             weight = BEGAN_WEIGHT if report.began else BYSTANDER_WEIGHT
             for part in report.parts:
-                if self.is_cleared(report, part):
-                    continue
-                factor = ANSWERED_FACTOR if part in self.answered_before[crash] else 1.0
-                weights = crashes.setdefault(crash, {})
-                weights[part] = max(weights.get(part, 0.0), weight * factor)
-        return crashes
+                if not self.is_cleared(report, part):
+                    add_weight(crashes, report, part, self.weight(report, part, weight))
+                    accusers.setdefault(part, set()).add(group_of.get(report.request, key))
+        sound = {
+            part
+            for part, found in accusers.items()
+            if len(found) == 1 and found.issubset(group_of.values())
+        }
+        return {
+            crash: {part: weight for part, weight in weights.items() if part not in sound}
+            for crash, weights in crashes.items()
+        }
 
     def review(self) -> None:
         """Derives the groups and suspects from all reports; drops clearances without a report."""
         reports = [stored.report for stored in self.reports.values()]
-        parts = {part for report in reports for part in report.parts}
+        causes = {cause for report in reports for cause in report.causes()}
         crashes = {crash_id(report) for report in reports}
-        self.cleared = {p: c & crashes for p, c in self.cleared.items() if p in parts}
-        judgement = judge(self.crash_weights())
-        totals = scores(judgement.unexplained)
-        self.suspects = {part for part, total in totals.items() if total >= SUSPECT_SCORE}
-        self.reported = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
-        self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in judgement.groups]
+        self.cleared = {c: ids & crashes for c, ids in self.cleared.items() if c in causes}
+        requests = judge(self.request_weights())
+        parts = judge(self.part_weights(requests.groups))
+        totals = scores(requests.unexplained) | scores(parts.unexplained)
+        self.suspects = {cause for cause, total in totals.items() if total >= SUSPECT_SCORE}
+        groups = [*requests.groups, *parts.groups]
+        self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in groups]
+        watched = self.quarantined() | self.suspects
+        self.requests = frozenset(r.request for r in reports if r.request in watched)
+        reported = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
+        self.reported = reported | self.requests
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
 
-    def refused_until(self, parts: frozenset[int]) -> float:
-        """Returns the end of the cooldown of quarantined parts."""
-        stored = [s for s in self.reports.values() if parts.intersection(s.report.parts)]
+    def refused_until(self, causes: frozenset[int]) -> float:
+        """Returns the end of the cooldown of quarantined causes."""
+        stored = [s for s in self.reports.values() if causes.intersection(s.report.causes())]
         crashes = {(s.report.target, s.report.born) for s in stored}
         certain = len(crashes) >= CERTAIN_CRASHES
         cooldown_ms = COOLDOWN_MS if certain else FIRST_COOLDOWN_MS
@@ -320,31 +383,35 @@
 
     # Answers.
 
-    def answered_recently(self, part: int, now: float) -> bool:
-        """Returns whether this host saw an answer on a part in the last ANSWERED_WINDOW_MS."""
-        at = self.answered_at.get(part)
+    def answered_recently(self, cause: int, now: float) -> bool:
+        """Returns whether this host saw an answer on a cause in the last ANSWERED_WINDOW_MS."""
+        at = self.answered_at.get(cause)
         return at is not None and now - at <= ANSWERED_WINDOW_MS
 
-    def all_answered_recently(self, parts: Sequence[int], now: float) -> bool:
-        """Returns whether all parts were answered in the last ANSWERED_WINDOW_MS."""
-        return all(self.answered_recently(part, now) for part in parts)
+    def all_answered_recently(self, causes: Sequence[int], now: float) -> bool:
+        """Returns whether all causes were answered in the last ANSWERED_WINDOW_MS."""
+        return all(self.answered_recently(cause, now) for cause in causes)
 
-    def record_answer(self, parts: Sequence[int], now: float) -> list[int]:
-        """Records an answer on a prompt with the parts; returns those to be cleared by it."""
-        for part in parts:
-            self.answered_at[part] = now
-            self.answered_at.move_to_end(part)
-        while len(self.answered_at) > MAX_ANSWERED_PARTS:
+    def record_answer(self, causes: Sequence[int], now: float) -> list[int]:
+        """Records an answer on a request with the causes; returns those to be cleared by it."""
+        for cause in causes:
+            self.answered_at[cause] = now
+            self.answered_at.move_to_end(cause)
+        while len(self.answered_at) > MAX_ANSWERED:
             self.answered_at.popitem(last=False)
-        return [part for part in parts if part in self.reported]
+        return [cause for cause in causes if cause in self.reported]
 
-    def clear(self, part: int) -> Clearance:
-        """Clears a part of all crashes so far; returns the clearance for other hosts."""
+    def clear(self, cause: int) -> Clearance:
+        """Clears a cause of all crashes so far; returns the clearance for other hosts."""
         reports = [stored.report for stored in self.reports.values()]
-        crashes = frozenset(crash_id(report) for report in reports if part in report.parts)
-        self.cleared[part] = crashes
+        crashes = frozenset(crash_id(report) for report in reports if cause in report.causes())
+        self.cleared[cause] = crashes
         self.review()
-        return Clearance(part, tuple(sorted(crashes)))
+        return Clearance(cause, tuple(sorted(crashes)))
+
+    def crash_count(self, request: int) -> int:
+        """Returns in how many crashes a request was lost, as far as it was not cleared of them."""
+        return sum(request in weights for weights in self.request_weights().values())
 
     def is_explained(self, report: Report) -> bool:
         """Returns whether a likelier cause of a report's crash was reported."""
@@ -355,30 +422,38 @@
 
     # Verdicts.
 
-    def verdict(self, parts: Sequence[int], now: float) -> Verdict:
-        """Returns what may happen to a request with the parts.
+    def verdict(self, causes: Sequence[int], now: float) -> Verdict:
+        """Returns what may happen to a request with the causes.
 
-        Requests with some parts of a group, but not all, are sent one at a time: their answers
-        tell the parts apart.
+        Requests with some causes of a group, but not all, are sent one at a time: their answers
+        tell the causes apart.
         """
         found = Verdict.ALLOWED
         for group in self.groups:
-            common = group.parts.intersection(parts)
-            if common == group.parts and now < group.until:
+            common = group.causes.intersection(causes)
+            if common == group.causes and now < group.until:
                 return Verdict.REFUSED
             if common:
                 found = Verdict.PROBE
-        if any(part in self.suspects for part in parts):
+        if any(cause in self.suspects for cause in causes):
             found = Verdict.PROBE
         return found
 
+    def quarantined(self) -> set[int]:
+        """Returns all quarantined causes."""
+        return {cause for group in self.groups for cause in group.causes}
+
     def quarantined_parts(self) -> set[int]:
-        """Returns all quarantined parts."""
-        return {part for group in self.groups for part in group.parts}
+        """Returns the quarantined parts of prompts."""
+        return self.quarantined() - self.requests
+
+    def quarantined_requests(self) -> set[int]:
+        """Returns the fingerprints of the quarantined requests."""
+        return self.quarantined() & self.requests
 
-    def watched(self, parts: Sequence[int]) -> set[int]:
-        """Returns those of the parts that are quarantined or suspected."""
-        return (self.quarantined_parts() | self.suspects).intersection(parts)
+    def watched(self, causes: Sequence[int]) -> set[int]:
+        """Returns those of the causes that are quarantined or suspected."""
+        return (self.quarantined() | self.suspects).intersection(causes)
 
     # Retention.
 
@@ -386,10 +461,13 @@
         """Returns the keys of entries that have no effect or are too old, to be deleted."""
         keys = []
         kept: dict[str, StoredReport] = {}
+        quarantined = self.quarantined_requests()
+        likely = {k for k, s in self.reports.items() if s.report.began}
+        likely |= {k for k, s in self.reports.items() if s.report.request in quarantined}
         for key, stored in self.reports.items():
             report, age_ms = stored.report, now - stored.learned_at
-            retention_ms = REPORT_RETENTION_MS if report.began else BYSTANDER_RETENTION_MS
-            counts = any(not self.is_cleared(report, part) for part in report.parts)
+            retention_ms = REPORT_RETENTION_MS if key in likely else BYSTANDER_RETENTION_MS
+            counts = any(not self.is_cleared(report, cause) for cause in report.causes())
             if not stored.was_read or (counts and age_ms < retention_ms):
                 kept[key] = stored
             else:
@@ -397,8 +475,8 @@
         excess = len(kept) - MAX_REPORTS
         if excess > 0:
             # Bystanders go first, then the oldest.
-            order = sorted(kept, key=lambda k: (kept[k].report.began, kept[k].learned_at))
+            order = sorted(kept, key=lambda k: (k in likely, kept[k].learned_at))
             keys += order[:excess]
-        reported = {part for k, s in kept.items() if k not in keys for part in s.report.parts}
-        keys += [k for k, part in self.clearance_keys.items() if part not in reported]
+        reported = {c for k, s in kept.items() if k not in keys for c in s.report.causes()}
+        keys += [k for k, cause in self.clearance_keys.items() if cause not in reported]
         return keys
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -116,8 +116,8 @@
     """The progress of a request at one target; `events` counts the events that it sent.
 
     `connection` is set until the answer was read. `answered` is True once the target has surely
-    written on the prompt; `cancelled` once this host has closed the connection because engines
-    crash on the prompt. `silence` is the last decision on a silent target, None while it is not.
+    written on the request; `cancelled` once this host has closed the connection because targets
+    crash on it. `silence` is the last decision on a silent target, None while it is not.
     """
 
     def __init__(self, target: Target) -> None:
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -191,9 +191,12 @@
             return response.status, await response.read(), response.headers
 
     async def call_at(self, host: int, parts: str) -> int:
-        """Sends a stream with the parts of a prompt to a host; returns the status."""
+        """Sends a stream with the parts of a prompt to a host; returns the status.
+
+        Each has a path of its own, as a request with the same path and body is the same request.
+        """
         headers = {"Token_Usage": "100,6", "Prefix_Hash": parts, "Model": "m"}
-        return (await self.call("/chat/x", host=host, **headers))[0]
+        return (await self.call(f"/chat/{uuid.uuid4().hex}", host=host, **headers))[0]
 
 
 async def until(condition: Any, limit_s: float = 5.0) -> None:
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from tests.forward.deployment import Deployment, until
+from tests.forward.deployment import Deployment
 
 # The bound on hosts in touch: a request may not reach targets in more than three retries after its
 # third crash is known.
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -15,6 +15,7 @@
 from savoryfork.forward import quarantine as quarantines
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.quarantine import (
+    BYSTANDER_RETENTION_MS,
     COOLDOWN_MS,
     FIRST_COOLDOWN_MS,
     MAX_REPORTS,
@@ -39,6 +40,9 @@
 
 FIRST, CRASHING, OTHER_CRASHING = 1, 2, 3
 
+# Fingerprints of requests that come again.
+AGAIN, OTHER_AGAIN = 1001, 1002
+
 PARTS = st.dictionaries(st.integers(1, 6), st.sampled_from([0.2, 0.4, 0.5, 1.0]), max_size=4)
 
 
@@ -56,11 +60,19 @@
         for host in self.hosts:
             host.update([entry], now)
 
-    def crash(self, *losses: tuple[tuple[int, ...], bool], now: float = 0.0) -> None:
-        """Adds the reports of a crash: parts of each lost request, and if its answer had begun."""
+    def crash(
+        self,
+        *losses: tuple[tuple[int, ...], bool],
+        now: float = 0.0,
+        requests: tuple[int, ...] = (),
+    ) -> None:
+        """Adds the reports of a crash: parts of each lost request, and if its answer had begun.
+
+        `requests` are the fingerprints of the lost requests; without them the reports have none.
+        """
         self.crashes += 1
-        for parts, began in losses:
-            report = Report(f"e{self.crashes}", 1, parts, began)
+        for (parts, began), request in itertools.zip_longest(losses, requests, fillvalue=0):
+            report = Report(f"e{self.crashes}", 1, parts, began, request)
             self.put(*quarantines.report_entry(report, f"r{next(self.names)}"), now)
 
     def answer(self, host: Quarantine, parts: tuple[int, ...], now: float = 0.0) -> None:
@@ -173,6 +185,123 @@
         assert host.suspects == {CRASHING}
 
 
+class TestWholeRequests:
+    def test_request_that_comes_again_is_refused_and_its_parts_are_not(self):
+        """Guards against refusing sound requests for what one request with their parts did."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for _ in range(2):
+            topic.crash(((FIRST, CRASHING), True), requests=(AGAIN,))
+        assert host.verdict((FIRST, CRASHING, AGAIN), 0.0) is Verdict.REFUSED
+        assert host.verdict((FIRST, CRASHING, 99), 0.0) is Verdict.ALLOWED
+        assert (host.quarantined_parts(), host.quarantined_requests()) == (set(), {AGAIN})
+
+    def test_request_whose_parts_are_all_popular_is_refused(self):
+        """Guards against engines that crash under a prompt of which each part is answered."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for _ in range(2):
+            topic.answer(host, (FIRST, 8))
+            topic.crash(((FIRST, 8), True), requests=(AGAIN,))
+        topic.answer(host, (FIRST, 8))
+        assert host.verdict((FIRST, 8, AGAIN), 0.0) is Verdict.REFUSED
+        assert host.verdict((FIRST, 8, 99), 0.0) is Verdict.ALLOWED
+
+    def test_request_without_a_prompt_is_refused_after_three_crashes(self):
+        """Guards against a plain request that ends one target after the other."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for number in range(3):
+            assert host.verdict((AGAIN,), 0.0) is not Verdict.REFUSED
+            topic.crash(((), False), ((), False), requests=(AGAIN, 100 + number))
+        assert host.verdict((AGAIN,), 0.0) is Verdict.REFUSED
+        assert host.verdict((100,), 0.0) is Verdict.ALLOWED
+
+    def test_part_is_quarantined_though_each_request_with_it_came_again(self):
+        """Guards against taking the requests with a crashing part for the causes, one by one."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for request in (AGAIN, AGAIN, OTHER_AGAIN):
+            assert host.verdict((FIRST, CRASHING, 99), 0.0) is not Verdict.REFUSED
+            topic.answer(host, (FIRST, 8))
+            topic.crash(((FIRST, CRASHING), True), requests=(request,))
+        topic.answer(host, (FIRST, 8))
+        assert host.verdict((FIRST, CRASHING, 99), 0.0) is Verdict.REFUSED
+        assert host.verdict((FIRST, 8), 0.0) is Verdict.ALLOWED
+
+    def test_part_is_quarantined_within_five_crashes_if_nothing_begins(self):
+        """Guards against many crashes by requests with a part that are repeated once each."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for request in (AGAIN, AGAIN, OTHER_AGAIN, OTHER_AGAIN, 9):
+            topic.crash(((CRASHING,), False), requests=(request,))
+        assert host.quarantined_parts() == {CRASHING}
+
+    def test_bystander_that_was_lost_twice_is_not_refused(self):
+        """Guards against refusing a sound request whose repetition met the next crash."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for _ in range(2):
+            topic.crash(((), False), ((), False), requests=(AGAIN, 100))
+        assert host.verdict((100,), 0.0) is Verdict.PROBE
+        topic.crash(((), False), requests=(AGAIN,))
+        assert host.verdict((AGAIN,), 0.0) is Verdict.REFUSED
+        assert host.verdict((100,), 0.0) is Verdict.ALLOWED
+
+    def test_requests_that_crashed_together_are_told_apart_by_single_requests(self):
+        """Guards against refusing a sound request for good that was lost in the same crashes."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for _ in range(2):
+            topic.crash(((), True), ((), True), requests=(AGAIN, 100))
+        assert host.verdict((AGAIN,), 0.0) is host.verdict((100,), 0.0) is Verdict.PROBE
+        topic.answer(host, (100,))
+        assert host.verdict((100,), 0.0) is Verdict.ALLOWED
+        assert host.verdict((AGAIN,), 0.0) is Verdict.REFUSED
+
+    def test_popular_request_is_not_refused_while_targets_crash_by_themselves(self):
+        """Guards against refusing a request that many callers send and targets answer."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for number in range(8):
+            topic.crash(((), False), requests=(100,), now=number * 1_000.0)
+            assert host.verdict((100,), number * 1_000.0) is not Verdict.REFUSED
+            # The host compares requests only while there are some to compare with.
+            if host.requests:
+                topic.answer(host, (100,), number * 1_000.0)
+
+    def test_quarantined_request_is_probed_after_its_cooldown(self):
+        """Guards against a ban without end, and against one that ends with its reports."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for _ in range(3):
+            topic.crash(((), False), requests=(AGAIN,))
+        later = BYSTANDER_RETENTION_MS + 1.0
+        assert not host.obsolete_keys(later)
+        assert host.verdict((AGAIN,), later) is Verdict.REFUSED
+        assert host.verdict((AGAIN,), COOLDOWN_MS) is Verdict.PROBE
+        topic.answer(host, (AGAIN,), COOLDOWN_MS)
+        assert host.verdict((AGAIN,), COOLDOWN_MS) is Verdict.ALLOWED
+        assert len(host.obsolete_keys(COOLDOWN_MS)) == 3 + 1
+
+    def test_requests_are_compared_only_while_one_is_suspected(self):
+        """Guards against hashing every body because some request was lost once."""
+        topic = Topic()
+        (host,) = topic.hosts
+        topic.crash(((), False), requests=(AGAIN,))
+        assert not host.requests
+        topic.crash(((), False), requests=(AGAIN,))
+        assert host.requests == {AGAIN}
+
+    def test_report_without_a_fingerprint_is_read(self):
+        """Guards against losing the reports of hosts of an earlier version."""
+        host = Quarantine()
+        for number in range(2):
+            value = msgspec.json.encode([f"e{number}", 1, [CRASHING], True])
+            host.update([Entry(number, f"report/{number}", value)], 0.0)
+        assert host.quarantined_parts() == {CRASHING}
+
+
 class TestReplay:
     def replay(self, seed: int, crashing: set[int], self_crashes: float) -> tuple[Topic, int]:
         """Replays 400 requests over nine hosts; returns the topic and the requests refused wrongly.
@@ -275,7 +404,7 @@
 
 
 class Traffic:
-    """Sends streams to the hosts in turn, each with a prompt of three parts."""
+    """Sends streams to the hosts in turn, each with a path and a prompt of its own."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
@@ -286,7 +415,7 @@
         number = next(self.numbers)
         try:
             status, _, _ = await self.deployment.call(
-                "/chat/x",
+                f"/chat/{number}",
                 host=number % len(self.deployment.hosts),
                 Token_Usage="100,6",
                 Prefix_Hash=f"{first}:60,{middle}:30,own{number}:10",
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -120,9 +120,10 @@
             "outcome_unknown", "overloaded", "deadline_unreachable", "not_ready",
             "log_unavailable", "no_targets", "deadline_exceeded", "stage_failed",
             "answer_incomplete", "internal", "stale_configuration", "prompt_quarantined",
+            "request_quarantined",
         }  # fmt: skip
         assert {kind for kind, _ in tally.spent} == bad
-        assert (tally.total, tally.bad) == (13, 12)  # action_rejected is an answer
+        assert (tally.total, tally.bad) == (14, 13)  # action_rejected is an answer
 
     def test_minute_in_progress_is_kept(self):
         """Guards against a minute that is split over several records."""
