--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -34,8 +34,9 @@
 class Replica:
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
-    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`, or on a
-    request with one of the `crash_paths`; an answer that is no stream has no head by then. It sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
+    It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`, or on
+    a request with one of the `crash_paths`; an answer that is no stream has no head by then.
+    It sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
     While `pause_s` is set, its streams are silent for that time after `PAUSE_AFTER` events.
     `broken_off` lists the streams whose connection ended during such a pause: the request id, the
     time at which the pause began and the time at which it ended.
