Measure what the quarantine of requests costs each request

make bench prints the processor time of the two checks of a request, while nothing is suspected and while bodies are hashed.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 bench: $(VENV)/.installed
 	mkdir -p run
 	$(PY) -m bench.cost > run/cost.out
-	cat run/cost.out
+	$(PY) -m bench.quarantine > run/quarantine.out
+	cat run/cost.out run/quarantine.out
 	$(PY) -m bench
-	tail -n 1 run/cost.out
+	tail -q -n 1 run/cost.out run/quarantine.out
