--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -303,7 +303,8 @@
 
     def is_cleared(self, report: Report, cause: int) -> bool:
         """Returns whether a part of a report, or its whole request, was cleared of its crash."""
-        return crash_id(report) in self.cleared.get(cause, ())
+        cleared = self.cleared.get(cause)
+        return cleared is not None and crash_id(report) in cleared
 
     def weight(self, report: Report, cause: int, weight: float) -> float:
         """Returns the weight of a cause in a report; less if it was answered shortly before."""
@@ -344,6 +345,8 @@
                 if not self.is_cleared(report, part):
                     add_weight(crashes, report, part, self.weight(report, part, weight))
                     accusers.setdefault(part, set()).add(group_of.get(report.request, key))
+        if not groups:
+            return crashes
         sound = {
             part
             for part, found in accusers.items()
@@ -357,9 +360,10 @@
     def review(self) -> None:
         """Derives the groups and suspects from all reports; drops clearances without a report."""
         reports = [stored.report for stored in self.reports.values()]
-        causes = {cause for report in reports for cause in report.causes()}
-        crashes = {crash_id(report) for report in reports}
-        self.cleared = {c: ids & crashes for c, ids in self.cleared.items() if c in causes}
+        if self.cleared:
+            causes = {cause for report in reports for cause in report.causes()}
+            crashes = {crash_id(report) for report in reports}
+            self.cleared = {c: ids & crashes for c, ids in self.cleared.items() if c in causes}
         requests = judge(self.request_weights())
         parts = judge(self.part_weights(requests.groups))
         totals = scores(requests.unexplained) | scores(parts.unexplained)
