Quarantine requests on which engines crash after their first events

Events still prove the parts of a prompt; only a complete answer proves the whole request.

All streams of a crashed engine have events, so such a loss weighs as little as that of a bystander: five crashes quarantine, and a sound stream is resumed as before.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Sequence
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward import quarantine as quarantines
@@ -109,24 +109,34 @@
         self.runs.discard(run)
         self.end_probe(run)
 
-    def end_probe(self, run: Run) -> None:
-        """Lets another request probe the causes that a request was a probe for."""
-        self.probes = {cause: held for cause, held in self.probes.items() if held is not run}
+    def end_probe(self, run: Run, causes: Collection[int] | None = None) -> None:
+        """Lets another request probe the causes that a request was a probe for, or some of them."""
+        self.probes = {
+            cause: held
+            for cause, held in self.probes.items()
+            if held is not run or (causes is not None and cause not in causes)
+        }
 
     # Observations.
 
     def record_events(self, run: Run) -> None:
-        """Records that events of an answer have arrived."""
-        if run.attempt is not None and run.attempt.events >= quarantines.ANSWERED_EVENTS:
-            self.record_answer(run)
-
-    def record_answer(self, run: Run) -> None:
-        """Records that the target has written on a request, once an attempt."""
-        if run.attempt is None or run.attempt.answered:
+        """Records that events of an answer have arrived, which prove the parts of its prompt."""
+        attempt = run.attempt
+        if attempt is None or attempt.answered or attempt.events < quarantines.ANSWERED_EVENTS:
             return
-        run.attempt.answered = True
-        self.end_probe(run)
-        for cause in self.quarantine.record_answer(self.causes(run), self.follower.now()):
+        attempt.answered = True
+        self.record_answer(run, run.parts)
+
+    def record_completion(self, run: Run) -> None:
+        """Records that an answer is complete, which proves the whole request."""
+        if run.attempt is not None:
+            run.attempt.answered = True
+        self.record_answer(run, self.causes(run))
+
+    def record_answer(self, run: Run, causes: Sequence[int]) -> None:
+        """Clears the causes that a target has answered on."""
+        self.end_probe(run, causes)
+        for cause in self.quarantine.record_answer(causes, self.follower.now()):
             whole = cause in self.quarantine.requests
             clearance = self.quarantine.clear(cause)
             if whole:
@@ -136,13 +146,13 @@
             self.append(*quarantines.clearance_entry(clearance))
 
     async def record_loss(self, run: Run) -> bool:
-        """Records a request whose connection was closed by its target before events came.
+        """Records a request whose connection was closed by its target before its answer ended.
 
         Returns True if the target has crashed and the request may be the cause, so that it must not
         be sent to another one. A target that is leaving or was replaced has not crashed.
         """
         attempt = run.attempt
-        if attempt is None or attempt.answered:
+        if attempt is None:
             return False
         target = attempt.target
         if not self.follower.registry.is_current(target) or not await self.has_crashed(target):
@@ -151,9 +161,10 @@
         request = run.fingerprint()
         proven = bool(run.parts) and self.quarantine.all_answered_recently(run.parts, now)
         began = attempt.progress() is Progress.NO_EVENT
-        # Parts that were just answered are not the cause if nothing had begun; the request may be.
-        parts = () if proven and not began else run.parts
-        report = Report(target.name, target.born, parts, began, request)
+        # Parts on which the target has just sent events, or that were answered lately and nothing
+        # had begun, are not the cause; the whole request may be.
+        parts = () if attempt.answered or (proven and not began) else run.parts
+        report = Report(target.name, target.born, parts, began, request, attempt.answered)
         self.metrics.crash_losses.inc({"service": run.service, "began": str(began).lower()})
         logs.event(
             log,
@@ -161,6 +172,7 @@
             request=run.id,
             target=target.name,
             began=began,
+            events=attempt.events,
             proven=proven,
             parts=shared_parts_label(run.request),
             fingerprint=f"{request:x}",
@@ -170,7 +182,7 @@
             self.report(report, run.id)
         else:
             self.background.spawn(self.report_bystander(report, run.id))
-        return (
+        return not attempt.answered and (
             (began and not proven)
             or self.quarantine.verdict(run.parts, now) is not Verdict.ALLOWED
             or self.quarantine.crash_count(request) > 1
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -357,7 +357,7 @@
         else:
             self.health.record_success(target, now)
             if answer.status < 300:
-                self.crashes.record_answer(run)
+                self.crashes.record_completion(run)
         await self.deliver(run, answer, body)
         return True
 
@@ -615,7 +615,7 @@
         await relay.relay_events(run, connection, answer, self.now, on_events, watch)
         self.return_connection(run, connection, answer)
         self.health.record_success(target, self.now())
-        self.crashes.record_answer(run)
+        self.crashes.record_completion(run)
         run.offers.append(Offer(target.name, "200"))
         if not run.response_started:
             run.response_started = True
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -38,7 +38,8 @@
 BYSTANDER_WEIGHT = 0.4
 
 # As above for a whole request whose answer had not begun. Three crashes quarantine it: its caller
-# repeats a request once, so a sound one may be lost twice, but hardly three times.
+# repeats a request once, so a sound one may be lost twice, but hardly three times. One with events
+# weighs as little as a bystander: it is resumed, and all streams of an engine are lost together.
 LOST_REQUEST_WEIGHT = 0.7
 
 # Factor for a cause on which this host has seen an answer shortly before the crash: either it is
@@ -98,7 +99,8 @@
     """A request that was lost when a target crashed.
 
     `parts` are the ids of its shared parts; `began` is True if its answer had begun without an
-    event. `request` is its fingerprint, 0 if the reporting host sends none.
+    event. `request` is its fingerprint, 0 if the reporting host sends none. `events` is True if
+    enough events had come to prove its parts.
     """
 
     target: str
@@ -106,6 +108,7 @@
     parts: tuple[int, ...]
     began: bool
     request: int = 0
+    events: bool = False
 
     def causes(self) -> tuple[int, ...]:
         """Returns the ids of what may have caused the crash: the parts and the whole request."""
@@ -214,6 +217,18 @@
     return totals
 
 
+def request_weight(report: Report) -> float:
+    """Returns the weight of a whole request in a report of its loss.
+
+    >>> [request_weight(Report("e", 1, (), began, 7, events))
+    ...     for began, events in ((True, False), (False, False), (False, True))]
+    [1.0, 0.7, 0.4]
+    """
+    if report.began:
+        return BEGAN_WEIGHT
+    return BYSTANDER_WEIGHT if report.events else LOST_REQUEST_WEIGHT
+
+
 def add_weight(crashes: Crashes, report: Report, cause: int, weight: float) -> None:
     """Adds the weight of a cause to the crash of a report; the highest of a crash counts."""
     weights = crashes.setdefault((report.target, report.born), {})
@@ -317,8 +332,7 @@
         for stored in self.reports.values():
             report = stored.report
             if report.request and not self.is_cleared(report, report.request):
-                weight = BEGAN_WEIGHT if report.began else LOST_REQUEST_WEIGHT
-                weight = self.weight(report, report.request, weight)
+                weight = self.weight(report, report.request, request_weight(report))
                 add_weight(crashes, report, report.request, weight)
         return crashes
 
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -116,7 +116,7 @@
     """The progress of a request at one target; `events` counts the events that it sent.
 
     `connection` is set until the answer was read. `answered` is True once the target has surely
-    written on the request; `cancelled` once this host has closed the connection because targets
+    written on the prompt; `cancelled` once this host has closed the connection because targets
     crash on it. `silence` is the last decision on a silent target, None while it is not.
     """
 
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -35,7 +35,8 @@
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
     It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`, or on
-    a request with one of the `crash_paths`; an answer that is no stream has no head by then.
+    a request with one of the `crash_paths`; an answer that is no stream has no head by then. Such a
+    stream has `crash_after` events by then.
     It sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
     While `pause_s` is set, its streams are silent for that time after `PAUSE_AFTER` events.
     `broken_off` lists the streams whose connection ended during such a pause: the request id, the
@@ -64,6 +65,7 @@
         self.no_room = False
         self.crash_parts: set[str] = set()
         self.crash_paths: set[str] = set()
+        self.crash_after = 0
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
@@ -129,13 +131,17 @@
         count = int(request.headers["Token-Usage"].split(",")[1])
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
-        if crashing or self.crash_parts.intersection(prompt_parts(request)):
+        if (crashing and not self.crash_after) or self.crash_parts.intersection(
+            prompt_parts(request)
+        ):
             return await self.crash(response)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, count + 1):
             if number - 1 == self.silent_after and "Last-Event-Id" not in request.headers:
                 self.silences += 1
                 await asyncio.sleep(self.silence_s)
+            if crashing and number > self.crash_after:
+                return await self.crash(response)
             if self.break_after is not None and number > self.break_after:
                 await response.write(b"id: %d\nda" % number)
                 assert request.transport is not None
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -35,10 +35,11 @@
         self.deployment = deployment
         self.numbers = itertools.count()
 
-    def crash_on(self, path: str) -> None:
-        """Makes every target crash on requests with a path."""
+    def crash_on(self, path: str, after: int = 0) -> None:
+        """Makes every target crash on requests with a path, after some events of a stream."""
         for replica in itertools.chain(*self.deployment.replicas.values()):
             replica.crash_paths.add(path)
+            replica.crash_after = after
 
     def arrivals(self, path: str) -> int:
         """Returns how many requests with a path have reached targets."""
@@ -77,3 +78,17 @@
             assert traffic.arrivals(kind + "bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
             assert crashing[-5:] == [503] * 5
             assert statuses[-8:] == [200] * 8
+
+    async def test_stops_reaching_engines_that_crash_after_their_first_events(self):
+        """Guards against taking events for the proof that a request crashes no engine."""
+        async with Deployment(hosts=3, replicas=4) as deployment:
+            traffic = Traffic(deployment)
+            traffic.crash_on("/chat/bad", after=3)
+            sound: list[asyncio.Task[int]] = []
+            for number in range(15):
+                sound.append(asyncio.create_task(traffic.send(f"/chat/{number}")))
+                assert await traffic.send("/chat/bad") != 200
+                await asyncio.sleep(REQUEST_GAP_S)
+            assert traffic.arrivals("/chat/bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
+            assert await traffic.send("/chat/bad") == 503
+            assert (await asyncio.gather(*sound))[-8:] == [200] * 8
