Stop sending a stage piece to a target that stays full

Cause: after such an answer the target was blocked for 150 ms, always. If the other targets lie in another zone, moving the result there costs more than a wait of 150 ms, so the scheduler waited for the full one again, until the deadline. A target is now blocked for as long again as it has been full, up to 1.2 s, so the piece goes to another zone after at most five calls.

--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -72,18 +72,26 @@
 
     `calls` counts the calls in progress. `held` maps the handle of each result that the target
     keeps to its size and expiry time. `returned` are the handles that it returned last.
+    `no_room_since` is the first of its answers in a row that it has no space for a result.
     """
 
     def __init__(self) -> None:
         self.calls = 0
         self.expected_end_at = 0.0
         self.blocked_until = 0.0
+        self.no_room_since: float | None = None
         self.slowdown = 1.0
         self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
         self.returned: OrderedDict[str, None] = OrderedDict()
         self.reserved_bytes = 0.0
 
+    def start_no_room(self, now: float) -> float:
+        """Returns since when the target has had no space, which is now if it had until now."""
+        if self.no_room_since is None:
+            self.no_room_since = now
+        return self.no_room_since
+
     def add_handles(self, results: Sequence[PieceResult]) -> bool:
         """Records the handles of an answer; returns False if the target returned one before."""
         handles = [result for result in results if isinstance(result, str)]
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -50,8 +50,10 @@
 # Minimum expected remaining time of a call without an answer.
 MIN_REMAINING_MS = 1.0
 
-# Backoff for a target that had no space for results.
+# Backoff for a target that had no space for results, and the longest one. It grows while the target
+# stays full, so that waiting for it becomes dearer than another zone.
 NO_ROOM_BACKOFF_MS = 150.0
+MAX_NO_ROOM_BACKOFF_MS = 1_200.0
 
 # Maximum attempts for one piece.
 MAX_ATTEMPTS = 4
@@ -63,6 +65,17 @@
 DRAIN_POLL_MS = 100.0
 
 
+def no_room_backoff_ms(since: float, now: float) -> float:
+    """Returns for how long a target gets no pieces that has had no space since a time.
+
+    It is expected to stay full for as long again as it has been.
+
+    >>> [no_room_backoff_ms(0.0, now) for now in (0.0, 150.0, 300.0, 9_000.0)]
+    [150.0, 150.0, 300.0, 1200.0]
+    """
+    return min(MAX_NO_ROOM_BACKOFF_MS, max(NO_ROOM_BACKOFF_MS, now - since))
+
+
 class Pools:
     """All pools of this host.
 
@@ -485,11 +498,12 @@
                 task.finish(StageFailure.INPUT_GONE)
             elif result is PieceFailure.NO_ROOM:
                 # The target has not run the piece.
-                state.blocked_until = now + NO_ROOM_BACKOFF_MS
+                state.blocked_until = now + no_room_backoff_ms(state.start_no_room(now), now)
                 self.return_piece(task, number)
             else:
                 self.requeue(pool, task, number, now)
             return
+        state.no_room_since = None
         size = task.plan.result_bytes
         state.held[result] = (size, now + pool.limits.keep_ms)
         stage_result = StageResult(result, target.address, target.zone)
--- a/tests/forward/test_pools.py
+++ b/tests/forward/test_pools.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import copy
+from typing import Any
 
 from savoryfork.forward.cells import UNDIVIDED
 from savoryfork.forward.connection import TargetError
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.messages import StageResult
+from standins.replicas import Replica
 from tests.forward.deployment import Deployment, configuration, until
 
 TOKENS = {"Token_Usage": "100,2", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
 
 
+def entry_of(replica: Replica, zone: str) -> dict[str, Any]:
+    """Returns the entry of a stage replica in a zone."""
+    row = {"service": "carri", "address": replica.address, "zone": zone, "state": "ready"}
+    return {**row, "slots": 4, "born": replica.born}
+
+
 class TestFaults:
     async def test_refusals_of_full_targets_do_not_fail_a_request(self):
         """Refusals must not use up the attempts of a piece.
@@ -55,6 +64,28 @@
             call = deployment.call("/chat/x", Pieces="1,8", **TOKENS)
             assert (await asyncio.wait_for(call, 1.0))[0] == 200 and not failures
 
+    async def test_piece_leaves_a_target_that_stays_full(self):
+        """Guards against a piece that waits for a full target until its caller has left.
+
+        The other target is in another zone, and moving the result there costs more than a wait.
+        """
+        async with Deployment() as deployment:
+            config = copy.deepcopy(configuration(2))
+            config["routes"][2]["stages"][1]["payload_bytes"] = 2_900_000
+            config["services"][3]["pieces"]["headroom_mb"] = 22
+            deployment.store.put("keyed.op", "config", config)
+            full, other = deployment.replicas["carri"]
+            full.no_room = True
+            deployment.store.put("keyed.servers", other.name, entry_of(other, "y"))
+            registry = deployment.hosts[0].follower.registry
+            await until(
+                lambda: deployment.hosts[0].follower.catalog.version == 2
+                and {t.zone for t in registry.usable("carri")} == {"y", "z"}
+            )
+            call = deployment.call("/chat/x", Pieces="1,1", **TOKENS)
+            assert (await asyncio.wait_for(call, 1.5))[0] == 200
+            assert full.batch_sizes and len(full.batch_sizes) <= 5
+
     async def test_duplicate_results_are_freed(self):
         async with Deployment() as deployment:
             first, second = deployment.replicas["cave"]
