Keep answered parts while a whole request is suspected

While some request was suspected of crashing its targets, each answered request of a host was recorded by its fingerprint, beside the parts of prompts, in a table of 4,096 entries. Most fingerprints come once, so the parts are evicted after 4,096 answers, and sound parts that are then lost in a crash count in full: callers of these parts may see 503 while no target crashes on them.

Evidence: test_answered_requests_do_not_evict_answered_parts failed with ten entries for ten plain answers while one other request was suspected.

Now only the fingerprint of a suspected request is recorded.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -126,8 +126,14 @@
             return
         run.attempt.answered = True
         self.end_probe(run)
-        for cause in self.quarantine.record_answer(self.causes(run), self.follower.now()):
-            whole = cause in self.quarantine.requests
+        # Only suspected requests are recorded: each request may have a fingerprint of its own, and
+        # these would evict the answered parts.
+        causes = run.parts
+        reported = self.quarantine.requests
+        if reported and run.fingerprint() in reported:
+            causes = (*causes, run.fingerprint())
+        for cause in self.quarantine.record_answer(causes, self.follower.now()):
+            whole = cause in reported
             clearance = self.quarantine.clear(cause)
             if whole:
                 logs.event(log, "request_cleared", request=run.id, fingerprint=f"{cause:x}")
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from savoryfork.forward.quarantine import Report
 from tests.forward.deployment import Deployment
 
 # The bound on hosts in touch: a request may not reach targets in more than three retries after its
@@ -77,3 +78,19 @@
             assert traffic.arrivals(kind + "bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
             assert crashing[-5:] == [503] * 5
             assert statuses[-8:] == [200] * 8
+
+
+class TestAnswers:
+    async def test_answered_requests_do_not_evict_answered_parts(self):
+        """Guards against taking sound parts for unknown ones while some request is suspected."""
+        async with Deployment(hosts=1, replicas=4) as deployment:
+            (host,) = deployment.hosts
+            quarantine = host.follower.quarantine
+            for name in ("e1", "e2"):
+                host.crashes.report(Report(name, 1, (), False, 1001), "r" + name)
+            assert quarantine.requests
+            known = len(quarantine.answered_at)
+            traffic = Traffic(deployment)
+            for number in range(10):
+                assert await traffic.send(f"/view/{number}") == 200
+            assert len(quarantine.answered_at) == known
