Clear a request that was lost once and is answered since

A sound request that many callers send was refused with 503 for 30 to 60 minutes after three crashes that it did not cause, though targets answered it between them.

Cause: an answer was compared only with suspected requests, and one that had not begun is suspected from its second crash on. The first crash was never cleared, so two more targets that crash at once were enough, without an answer in between. Evidence: the test of three crashes, with an answer after the first, failed with 503.

Now an answer is compared with all reported requests that are not cleared. The test of when requests are compared names both sets.

Three targets that crash at once under a popular request that was in no report before still quarantine it.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -70,7 +70,8 @@
     def causes(self, run: Run) -> tuple[int, ...]:
         """Returns the ids by which a request may be quarantined.
 
-        The whole request is hashed only while there are requests to compare it with.
+        The whole request is hashed only while there are requests to compare it with. An answered
+        one is also compared with those that were lost once, see `record_answer`.
         """
         return (*run.parts, run.fingerprint()) if self.quarantine.requests else run.parts
 
@@ -126,10 +127,10 @@
             return
         run.attempt.answered = True
         self.end_probe(run)
-        # Only suspected requests are recorded: each request may have a fingerprint of its own, and
+        # Only reported requests are recorded: each request may have a fingerprint of its own, and
         # these would evict the answered parts.
         causes = run.parts
-        reported = self.quarantine.requests
+        reported = self.quarantine.reported_requests
         if reported and run.fingerprint() in reported:
             causes = (*causes, run.fingerprint())
         for cause in self.quarantine.record_answer(causes, self.follower.now()):
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -232,7 +232,8 @@
     """The reports and clearances that a host knows, its own observations, and the verdicts.
 
     `cooldown_share`, from 0 to 1, is what this host adds to cooldowns. `requests` are the
-    fingerprints of whole requests that are quarantined or suspected.
+    fingerprints of whole requests that are quarantined or suspected, `reported_requests` also those
+    that were lost in a crash and not cleared of it.
 
     >>> quarantine = Quarantine()
     >>> for engine in ("e1", "e2"):
@@ -249,6 +250,7 @@
         self.cleared: dict[int, frozenset[int]] = {}
         self.clearance_keys: dict[str, int] = {}
         self.requests: frozenset[int] = frozenset()
+        self.reported_requests: frozenset[int] = frozenset()
         self.answered_at: OrderedDict[int, float] = OrderedDict()
         self.answered_before: dict[CrashId, frozenset[int]] = {}
         self.groups: list[QuarantinedGroup] = []
@@ -368,8 +370,10 @@
         self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in groups]
         watched = self.quarantined() | self.suspects
         self.requests = frozenset(r.request for r in reports if r.request in watched)
-        reported = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
-        self.reported = reported | self.requests
+        reported = {r.request for r in reports if not self.is_cleared(r, r.request)} - {0}
+        self.reported_requests = self.requests | reported
+        reported_parts = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
+        self.reported = reported_parts | self.reported_requests
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
 
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -9,6 +9,7 @@
 import pytest
 
 from savoryfork.forward.quarantine import Report
+from savoryfork.forward.run import Run
 from tests.forward.deployment import Deployment
 
 # The bound on hosts in touch: a request may not reach targets in more than three retries after its
@@ -81,6 +82,31 @@
 
 
 class TestAnswers:
+    async def test_request_that_is_answered_between_crashes_is_not_refused(self, monkeypatch):
+        """Guards against refusing a popular request after three crashes that it did not cause.
+
+        Many callers send the same request; one of them is on each target that crashes by itself.
+        """
+        async with Deployment(hosts=1, replicas=4) as deployment:
+            (host,) = deployment.hosts
+            traffic = Traffic(deployment)
+            popular = None
+
+            def note_fingerprint(run: Run) -> None:
+                nonlocal popular
+                popular = run.fingerprint()
+
+            monkeypatch.setattr(host.crashes, "admit", note_fingerprint)
+            assert await traffic.send("/view/popular") == 200
+            monkeypatch.undo()
+            for number in range(3):
+                report = Report(f"e{number}", 1, (), False, popular)
+                host.crashes.report(report, f"r{number}")
+                if number == 0:  # the other two targets crash at once
+                    assert await traffic.send("/view/popular") == 200
+            assert await traffic.send("/view/popular") == 200
+            assert not host.follower.quarantine.groups
+
     async def test_answered_requests_do_not_evict_answered_parts(self):
         """Guards against taking sound parts for unknown ones while some request is suspected."""
         async with Deployment(hosts=1, replicas=4) as deployment:
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -285,13 +285,15 @@
         assert len(host.obsolete_keys(COOLDOWN_MS)) == 3 + 1
 
     def test_requests_are_compared_only_while_one_is_suspected(self):
-        """Guards against hashing every body because some request was lost once."""
+        """Guards against hashing each body on admission because some request was lost once."""
         topic = Topic()
         (host,) = topic.hosts
         topic.crash(((), False), requests=(AGAIN,))
-        assert not host.requests
+        assert not host.requests and host.reported_requests == {AGAIN}
         topic.crash(((), False), requests=(AGAIN,))
         assert host.requests == {AGAIN}
+        topic.answer(host, (AGAIN,))
+        assert not host.requests and not host.reported_requests
 
     def test_report_without_a_fingerprint_is_read(self):
         """Guards against losing the reports of hosts of an earlier version."""
