Report whole requests of crashes that have a likelier cause

A request with a prompt that crashes its engines before they send a head was never reported while another request had begun on each of them, as one nearly always has on a busy engine. It could come again and crash engines without end.

Cause: bystanders are not reported once a request that had begun is known for the same crash. That suits parts, which stand for one crash, but a whole request is known only by coming again.

Now such a bystander is reported without its parts.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -28,7 +28,7 @@
 QUARANTINE_RETRY_MS = 30_000.0
 PROBE_RETRY_MS = 400.0
 
-# A request with a prompt that had not begun is reported only if no likelier cause of the crash is
+# The parts of a prompt that had not begun are reported only if no likelier cause of the crash is
 # reported within this time.
 BYSTANDER_DELAY_MS = 250.0
 
@@ -207,10 +207,15 @@
         self.append(key, value)
 
     async def report_bystander(self, report: Report, request_id: str) -> None:
-        """Reports a bystander of a crash after a delay, if no likelier cause is known by then."""
+        """Reports a bystander of a crash after a delay; without parts if a likelier cause is known.
+
+        On a busy engine some sound request has nearly always begun, so a request that crashes its
+        targets before that is known only by coming again.
+        """
         await asyncio.sleep(BYSTANDER_DELAY_MS / 1000)
-        if not self.quarantine.is_explained(report):
-            self.report(report, request_id)
+        if self.quarantine.is_explained(report):
+            report = report._replace(parts=())
+        self.report(report, request_id)
 
     def handle_reports(self) -> None:
         """Logs changes of the verdicts and cancels quarantined requests on engines."""
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from savoryfork.forward import crashes
 from savoryfork.forward.quarantine import Report
 from savoryfork.forward.run import Run
 from tests.forward.deployment import Deployment
@@ -120,3 +121,21 @@
             for number in range(10):
                 assert await traffic.send(f"/view/{number}") == 200
             assert len(quarantine.answered_at) == known
+
+
+class TestBystanders:
+    async def test_request_that_ends_targets_before_its_head_is_known(self, monkeypatch):
+        """Guards against missing a request that crashes targets on which others have just begun.
+
+        On a busy engine some sound request has nearly always begun without an event.
+        """
+        monkeypatch.setattr(crashes, "BYSTANDER_DELAY_MS", 1.0)
+        async with Deployment(hosts=1, replicas=1) as deployment:
+            (host,) = deployment.hosts
+            for number in range(3):
+                sound = Report(f"e{number}", 1, (10 + number,), True, 100 + number)
+                host.crashes.report(sound, f"sound{number}")
+                lost = Report(f"e{number}", 1, (1,), False, 1001)
+                await host.crashes.report_bystander(lost, f"lost{number}")
+            assert host.follower.quarantine.quarantined_requests() == {1001}
+            assert not host.follower.quarantine.quarantined_parts()
