--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -28,7 +28,7 @@
 QUARANTINE_RETRY_MS = 30_000.0
 PROBE_RETRY_MS = 400.0
 
-# A request with a prompt that had not begun is reported only if no likelier cause of the crash is
+# The parts of a prompt that had not begun are reported only if no likelier cause of the crash is
 # reported within this time.
 BYSTANDER_DELAY_MS = 250.0
 
@@ -70,7 +70,8 @@
     def causes(self, run: Run) -> tuple[int, ...]:
         """Returns the ids by which a request may be quarantined.
 
-        The whole request is hashed only while there are requests to compare it with.
+        The whole request is hashed only while there are requests to compare it with. An answered
+        one is also compared with those that were lost once, see `record_completion`.
         """
         return (*run.parts, run.fingerprint()) if self.quarantine.requests else run.parts
 
@@ -128,16 +129,23 @@
         self.record_answer(run, run.parts)
 
     def record_completion(self, run: Run) -> None:
-        """Records that an answer is complete, which proves the whole request."""
+        """Records that an answer is complete, which proves the whole request.
+
+        Only reported requests are recorded: each request may have a fingerprint of its own, and
+        these would evict the answered parts.
+        """
         if run.attempt is not None:
             run.attempt.answered = True
-        self.record_answer(run, self.causes(run))
+        reported = self.quarantine.reported_requests
+        whole = (run.fingerprint(),) if reported and run.fingerprint() in reported else ()
+        self.record_answer(run, (*run.parts, *whole))
 
     def record_answer(self, run: Run, causes: Sequence[int]) -> None:
         """Clears the causes that a target has answered on."""
         self.end_probe(run, causes)
+        reported = self.quarantine.reported_requests
         for cause in self.quarantine.record_answer(causes, self.follower.now()):
-            whole = cause in self.quarantine.requests
+            whole = cause in reported
             clearance = self.quarantine.clear(cause)
             if whole:
                 logs.event(log, "request_cleared", request=run.id, fingerprint=f"{cause:x}")
@@ -212,10 +220,15 @@
         self.append(key, value)
 
     async def report_bystander(self, report: Report, request_id: str) -> None:
-        """Reports a bystander of a crash after a delay, if no likelier cause is known by then."""
+        """Reports a bystander of a crash after a delay; without parts if a likelier cause is known.
+
+        On a busy engine some sound request has nearly always begun, so a request that crashes its
+        targets before that is known only by coming again.
+        """
         await asyncio.sleep(BYSTANDER_DELAY_MS / 1000)
-        if not self.quarantine.is_explained(report):
-            self.report(report, request_id)
+        if self.quarantine.is_explained(report):
+            report = report._replace(parts=())
+        self.report(report, request_id)
 
     def handle_reports(self) -> None:
         """Logs changes of the verdicts and cancels quarantined requests on engines."""
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -8,6 +8,9 @@
 import aiohttp
 import pytest
 
+from savoryfork.forward import crashes
+from savoryfork.forward.quarantine import Report
+from savoryfork.forward.run import Run
 from tests.forward.deployment import Deployment
 
 # The bound on hosts in touch: a request may not reach targets in more than three retries after its
@@ -92,3 +95,62 @@
             assert traffic.arrivals("/chat/bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
             assert await traffic.send("/chat/bad") == 503
             assert (await asyncio.gather(*sound))[-8:] == [200] * 8
+
+
+class TestAnswers:
+    async def test_request_that_is_answered_between_crashes_is_not_refused(self, monkeypatch):
+        """Guards against refusing a popular request after three crashes that it did not cause.
+
+        Many callers send the same request; one of them is on each target that crashes by itself.
+        """
+        async with Deployment(hosts=1, replicas=4) as deployment:
+            (host,) = deployment.hosts
+            traffic = Traffic(deployment)
+            popular = None
+
+            def note_fingerprint(run: Run) -> None:
+                nonlocal popular
+                popular = run.fingerprint()
+
+            monkeypatch.setattr(host.crashes, "admit", note_fingerprint)
+            assert await traffic.send("/view/popular") == 200
+            monkeypatch.undo()
+            for number in range(3):
+                report = Report(f"e{number}", 1, (), False, popular)
+                host.crashes.report(report, f"r{number}")
+                if number == 0:  # the other two targets crash at once
+                    assert await traffic.send("/view/popular") == 200
+            assert await traffic.send("/view/popular") == 200
+            assert not host.follower.quarantine.groups
+
+    async def test_answered_requests_do_not_evict_answered_parts(self):
+        """Guards against taking sound parts for unknown ones while some request is suspected."""
+        async with Deployment(hosts=1, replicas=4) as deployment:
+            (host,) = deployment.hosts
+            quarantine = host.follower.quarantine
+            for name in ("e1", "e2"):
+                host.crashes.report(Report(name, 1, (), False, 1001), "r" + name)
+            assert quarantine.requests
+            known = len(quarantine.answered_at)
+            traffic = Traffic(deployment)
+            for number in range(10):
+                assert await traffic.send(f"/view/{number}") == 200
+            assert len(quarantine.answered_at) == known
+
+
+class TestBystanders:
+    async def test_request_that_ends_targets_before_its_head_is_known(self, monkeypatch):
+        """Guards against missing a request that crashes targets on which others have just begun.
+
+        On a busy engine some sound request has nearly always begun without an event.
+        """
+        monkeypatch.setattr(crashes, "BYSTANDER_DELAY_MS", 1.0)
+        async with Deployment(hosts=1, replicas=1) as deployment:
+            (host,) = deployment.hosts
+            for number in range(3):
+                sound = Report(f"e{number}", 1, (10 + number,), True, 100 + number)
+                host.crashes.report(sound, f"sound{number}")
+                lost = Report(f"e{number}", 1, (1,), False, 1001)
+                await host.crashes.report_bystander(lost, f"lost{number}")
+            assert host.follower.quarantine.quarantined_requests() == {1001}
+            assert not host.follower.quarantine.quarantined_parts()
