Send the requests of the cell test to both cells

The test drew 12 random request ids, and an id chooses the cell. With 12 ids of one cell, the former test fails with the same message and 12 answers of 200.

Ruled out: a host that counts as lost. The two 'peer_lost' lines of the failed run also appear in runs that pass: the first host starts before the second listens, and the last one is stopped after the first. A host that is suspected during the calls logs a third line, and then both hosts use targets, so that the check fails for shared ones.

The ids are now chosen so that each host sends three requests to each cell. The test is stricter: each host must have run exactly one cell, and not the same one.

--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import uuid
 
 import aiohttp
 import pytest
 
 from savoryfork.errors import UserError
 from savoryfork.forward import cells
+from savoryfork.forward.cells import Cell
 from savoryfork.forward.follower import CONFIG_WAIT_MS
 from tests.forward.deployment import Deployment, configuration, until
 
 TOKENS = {"Token_Usage": "100,6", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
 
 
+def ids_of_cell(number: int, count: int, ids: int) -> list[str]:
+    """Returns new request ids that belong to one of `count` cells."""
+    drawn = (uuid.uuid4().hex[:16] for _ in itertools.count())
+    of_cell = (drawn_id for drawn_id in drawn if cells.cell_of(drawn_id, count).number == number)
+    return list(itertools.islice(of_cell, ids))
+
+
 @pytest.fixture
 async def deployment():
     """One host and two replicas of each service."""
@@ -345,8 +355,13 @@
         async with Deployment(hosts=2) as deployment:
             hosts = deployment.hosts
             await until(lambda: all(len(h.members.alive(h.follower.now())) == 2 for h in hosts))
+            # Each host sends three requests to each cell: of 12 random ids, all are in one cell
+            # with a probability of 1 in 2,048.
             calls = [
-                deployment.call("/chat/x", host=n % 2, Pieces="1,8", **TOKENS) for n in range(12)
+                deployment.call("/chat/x", host=host, Request_Id=request_id, Pieces="1,8", **TOKENS)
+                for cell in range(2)
+                for host in range(2)
+                for request_id in ids_of_cell(cell, 2, 3)
             ]
             assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
             used = [
@@ -354,6 +369,10 @@
                 for host in hosts
             ]
             assert used[0] and used[1] and not used[0] & used[1]
+            assert [{cell for _, cell in host.pools.pools} for host in hosts] in (
+                [{Cell(0, 2)}, {Cell(1, 2)}],
+                [{Cell(1, 2)}, {Cell(0, 2)}],
+            )
 
     async def test_stages_run_after_the_coordinator_fails(self):
         async with Deployment(hosts=3) as deployment:
