Reserve the ports of deployments against other processes

A port was probed, closed and bound much later by another process, or again after a restart. Reading the drawn ports only excluded those of the same object.

Ports now binds each drawn port at 127.0.0.2 as well and keeps that socket until the deployment ends. The kernel lets only one socket of the machine bind it and frees it when the process dies, so the choice and the reservation are one step. Processes still bind 127.0.0.1. free_port, which reserved nothing, is gone.

--- a/soak/site.py
+++ b/soak/site.py
@@ -206,6 +206,7 @@
             await proxy.stop()
         for runner in self.runners:
             await runner.cleanup()
+        self.ports.release()
 
     async def serve(self, app: web.Application) -> str:
         """Serves an application behind a proxy and returns the proxy's address."""
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -490,4 +490,5 @@
         for process in self.processes.values():
             process.wait(STOP_TIMEOUT_S)
         await self.session.close()
+        self.ports.release()
         shutil.rmtree(self.directory, ignore_errors=True)
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -98,6 +98,7 @@
             await host.store.close()
         for runner in self.runners:
             await runner.cleanup()
+        self.ports.release()
 
     async def serve(self, app: web.Application) -> str:
         """Serves an application on a free port; returns its address."""
--- a/tests/forward/test_messages.py
+++ b/tests/forward/test_messages.py
@@ -27,7 +27,7 @@
 )
 from savoryfork.peers import PeerClient, PeerServer, PeerUnavailable
 from savoryfork.util.untrusted import UndecodableError
-from standins.ports import free_port
+from standins.ports import Ports
 
 TYPES = [SyncRequest, SyncReply, WorkRequest, WorkReply, FreeRequest]
 BOMB = zlib.compress(b"\x00" * 64_000_000)
@@ -84,11 +84,13 @@
         async def free(request: FreeRequest) -> Done:
             return Done()
 
-        address = f"127.0.0.1:{free_port(random.Random())}"
+        ports = Ports(random.Random())
+        address = ports.address()
         server = PeerServer(address, (), ForwardService({"Free": free}), JunkCodec())
         await server.start()
         yield address
         await server.stop()
+        ports.release()
 
     @pytest.mark.parametrize("data", ODD_MESSAGES.values(), ids=ODD_MESSAGES)
     async def test_odd_reply_is_no_answer(self, address, data):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,7 +17,7 @@
 from savoryfork.platform.store import PlatformStore, decode_records, normalize_target
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
-from standins.ports import free_port
+from standins.ports import Ports
 from tests.forward.deployment import RNG
 from tests.odd import NASTY_JSON, values
 
@@ -27,12 +27,19 @@
 
 
 @pytest.fixture
-async def store():
+def port():
+    """A port that is reserved for the test."""
+    ports = Ports(RNG)
+    yield ports.draw()
+    ports.release()
+
+
+@pytest.fixture
+async def store(port):
     """A stand-in store and its client."""
     fake = KeyedStore()
     runner = web.AppRunner(fake.app(), access_log=None, shutdown_timeout=0.1)
     await runner.setup()
-    port = free_port(RNG)
     await web.TCPSite(runner, "127.0.0.1", port).start()
     client = PlatformStore(f"127.0.0.1:{port}")
     yield fake, client
@@ -150,7 +157,7 @@
             b'{"end":[],"entries":[],"has_more":false}',
         ],
     )
-    async def test_odd_page_is_an_outage(self, page):
+    async def test_odd_page_is_an_outage(self, page, port):
         async def answer(request: web.Request) -> web.Response:
             return web.Response(body=page)
 
@@ -158,7 +165,7 @@
         app.router.add_get("/api/log-newest", answer)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
         client = PlatformStore(f"127.0.0.1:{port}")
         with pytest.raises(LogUnavailable):
             await client.newest(Topic.TARGETS)
@@ -168,7 +175,7 @@
 
 class TestEndlessAnswers:
     @pytest.fixture
-    async def endless(self):
+    async def endless(self, port):
         """A client of a store whose answers do not end; `limits` are small."""
 
         async def endless_body(request: web.Request) -> web.StreamResponse:
@@ -186,7 +193,7 @@
         app.router.add_get("/api/log-read", endless_body)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", port := free_port(RNG)).start()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
         limits = ReadLimits(store_bytes=500_000, snapshot_bytes=200_000)
         client = PlatformStore(f"127.0.0.1:{port}", limits)
         yield client
