Close the streams of the proxy of the soak

The proxy shut down only the sending side of a connection that both sides had ended. A stream stays open after the end of what it reads, so its finalizer closed it after the loop had gone. Stopping the proxy reset the connections but did not wait for their handlers.

A connection is now closed when both directions have ended, and stop() ends and awaits all handlers. The soaks of the tests check that standard error is free of it.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,6 +22,7 @@
         self.silent = False
         self.deaf = False
         self.writers: set[asyncio.StreamWriter] = set()
+        self.connections: set[asyncio.Task[None]] = set()
 
     async def start(self) -> str:
         """Listens on a free port and returns the address."""
@@ -31,9 +32,13 @@
         return self.address
 
     async def stop(self) -> None:
-        """Closes the listener and resets all connections."""
+        """Closes the listener, resets all connections and waits until they have ended."""
         self.server.close()
         self.reset()
+        connections = list(self.connections)
+        for connection in connections:
+            connection.cancel()
+        await asyncio.gather(*connections, return_exceptions=True)
 
     def reset(self) -> None:
         """Resets all open connections."""
@@ -51,11 +56,17 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forwards one connection."""
+        connection = asyncio.current_task()
+        assert connection is not None
+        self.connections.add(connection)
+        connection.add_done_callback(self.connections.discard)
         ip, port = self.target.split(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(ip, int(port))
-        except OSError:
+        except (OSError, asyncio.CancelledError) as error:
             writer.transport.abort()
+            if isinstance(error, asyncio.CancelledError):
+                raise
             return
         self.writers |= {writer, target_writer}
         try:
@@ -65,6 +76,9 @@
             )
         finally:
             self.writers -= {writer, target_writer}
+            # Both directions have ended, but a stream stays open until it is closed.
+            writer.close()
+            target_writer.close()
 
     async def pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to_client: bool
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -42,6 +42,8 @@
         command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
     )
     assert done.stdout, done.stderr
+    # A stream that is still open at the exit, which would also hide a real error on this output.
+    assert "Event loop is closed" not in done.stderr
     return json.loads(done.stdout.splitlines()[-1])["broken"]
 
 
