End the handlers of the connection tests with their server

Closing an asyncio server closes only its listener. The handler of test_connection_is_not_reused_after_early_response waited for ever, so its stream outlived the loop, and the finalizer failed with 'Event loop is closed'. The warning appeared wherever garbage was collected next, as in TestCost, which opens no connection.

--- a/tests/forward/test_connection.py
+++ b/tests/forward/test_connection.py
@@ -5,14 +5,12 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Awaitable, Callable
 
 import pytest
 
 from savoryfork.forward.connection import Connection, Connections, TargetError
 from tests.forward.deployment import until
-
-ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+from tests.streams import ConnectionHandler, StreamServer
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -34,14 +32,13 @@
     servers = []
 
     async def start(serve: ConnectionHandler) -> str:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = StreamServer(serve)
         servers.append(server)
-        ip, port = server.sockets[0].getsockname()
-        return f"{ip}:{port}"
+        return await server.start()
 
     yield start
     for server in servers:
-        server.close()
+        await server.stop()
 
 
 async def exchange(connection: Connection, path: bytes = b"/", body: bytes = b"") -> bytes:
