End the followers of a host before its connections

After stop(), the 'sync' follower of a host went on in 12 of 12 trials of deployments with two hosts. The host cancelled it and closed its channel at once. The cancelled call then raised StreamTerminatedError, which counts as a lost peer, and the follower started its next round. In production the process ends then.

stop() now waits for the followers before it closes connections, and cancels again those whose call ended by a connection that another host closed.

This also explains the second 'peer_lost' line, StreamTerminatedError, of tests with several hosts: a stop writes it, not a loss.

--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -68,6 +68,9 @@
 UNREACHABLE_CHECK_PERIOD_MS = 100.0
 LISTEN_BACKLOG = 1_024
 
+# Interval at which followers that survived their cancellation are cancelled again.
+CANCEL_RETRY_S = 0.1
+
 
 class ForwardHost(aiomisc.Service):
     """A forwarding host. `stopped` is set after a requested stop, or if it lacks memory.
@@ -414,8 +417,14 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the timer and the followers, and closes connections."""
         await self.timer.stop()
-        for task in self.followers:
-            task.cancel()
+        # A call whose connection ends as it is cancelled raises the loss of the connection instead,
+        # which a follower survives. So the followers end before the connections are closed, and are
+        # cancelled again if another host closed theirs.
+        pending = set(self.followers)
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_S)
         self.crashes.close()
         self.connections.close()
         self.peers.close()
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -287,6 +287,16 @@
         assert (await deployment.call("/book/x"))[0] == 503
         assert sum(sum(r.run_counts.values()) for r in deployment.replicas["plain"]) == 1
 
+    async def test_stopped_hosts_call_no_other_host(self):
+        """Guards against a follower that survives the stop of its host.
+
+        Hosts of later tests that drew the same port then counted the stopped one as alive.
+        """
+        async with Deployment(hosts=2) as deployment:
+            hosts = deployment.hosts
+            await until(lambda: all(len(h.members.alive(h.follower.now())) == 2 for h in hosts))
+        assert all(task.done() for host in hosts for task in host.followers)
+
 
 class TestMetrics:
     async def test_metrics_documented_for_operators_are_exposed(self, deployment):
