Tell other hosts crash reports that the store has not taken

Callers saw: while the store (or the partition of crash reports) did not answer, a request that crashes its targets and comes again was sent to targets by each host in turn.

Cause: reports reached other hosts through the store only; until it was back each host judged by what it had seen itself. A host that was cut off from the store alone, or that started in the outage, was in the same place.

Change: crashnews (pure) holds entries that the store has not taken within 50 ms. They travel in the exchange between hosts, in both directions, with a default for hosts that do not send the field. A direct call to some peers was weighed: it needs rounds of its own to reach all hosts and tells nothing to a host that starts. Each entry has the key that it has in the topic, so a report counts once. The reader appends what others told, as its author may have ended or may be cut off, and an author drops what the topic then has.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -1,8 +1,8 @@
 """Reports requests that were lost when a target crashed, and keeps their like from targets.
 
 The verdicts come from `quarantine`. Reports and clearances go to a topic of the store, so a host
-that starts or returns learns them with the configuration. While the store does not answer, each
-host judges by its own reports, and appends them when the store is back.
+that starts or returns learns them with the configuration. While the store does not take them, hosts
+tell each other (`crashnews`), and append them when the store is back.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from savoryfork.forward.connection import CONNECT_TIMEOUT_MS
 from savoryfork.forward.follower import Follower, Topic
 from savoryfork.forward.model import Target
-from savoryfork.forward.quarantine import Report, Verdict
+from savoryfork.forward.quarantine import Report, Verdict, is_stored
 from savoryfork.forward.run import Progress, Run, shared_parts_label
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
@@ -37,6 +37,10 @@
 APPEND_RETRY_MS = 400.0
 MAX_APPENDED = 64
 
+# Entries that the store has not taken within this time are told to the other hosts. An append takes
+# a few milliseconds; with the store well, nothing is sent twice.
+SHARE_DELAY_MS = 50.0
+
 # Entries that wait for the store; beyond it the oldest are dropped.
 MAX_WAITING = 512
 
@@ -207,6 +211,7 @@
 
     def handle_reports(self) -> None:
         """Logs changes of the verdicts and cancels quarantined requests on engines."""
+        self.forget_stored()
         parts = self.quarantine.quarantined_parts()
         requests = self.quarantine.quarantined_requests()
         for part in parts - self.quarantined_parts:
@@ -238,10 +243,30 @@
             dropped = next(iter(self.waiting))
             del self.waiting[dropped]
             logs.event(log, "crash_report_dropped", logging.WARNING, key=dropped)
+        loop = asyncio.get_running_loop()
+        loop.call_later(SHARE_DELAY_MS / 1000, self.share_waiting, key)
         if not self.appending:
             self.appending = True
             self.background.spawn(self.append_waiting())
 
+    def share_waiting(self, key: str) -> None:
+        """Tells the other hosts an entry if it still waits for the store."""
+        value = self.waiting.get(key)
+        if value and not self.closed:
+            self.follower.share_crash_entries([(key, value)])
+
+    def forget_stored(self) -> None:
+        """Drops waiting entries that another host has appended for this one.
+
+        A report that was appended and deleted since must not come back. Entries that a restored
+        store has lost are in the table and wait all the same.
+        """
+        table = self.follower.tables[Topic.CRASHES]
+        for key, value in list(self.waiting.items()):
+            known = table.entries.get(key)
+            if value and key not in table.kept_keys and is_stored(key, value, known):
+                del self.waiting[key]
+
     async def append_waiting(self) -> None:
         """Appends the waiting entries until none is left."""
         try:
@@ -267,7 +292,8 @@
     def run_housekeeping(self) -> None:
         """Drops what belongs to departed targets; the reader maintains the topic.
 
-        It deletes reports without effect, and appends again what a restored store has lost.
+        It deletes reports without effect, appends again what a restored store has lost, and appends
+        what other hosts told: they may end, or be cut off from the store, before they can.
         """
         targets = self.follower.registry.targets
         current = {(target.name, target.born) for target in targets.values()}
@@ -279,8 +305,9 @@
             # In this order reports come before the clearances of their parts.
             kept = sorted(self.follower.tables[Topic.CRASHES].kept(), key=lambda e: e.key)
             lost = [(entry.key, entry.value) for entry in reversed(kept)]
+            told = list(self.follower.crash_news.shared)
             obsolete = [(key, b"") for key in self.quarantine.obsolete_keys(now)]
-            for key, value in [*lost, *obsolete][:MAX_APPENDED]:
+            for key, value in [*lost, *told, *obsolete][:MAX_APPENDED]:
                 if key not in self.waiting:
                     self.append(key, value)
 
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
+from savoryfork.forward.crashnews import CrashNewsExchange, NewsEntry
 from savoryfork.forward.departures import (
     DepartureExchange,
     Incarnation,
@@ -34,7 +35,7 @@
 from savoryfork.forward.messages import SyncReply, SyncRequest
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import Catalog, Target
-from savoryfork.forward.quarantine import Quarantine
+from savoryfork.forward.quarantine import Quarantine, is_stored
 from savoryfork.forward.registry import OUTAGE_MS, Registry
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerCaller, PeerUnavailable
@@ -172,6 +173,7 @@
         self.departures = DepartureExchange(self.registry.departures)
         self.catalog: Catalog | None = None
         self.quarantine = Quarantine(rng.random())
+        self.crash_news = CrashNewsExchange()
         self.changed = asyncio.Event()
         self.store_ok: dict[Topic, bool] = {}
         self.load_tree = LoadTree(loads)
@@ -291,6 +293,7 @@
         if topic is Topic.CONFIGURATION:
             self.apply_catalog(new, source, age_ms)
         elif topic is Topic.CRASHES:
+            self.discard_stored_news()
             self.quarantine.update(new, self.now())
             self.on_crash_reports()
         else:
@@ -345,6 +348,39 @@
                 self.log_leaving(target, departure.source, peer, self.now() - departure.since)
         self.notify()
 
+    def share_crash_entries(self, entries: Sequence[tuple[str, bytes]]) -> None:
+        """Tells the other hosts entries of the topic of crash reports that the store lacks."""
+        known = self.tables[Topic.CRASHES].entries
+        now = self.now()
+        added = [
+            self.crash_news.add(key, value, now)
+            for key, value in entries
+            if value and not is_stored(key, value, known.get(key))
+        ]
+        if any(added):
+            self.notify()
+
+    def discard_stored_news(self) -> None:
+        """Ends the entries to tell that the topic has, or had and has deleted since."""
+        known = self.tables[Topic.CRASHES].entries
+        for key, value in list(self.crash_news.shared):
+            if is_stored(key, value, known.get(key)):
+                self.crash_news.discard(key, value)
+
+    def record_crash_news(self, reported: list[NewsEntry], peer: str) -> None:
+        """Counts crash reports and clearances that another host has told before the topic does.
+
+        Those that the topic has, or had and has deleted since, are ignored.
+        """
+        self.discard_stored_news()
+        new = [e for e in reported if (e.key, e.value) in self.crash_news.shared]
+        if not new:
+            return
+        logs.event(log, "crash_reports_told", peer=peer, count=len(new))
+        self.quarantine.update_unread([(entry.key, entry.value) for entry in new], self.now())
+        self.on_crash_reports()
+        self.notify()
+
     def log_leaving(self, target: Target, source: Source, peer: str | None, age_ms: float) -> None:
         """Logs that a target was taken out of use by an answer, of this host or another one."""
         logs.event(
@@ -465,6 +501,12 @@
             departures=self.departures.request_to(
                 address, known.incarnation if known is not None else -1, requested_at
             ),
+            crash_news=self.crash_news.request_to(
+                address,
+                known.incarnation if known is not None else -1,
+                requested_at,
+                push=wait_ms > 0,
+            ),
         )
         try:
             reply = await self.peers.call(
@@ -483,6 +525,9 @@
             address, reply.sender.incarnation, reply.departures, now
         )
         self.record_reported_leaving(reported, address)
+        self.crash_news.record_sent(address, reply.sender.incarnation, request.crash_news)
+        news = self.crash_news.merge_reply(address, reply.sender.incarnation, reply.crash_news, now)
+        self.record_crash_news(news, address)
         # The reply was sent at this time or later; it may have waited unread since.
         replied_at = requested_at + reply.held_ms
         for topic, update in self.updates_by_topic(reply):
@@ -563,6 +608,7 @@
         members.merge([request.sender, *request.members], sender, now)
         reported = self.departures.merge(sender, request.departures, now)
         self.record_reported_leaving(reported, sender)
+        self.record_crash_news(self.crash_news.merge(sender, request.crash_news, now), sender)
         if request.wait_ms > 0:
             self.load_tree.record_below(sender, request.loads, request.loads_age_ms, now)
         if request.wait_ms > 0 and not self.has_newer_entries(request):
@@ -590,6 +636,7 @@
             loads_age_ms=loads_age_ms,
             crashes=tables[Topic.CRASHES].changes_since(request.crashes_position, now),
             departures=self.departures.reply_to(sender, request.departures, now),
+            crash_news=self.crash_news.reply_to(sender, request.crash_news, now),
         )
 
     def members_for(self, request: SyncRequest) -> list[Member]:
@@ -616,6 +663,7 @@
             or self.departures.has_unsent(
                 request.departures.revision, request.sender.address, self.now()
             )
+            or self.crash_news.has_unsent(request.crash_news, request.sender.address, self.now())
         )
 
     def refresh_loads(self) -> None:
@@ -629,5 +677,11 @@
         self.registry.departures.retain(registered)
         self.registry.push_backs.expire(self.now())
         self.departures.retain(set(self.members.known))
+        self.crash_news.retain(set(self.members.known))
+        dropped = self.crash_news.expire(self.quarantine.likely_keys(), self.now())
+        if dropped:
+            logs.event(log, "crash_reports_expired", count=len(dropped))
+            self.quarantine.drop_unread(dropped)
+            self.on_crash_reports()
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -13,6 +13,7 @@
 from grpclib.encoding.base import CodecBase
 
 from savoryfork.forward.cells import UNDIVIDED, Cell
+from savoryfork.forward.crashnews import CrashNews
 from savoryfork.forward.departures import DepartureNews
 from savoryfork.forward.knowledge import Position, Update
 from savoryfork.forward.loads import LoadTable
@@ -46,7 +47,7 @@
     has, -1 if none; with `members_digest` the sender asks for all entries if its own list has
     another digest. `loads` is the outstanding work on engines of the sender and the hosts below
     it, at most `loads_age_ms` old; only long polls carry it. `departures` are the leaving targets
-    that the sender has not told the receiver of.
+    and `crash_news` the crash reports that the sender has not told the receiver of.
     """
 
     sender: Member
@@ -60,6 +61,7 @@
     loads_age_ms: float
     crashes_position: Position
     departures: DepartureNews = DepartureNews()
+    crash_news: CrashNews = CrashNews()
 
 
 class SyncReply(NamedTuple):
@@ -80,6 +82,7 @@
     loads_age_ms: float
     crashes: Update
     departures: DepartureNews = DepartureNews()
+    crash_news: CrashNews = CrashNews()
 
 
 class WorkRequest(NamedTuple):
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -153,6 +153,16 @@
     return REPORT_PREFIX + identity, msgspec.json.encode(report)
 
 
+def is_stored(key: str, value: bytes, known: Entry | None) -> bool:
+    """Returns whether the topic has, or had, an entry, given the newest one of its key.
+
+    The key of a report has one value, which may have been deleted. That of a clearance gets others.
+    """
+    if known is None:
+        return False
+    return known.value == value or key.startswith(REPORT_PREFIX)
+
+
 def clearance_entry(clearance: Clearance) -> tuple[str, bytes]:
     """Returns the key and the value of a clearance."""
     return f"{CLEARANCE_PREFIX}{clearance.cause:x}", msgspec.json.encode(clearance)
@@ -266,8 +276,11 @@
                 logs.event(log, "crash_report_unreadable", logging.WARNING, error=str(error)[:120])
         self.review()
 
-    def apply(self, entry: Entry, now: float) -> None:
-        """Applies one entry of the topic; raises UndecodableError if it is malformed."""
+    def apply(self, entry: Entry, now: float, *, was_read: bool = True) -> None:
+        """Applies one entry of the topic; raises UndecodableError if it is malformed.
+
+        `was_read` is False if another host told it before the topic does.
+        """
         if not entry.value:
             self.reports.pop(entry.key, None)
             cause = self.clearance_keys.pop(entry.key, None)
@@ -277,15 +290,38 @@
             report = decode_json(entry.value, Report)
             if len(report.parts) > MAX_PROMPT_PARTS:
                 raise UndecodableError(f"over {MAX_PROMPT_PARTS} parts")
-            self.put(entry.key, report, True, now)
+            self.put(entry.key, report, was_read, now)
         elif entry.key.startswith(CLEARANCE_PREFIX):
             clearance = decode_json(entry.value, Clearance)
             if len(clearance.crashes) > MAX_REPORTS:
                 raise UndecodableError(f"over {MAX_REPORTS} crashes")
-            self.clearance_keys[entry.key] = clearance.cause
+            if was_read:
+                self.clearance_keys[entry.key] = clearance.cause
             known = self.cleared.get(clearance.cause, frozenset())
             self.cleared[clearance.cause] = known.union(clearance.crashes)
 
+    def update_unread(self, entries: Iterable[tuple[str, bytes]], now: float) -> None:
+        """Applies entries that another host told before the topic does; ignores malformed ones.
+
+        A report that is known stays as it is.
+        """
+        for key, value in entries:
+            if not value or key in self.reports:
+                continue
+            try:
+                self.apply(Entry(-1, key, value), now, was_read=False)
+            except UndecodableError as error:
+                logs.event(log, "crash_report_unreadable", logging.WARNING, error=str(error)[:120])
+        self.review()
+
+    def drop_unread(self, keys: Iterable[str]) -> None:
+        """Drops reports that the topic never had."""
+        for key in keys:
+            stored = self.reports.get(key)
+            if stored is not None and not stored.was_read:
+                del self.reports[key]
+        self.review()
+
     def add_local(self, key: str, report: Report, now: float) -> None:
         """Adds a report of this host, which counts before it has been read back."""
         if key not in self.reports:
@@ -457,13 +493,20 @@
 
     # Retention.
 
+    def likely_keys(self) -> set[str]:
+        """Returns the keys of the reports of likely causes, which are kept longest."""
+        quarantined = self.quarantined_requests()
+        return {
+            key
+            for key, stored in self.reports.items()
+            if stored.report.began or stored.report.request in quarantined
+        }
+
     def obsolete_keys(self, now: float) -> list[str]:
         """Returns the keys of entries that have no effect or are too old, to be deleted."""
         keys = []
         kept: dict[str, StoredReport] = {}
-        quarantined = self.quarantined_requests()
-        likely = {k for k, s in self.reports.items() if s.report.began}
-        likely |= {k for k, s in self.reports.items() if s.report.request in quarantined}
+        likely = self.likely_keys()
         for key, stored in self.reports.items():
             report, age_ms = stored.report, now - stored.learned_at
             retention_ms = REPORT_RETENTION_MS if key in likely else BYSTANDER_RETENTION_MS
--- a/tests/forward/test_controlplane.py
+++ b/tests/forward/test_controlplane.py
@@ -222,6 +222,39 @@
             await self.report(plane.hosts[-1])
             assert await plane.seconds_until(lambda: self.known(plane), self.MAX_REPORT_S) < 1.0
 
+    async def test_reports_reach_all_hosts_while_the_store_is_down(self):
+        """Guards against hosts that each wait for the store, or for crashes of their own."""
+        async with ControlPlane(100) as plane:
+            await asyncio.sleep(2.0)
+            plane.store.down = True
+            await asyncio.sleep(1.0)
+            lowest = max(plane.hosts, key=lambda h: h.members.level(now_ms()))
+            entry = quarantine.report_entry(Report("engine", 1, (7,), True), "request")
+            lowest.follower.share_crash_entries([entry])
+            lowest.follower.quarantine.update_unread([entry], now_ms())
+            assert await plane.seconds_until(lambda: self.known(plane), self.MAX_REPORT_S) < 1.0
+
+    async def test_reports_cost_nothing_once_they_are_known(self):
+        """Guards against reports that go with every message while the store is down."""
+        async with ControlPlane(100) as plane:
+            load_engines(plane.hosts)
+            plane.store.down = True
+            await asyncio.sleep(5.0)
+            quiet = await self.bytes_of_all(plane)
+            entries = [
+                quarantine.report_entry(Report(f"engine-{n}", 1, (7,), True), "request")
+                for n in range(50)
+            ]
+            plane.hosts[-1].follower.share_crash_entries(entries)
+            await asyncio.sleep(2.0)
+            assert await self.bytes_of_all(plane) <= 1.05 * quiet
+
+    async def bytes_of_all(self, plane: ControlPlane) -> int:
+        """Returns the bytes that all hosts send and receive in five seconds."""
+        plane.bytes.clear()
+        await asyncio.sleep(5.0)
+        return plane.bytes.total()
+
     async def test_reports_reach_all_hosts_although_the_reader_and_a_level_are_lost(self):
         """Guards against reports that only lost hosts have read."""
         async with ControlPlane(60) as plane:
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -8,7 +8,11 @@
 import aiohttp
 import pytest
 
-from tests.forward.deployment import Deployment
+from savoryfork.forward import quarantine as quarantines
+from savoryfork.forward.host import ForwardHost
+from savoryfork.forward.quarantine import Report
+from savoryfork.util.topic import LogUnavailable
+from tests.forward.deployment import Deployment, until
 
 # The bound on hosts in touch: a request may not reach targets in more than three retries after its
 # third crash is known.
@@ -77,3 +81,113 @@
             assert traffic.arrivals(kind + "bad") <= CRASHES_BEFORE_BOUND + REQUESTS_AFTER_BOUND
             assert crashing[-5:] == [503] * 5
             assert statuses[-8:] == [200] * 8
+
+
+def cut_from_store(monkeypatch: pytest.MonkeyPatch, host: ForwardHost) -> None:
+    """Makes every call of one host to the store fail."""
+
+    async def fail(*args: object) -> None:
+        raise LogUnavailable("cut off")
+
+    for name in ("newest", "read", "append"):
+        monkeypatch.setattr(host.follower.store, name, fail)
+
+
+class TestStoreAway:
+    """What one host has seen is known to all others while the store does not take reports."""
+
+    # Time within which all hosts know.
+    KNOWN_S = 1.0
+
+    @pytest.mark.parametrize("kind", KINDS)
+    async def test_request_that_comes_again_at_each_host_stops_reaching_targets(
+        self, kind, monkeypatch
+    ):
+        """Guards against hosts that each lose targets of their own before they refuse.
+
+        Crashed targets stay down: without the store their next incarnation can't be told apart.
+        """
+        monkeypatch.setattr("tests.forward.deployment.RESTART_S", 60.0)
+        async with Deployment(hosts=3, replicas=12) as deployment:
+            traffic = Traffic(deployment)
+            traffic.crash_on(kind + "bad")
+            deployment.store.down = True
+            statuses: list[int] = []
+            for _ in range(9):
+                statuses.append(await traffic.send(kind + "bad"))
+                await asyncio.sleep(self.KNOWN_S / 2)
+            assert traffic.arrivals(kind + "bad") <= CRASHES_BEFORE_BOUND
+            assert statuses[-3:] == [503] * 3
+
+    async def test_host_that_only_lost_the_store_tells_the_others(self, monkeypatch):
+        """Guards against reports that wait at a host that is cut off from the store.
+
+        The others append them, as it may end before it can.
+        """
+        async with Deployment(hosts=3, replicas=6) as deployment:
+            traffic = Traffic(deployment)
+            traffic.crash_on("/book/bad")
+            cut_from_store(monkeypatch, deployment.hosts[0])
+            for _ in range(3):
+                await deployment.call("/book/bad")
+            for host in deployment.hosts[1:]:
+                await until(
+                    lambda host=host: host.follower.quarantine.quarantined_requests(), self.KNOWN_S
+                )
+            await until(lambda: not deployment.hosts[0].crashes.waiting)
+            reports = deployment.hosts[0].follower.quarantine.reports
+            assert len(reports) == 3 and all(stored.was_read for stored in reports.values())
+
+    async def test_host_that_starts_in_the_outage_learns_before_it_is_ready(self, monkeypatch):
+        """Guards against a host that starts without the reports and lets targets crash again."""
+        monkeypatch.setattr("tests.forward.deployment.RESTART_S", 60.0)
+        async with Deployment(hosts=2, replicas=6) as deployment:
+            traffic = Traffic(deployment)
+            traffic.crash_on("/book/bad")
+            deployment.store.down = True
+            for _ in range(4):
+                await deployment.call("/book/bad")
+            known = deployment.hosts[1].follower.quarantine
+            await until(known.quarantined_requests, self.KNOWN_S)
+            seeds = deployment.hosts[0].settings.seed_peers
+            port = deployment.hosts[0].settings.peer_address.rpartition(":")[2]
+            started = await deployment.start_host(0, (f"127.0.0.2:{port}", *seeds))
+            await until(lambda: started.unready_reason() is None)
+            assert (await deployment.call("/book/bad", host=2))[0] == 503
+            assert traffic.arrivals("/book/bad") == CRASHES_BEFORE_BOUND
+
+    async def test_clearance_reaches_the_others(self):
+        """Guards against hosts that refuse what another one has seen answered."""
+        async with Deployment(hosts=2) as deployment:
+            one, two = deployment.hosts
+            deployment.store.down = True
+            for name in ("t1", "t2", "t3"):
+                one.crashes.report(Report(name, 1, (), False, 5), name)
+            await until(lambda: two.follower.quarantine.quarantined_requests(), self.KNOWN_S)
+            clearance = one.follower.quarantine.clear(5)
+            one.crashes.append(*quarantines.clearance_entry(clearance))
+            await until(lambda: not two.follower.quarantine.quarantined_requests(), self.KNOWN_S)
+
+    async def test_deleted_report_does_not_come_back(self, monkeypatch):
+        """Guards against a report that a host cut off from the store brings back for ever."""
+        async with Deployment(hosts=2) as deployment:
+            one, two = deployment.hosts
+            cut_from_store(monkeypatch, one)
+            report = Report("t1", 1, (), False, 5)
+            one.crashes.report(report, "r")
+            key, value = quarantines.report_entry(report, "r")
+            for host in deployment.hosts:
+                await until(
+                    lambda host=host: (found := host.follower.quarantine.reports.get(key))
+                    and found.was_read
+                )
+            two.crashes.append(key, b"")
+            for host in deployment.hosts:
+                await until(lambda host=host: key not in host.follower.quarantine.reports)
+                assert not host.follower.crash_news.shared and not host.crashes.waiting
+            # A host that has missed all of it tells the report once more.
+            two.follower.crash_news.add(key, value, two.follower.now())
+            two.follower.notify()
+            await asyncio.sleep(self.KNOWN_S)
+            for host in deployment.hosts:
+                assert key not in host.follower.quarantine.reports
