Append crash reports that wait before a host stops

Those of bystanders wait 250 ms for a likelier cause, all others 5 ms for their append, and stop() ended the appends without them.

Evidence: TestStop without its call of flush(), on the code before: the other host has no report within a second.

Change: once all requests have ended, waiting bystanders are reported at once, and the host waits up to 300 ms for the store to take its reports, then says how many it has not. With the 250 ms for final answers this fits in the 700 ms that are reserved for the exit.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -41,6 +42,10 @@
 # a few milliseconds; with the store well, nothing is sent twice.
 SHARE_DELAY_MS = 50.0
 
+# A host that stops waits this long for the store to take its reports; it leaves room within
+# `host.EXIT_RESERVE_MS`.
+FLUSH_MS = 300.0
+
 # Entries that wait for the store; beyond it the oldest are dropped.
 MAX_WAITING = 512
 
@@ -58,6 +63,9 @@
         self.crashed: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self.waiting: dict[str, bytes] = {}
         self.appending = False
+        # The reports of bystanders that wait for a likelier cause.
+        self.bystanders = 0
+        self.stopping = asyncio.Event()
         self.closed = False
         self.quarantined_parts: set[int] = set()
         self.quarantined_requests: set[int] = set()
@@ -205,7 +213,14 @@
 
     async def report_bystander(self, report: Report, request_id: str) -> None:
         """Reports a bystander of a crash after a delay, if no likelier cause is known by then."""
-        await asyncio.sleep(BYSTANDER_DELAY_MS / 1000)
+        self.bystanders += 1
+        try:
+            # A host that stops does not wait for the delay to pass.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BYSTANDER_DELAY_MS / 1000):
+                    await self.stopping.wait()
+        finally:
+            self.bystanders -= 1
         if not self.quarantine.is_explained(report):
             self.report(report, request_id)
 
@@ -285,6 +300,17 @@
         finally:
             self.appending = False
 
+    async def flush(self) -> None:
+        """Appends what waits, as the process is about to end; gives up after FLUSH_MS."""
+        self.stopping.set()
+        until = self.follower.now() + FLUSH_MS
+        while self.follower.now() < until:
+            await asyncio.sleep(APPEND_DELAY_MS / 1000)
+            if not (self.waiting or self.bystanders):
+                break
+        if self.waiting:
+            logs.event(log, "crash_reports_unsent", logging.WARNING, count=len(self.waiting))
+
     def close(self) -> None:
         """Ends the appends, as the store is about to be closed."""
         self.closed = True
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -367,6 +367,7 @@
             await self.drain(started, grace_ms)
         except Exception:
             logs.failure(log, "stop_failed", inflight=self.entry.inflight)
+        await self.crashes.flush()
         logs.event(log, "stopped", duration_ms=round(self.follower.now() - started))
         self.stopped.set()
 
--- a/tests/forward/test_crashes.py
+++ b/tests/forward/test_crashes.py
@@ -191,3 +191,16 @@
             await asyncio.sleep(self.KNOWN_S)
             for host in deployment.hosts:
                 assert key not in host.follower.quarantine.reports
+
+
+class TestStop:
+    async def test_reports_are_appended_before_the_host_ends(self):
+        """Guards against the loss of reports that wait at a host that stops as planned."""
+        async with Deployment(hosts=2) as deployment:
+            one, two = deployment.hosts
+            report = Report("t1", 1, (7,), False, 5)
+            one.background.spawn(one.crashes.report_bystander(report, "r"))
+            await asyncio.sleep(0)
+            await one.crashes.flush()
+            await one.stop()
+            await until(lambda: two.follower.quarantine.reports, 1.0)
