--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -1,13 +1,14 @@
 """Reports requests that were lost when a target crashed, and keeps their like from targets.
 
 The verdicts come from `quarantine`. Reports and clearances go to a topic of the store, so a host
-that starts or returns learns them with the configuration. While the store does not answer, each
-host judges by its own reports, and appends them when the store is back.
+that starts or returns learns them with the configuration. While the store does not take them, hosts
+tell each other (`crashnews`), and append them when the store is back.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Collection, Sequence
 
@@ -16,7 +17,7 @@
 from savoryfork.forward.connection import CONNECT_TIMEOUT_MS
 from savoryfork.forward.follower import Follower, Topic
 from savoryfork.forward.model import Target
-from savoryfork.forward.quarantine import Report, Verdict
+from savoryfork.forward.quarantine import Report, Verdict, is_stored
 from savoryfork.forward.run import Progress, Run, shared_parts_label
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
@@ -37,6 +38,14 @@
 APPEND_RETRY_MS = 400.0
 MAX_APPENDED = 64
 
+# Entries that the store has not taken within this time are told to the other hosts. An append takes
+# a few milliseconds; with the store well, nothing is sent twice.
+SHARE_DELAY_MS = 50.0
+
+# A host that stops waits this long for the store to take its reports; it leaves room within
+# `host.EXIT_RESERVE_MS`.
+FLUSH_MS = 300.0
+
 # Entries that wait for the store; beyond it the oldest are dropped.
 MAX_WAITING = 512
 
@@ -54,6 +63,9 @@
         self.crashed: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self.waiting: dict[str, bytes] = {}
         self.appending = False
+        # The reports of bystanders that wait for a likelier cause.
+        self.bystanders = 0
+        self.stopping = asyncio.Event()
         self.closed = False
         self.quarantined_parts: set[int] = set()
         self.quarantined_requests: set[int] = set()
@@ -225,13 +237,21 @@
         On a busy engine some sound request has nearly always begun, so a request that crashes its
         targets before that is known only by coming again.
         """
-        await asyncio.sleep(BYSTANDER_DELAY_MS / 1000)
+        self.bystanders += 1
+        try:
+            # A host that stops does not wait for the delay to pass.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(BYSTANDER_DELAY_MS / 1000):
+                    await self.stopping.wait()
+        finally:
+            self.bystanders -= 1
         if self.quarantine.is_explained(report):
             report = report._replace(parts=())
         self.report(report, request_id)
 
     def handle_reports(self) -> None:
         """Logs changes of the verdicts and cancels quarantined requests on engines."""
+        self.forget_stored()
         parts = self.quarantine.quarantined_parts()
         requests = self.quarantine.quarantined_requests()
         for part in parts - self.quarantined_parts:
@@ -263,10 +283,30 @@
             dropped = next(iter(self.waiting))
             del self.waiting[dropped]
             logs.event(log, "crash_report_dropped", logging.WARNING, key=dropped)
+        loop = asyncio.get_running_loop()
+        loop.call_later(SHARE_DELAY_MS / 1000, self.share_waiting, key)
         if not self.appending:
             self.appending = True
             self.background.spawn(self.append_waiting())
 
+    def share_waiting(self, key: str) -> None:
+        """Tells the other hosts an entry if it still waits for the store."""
+        value = self.waiting.get(key)
+        if value and not self.closed:
+            self.follower.share_crash_entries([(key, value)])
+
+    def forget_stored(self) -> None:
+        """Drops waiting entries that another host has appended for this one.
+
+        A report that was appended and deleted since must not come back. Entries that a restored
+        store has lost are in the table and wait all the same.
+        """
+        table = self.follower.tables[Topic.CRASHES]
+        for key, value in list(self.waiting.items()):
+            known = table.entries.get(key)
+            if value and key not in table.kept_keys and is_stored(key, value, known):
+                del self.waiting[key]
+
     async def append_waiting(self) -> None:
         """Appends the waiting entries until none is left."""
         try:
@@ -285,6 +325,17 @@
         finally:
             self.appending = False
 
+    async def flush(self) -> None:
+        """Appends what waits, as the process is about to end; gives up after FLUSH_MS."""
+        self.stopping.set()
+        until = self.follower.now() + FLUSH_MS
+        while self.follower.now() < until:
+            await asyncio.sleep(APPEND_DELAY_MS / 1000)
+            if not (self.waiting or self.bystanders):
+                break
+        if self.waiting:
+            logs.event(log, "crash_reports_unsent", logging.WARNING, count=len(self.waiting))
+
     def close(self) -> None:
         """Ends the appends, as the store is about to be closed."""
         self.closed = True
@@ -292,7 +343,8 @@
     def run_housekeeping(self) -> None:
         """Drops what belongs to departed targets; the reader maintains the topic.
 
-        It deletes reports without effect, and appends again what a restored store has lost.
+        It deletes reports without effect, appends again what a restored store has lost, and appends
+        what other hosts told: they may end, or be cut off from the store, before they can.
         """
         targets = self.follower.registry.targets
         current = {(target.name, target.born) for target in targets.values()}
@@ -304,8 +356,9 @@
             # In this order reports come before the clearances of their parts.
             kept = sorted(self.follower.tables[Topic.CRASHES].kept(), key=lambda e: e.key)
             lost = [(entry.key, entry.value) for entry in reversed(kept)]
+            told = list(self.follower.crash_news.shared)
             obsolete = [(key, b"") for key in self.quarantine.obsolete_keys(now)]
-            for key, value in [*lost, *obsolete][:MAX_APPENDED]:
+            for key, value in [*lost, *told, *obsolete][:MAX_APPENDED]:
                 if key not in self.waiting:
                     self.append(key, value)
 
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -11,7 +11,7 @@
 
 # A port is reserved by binding it at this address. Nothing else listens there, so the reservation
 # does not keep the process that gets the port from binding it at 127.0.0.1.
-RESERVATION_IP = "127.0.0.2"
+RESERVATION_IP = "127.0.0.64"
 
 
 class Ports:
