--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -35,7 +35,9 @@
     """One replica. `run_counts` is by request id; `received` lists the requests and pieces.
 
     It crashes by `on_crash` as it begins to write on a prompt with one of the `crash_parts`, or on
-    a request with one of the `crash_paths`; an answer that is no stream has no head by then.
+    a request with one of the `crash_paths`; an answer that is no stream has no head by then. A
+    stage target crashes on a call that holds a piece with one of the `crash_keys`, and on as many
+    others as `crashing_calls` says; `crashed_batches` are the sizes of those calls.
     It sends nothing for `silence_s` after `silent_after` events of an answer that is not resumed.
     While `pause_s` is set, its streams are silent for that time after `PAUSE_AFTER` events.
     `broken_off` lists the streams whose connection ended during such a pause: the request id, the
@@ -64,6 +66,9 @@
         self.no_room = False
         self.crash_parts: set[str] = set()
         self.crash_paths: set[str] = set()
+        self.crash_keys: set[str] = set()
+        self.crashing_calls = 0
+        self.crashed_batches: list[int] = []
         self.on_crash: Callable[[], Awaitable[None]] = reset_nothing
         self.born = 1
         self.crashes = 0
@@ -169,6 +174,10 @@
         self.batch_sizes.append(len(entries))
         self.received.extend(entries)
         await asyncio.sleep(CALL_S + self.delay_s)
+        if self.crashing_calls or any(entry.get("key") in self.crash_keys for entry in entries):
+            self.crashing_calls = max(0, self.crashing_calls - 1)
+            self.crashed_batches.append(len(entries))
+            await self.crash(web.Response())
         if self.no_room:
             return web.json_response({"entries": [{"reason": "room"} for _ in entries]})
         handles = [f"{self.address}/{next(self.handle_numbers):x}" for _ in entries]
