Quarantine requests whose pieces of stage work crash their targets

Callers saw no_targets for a request each time that it came, and other requests lost the targets that its pieces ended. A piece was repeated on up to MAX_ATTEMPTS targets, together with pieces of other requests, and nothing was reported to the quarantine.

Cause: the retry of a stage call took the end of its target for a fault of the target alone.

The entry host now sends the fingerprint of a request with its stage work. If the target of a call closes the connection and then refuses others, the coordinator reports the requests of the call, at most 32, those lost before first. Their pieces are repeated in calls of their own, one at a time for equal requests, so that a sound request is not lost again with the cause. Pieces of a quarantined request are not sent; its caller gets request_quarantined.

After: at most three targets in the same test, all answers to the request are 503 and all sound ones 200. The precondition of that test, a shared call, depended on the order in which requests arrive; it now waits until all targets are busy. Not reported: requests of hosts that send no fingerprint; their pieces are repeated as before.

--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -10,6 +10,8 @@
 * If inputs are large (16 pieces that each read 480 KB), a request stays in the zone of its inputs
   unless waiting for a target there makes it late.
 * A piece is sent only to a target with enough free space for its result.
+* A request whose pieces may crash their target gets calls of its own, so that a crash tells which
+  request caused it.
 """
 
 from __future__ import annotations
@@ -35,7 +37,8 @@
     `due_at` is when the stage must finish for the whole request to be on time. `late` is True if
     the request is not expected to be on time, `has_results` if a stage of it has finished. Each
     piece reads `input_bytes`, keyed by the zone that produced them. Results of `result_bytes` each
-    are needed in `zone`; None means any zone.
+    are needed in `zone`; None means any zone. The pieces of an `isolated` task share no call with
+    those of others, and are sent in one call at a time.
     """
 
     id: int
@@ -47,6 +50,7 @@
     result_bytes: int
     zone: str | None
     input_bytes: Mapping[str, float]
+    isolated: bool = False
 
 
 class TargetStatus(NamedTuple):
@@ -106,11 +110,17 @@
         self.idle = target.free_at <= now
         self.allocations: list[Allocation] = []
         self.filled = 0
+        self.closed = False
         self.free_result_bytes = target.free_result_bytes
         self.queued = 0.0
 
     def max_pieces(self, task: Task, pieces: int) -> int:
-        """Returns how many of the pieces fit the batch limit and the free result space."""
+        """Returns how many of the pieces fit the batch limit and the free result space.
+
+        Nothing is added to a call with an isolated task, nor such a task to another call.
+        """
+        if self.closed or (task.isolated and self.filled):
+            return 0
         space = min(pieces, self.limits.batch - self.filled)
         if task.result_bytes:
             space = min(space, int(max(0.0, self.free_result_bytes) // task.result_bytes))
@@ -154,6 +164,7 @@
         """Adds pieces to the next call."""
         self.allocations.append(Allocation(task.id, pieces))
         self.filled += pieces
+        self.closed = task.isolated
         self.free_result_bytes -= pieces * task.result_bytes
 
 
@@ -181,6 +192,8 @@
                 break
             best.add(task, count)
             left -= count
+            if task.isolated:
+                break
     return {
         candidate.target.name: candidate.allocations
         for candidate in candidates
--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -57,12 +57,16 @@
 
 
 class TargetError(Exception):
-    """A call without a complete response. `sent` is False if no byte of it was written."""
+    """A call without a complete response. `sent` is False if no byte of it was written.
+
+    `ended_by_peer` is True for a stage call whose connection the target has closed or reset.
+    """
 
     def __init__(self, reason: str, sent: bool) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.ended_by_peer = False
 
 
 class Head(NamedTuple):
--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -108,6 +108,7 @@
             now + request.aim_ms,
             request.zone,
             request.cell,
+            request.fingerprint,
         )
         try:
             self.admit(work, now)
--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward import quarantine as quarantines
@@ -93,8 +93,18 @@
 
     def refusal(self, run: Run, verdict: Verdict) -> ServiceError:
         """Returns the refusal of a request that may crash its target."""
+        return self.refusal_for(run, verdict, run.fingerprint() in self.quarantine.requests)
+
+    def request_refusal(self, run: Run) -> ServiceError:
+        """Returns the refusal of a request that another host has found to be quarantined.
+
+        The reports of the last crash may not have arrived here yet.
+        """
+        return self.refusal_for(run, Verdict.REFUSED, True)
+
+    def refusal_for(self, run: Run, verdict: Verdict, whole: bool) -> ServiceError:
+        """Returns the refusal of a request, for the whole of it or for a part of its prompt."""
         refused = verdict is Verdict.REFUSED
-        whole = run.fingerprint() in self.quarantine.requests
         run.retry_ms = QUARANTINE_RETRY_MS if refused else PROBE_RETRY_MS
         crash = "targets crash on" if refused else "targets may crash on"
         cause = "this request" if whole else "a part of this prompt"
@@ -176,6 +186,40 @@
             or self.quarantine.crash_count(request) > 1
         )
 
+    async def record_stage_loss(
+        self, target: Target, service: str, requests: Mapping[int, str]
+    ) -> bool:
+        """Records the requests whose pieces were in a call that its target ended.
+
+        `requests` maps their fingerprints to their ids. Returns whether the target has crashed.
+        """
+        if not self.follower.registry.is_current(target) or not await self.has_crashed(target):
+            return False
+        lost: dict[str, Report] = {}
+        for request in quarantines.lost_in_call(requests, self.quarantine.lost_requests):
+            report = Report(target.name, target.born, (), False, request)
+            # One report for all pieces of equal requests, whose ids may differ.
+            lost[f"{request:x}"] = report
+            self.metrics.crash_losses.inc({"service": service, "began": "false"})
+            logs.event(
+                log,
+                "lost_in_crash",
+                request=requests[request],
+                target=target.name,
+                service=service,
+                began=False,
+                fingerprint=f"{request:x}",
+            )
+        self.report_all(lost)
+        return True
+
+    def is_quarantined(self, request: int) -> bool:
+        """Returns whether nothing of a request with a fingerprint may reach a target."""
+        quarantine = self.quarantine
+        if request not in quarantine.requests:
+            return False
+        return quarantine.verdict((request,), self.follower.now()) is Verdict.REFUSED
+
     async def has_crashed(self, target: Target) -> bool:
         """Returns whether a target refuses connections, as it does if its process has ended.
 
@@ -194,10 +238,18 @@
 
     def report(self, report: Report, request_id: str) -> None:
         """Counts a report on this host at once and appends it for the others."""
-        key, value = quarantines.report_entry(report, request_id)
-        self.quarantine.add_local(key, report, self.follower.now())
+        self.report_all({request_id: report})
+
+    def report_all(self, reports: Mapping[str, Report]) -> None:
+        """Counts reports on this host at once and appends them for the others.
+
+        They are keyed by a name that is unique for each request in a crash.
+        """
+        entries = [(r, *quarantines.report_entry(r, name)) for name, r in reports.items()]
+        self.quarantine.add_all_local({key: r for r, key, _ in entries}, self.follower.now())
         self.handle_reports()
-        self.append(key, value)
+        for _, key, value in entries:
+            self.append(key, value)
 
     async def report_bystander(self, report: Report, request_id: str) -> None:
         """Reports a bystander of a crash after a delay, if no likelier cause is known by then."""
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -167,6 +167,7 @@
     async def run_stages(self, run: Run) -> None:
         """Runs the stages that precede the request; raises ServiceError if one fails."""
         assert run.route is not None
+        self.crashes.check(run, sending=False)
         work = Work(
             run.id,
             run.route.stages,
@@ -176,10 +177,13 @@
             run.first_event_by if not run.response_started else run.deadline_at,
             run.aim_at - self.selector.expected_first_event_ms(run),
             self.selector.preferred_zone(run),
+            fingerprint=run.fingerprint(),
         )
         try:
             await self.stages.run(work)
         except StageError as error:
+            if error.failure is StageFailure.QUARANTINED:
+                raise self.crashes.request_refusal(run) from error
             kind = {
                 StageFailure.LATE: ErrorKind.DEADLINE_UNREACHABLE,
                 StageFailure.OVERLOADED: ErrorKind.OVERLOADED,
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -160,6 +160,7 @@
         self.health = HealthTracker()
         self.connections = Connections(limits)
         self.signals = TargetSignals(self.follower, self.connections)
+        self.crashes = CrashMonitor(self.follower, self.background)
         self.pools = Pools(
             self.follower.registry,
             self.health,
@@ -171,6 +172,7 @@
             self.background,
             self.metrics,
             self.signals,
+            self.crashes,
         )
         coordinator = Coordinator(self.pools, self.metrics)
         self.stages = Stages(self.follower, coordinator, self.peers, self.background)
@@ -178,7 +180,6 @@
         self.selector = TargetSelector(
             self.follower, self.health, config.availability_zone, config.preferences()
         )
-        self.crashes = CrashMonitor(self.follower, self.background)
         self.forwarder = Forwarder(
             self.gate,
             self.selector,
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -87,7 +87,8 @@
 
     Times are relative to the time of sending; by `aim_ms` the stages must have ended for the
     request to meet its latency objective. `zone` is where the results are needed, `cell` the
-    partition of the targets to use.
+    partition of the targets to use. `fingerprint` names the request in crash reports, 0 if the
+    sender computes none.
     """
 
     request_id: str
@@ -99,6 +100,7 @@
     aim_ms: float
     zone: str | None
     cell: Cell = UNDIVIDED
+    fingerprint: int = 0
 
 
 class StageResult(NamedTuple):
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -47,7 +47,7 @@
             asyncio.get_running_loop().create_future()
         )
 
-    def to_batching_task(self) -> Task:
+    def to_batching_task(self, isolated: bool) -> Task:
         """Returns the task as input for the scheduler."""
         return Task(
             self.number,
@@ -59,8 +59,13 @@
             self.plan.result_bytes,
             self.zone,
             self.input_bytes,
+            isolated,
         )
 
+    def isolation_key(self) -> int | str:
+        """Returns what identifies the request of the task, and others equal to it if known."""
+        return self.work.fingerprint or self.work.request_id
+
     def finish(self, failure: StageFailure | None) -> None:
         """Sets the outcome of the stage, unless it is already set. None means success."""
         if not self.future.done():
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -13,6 +13,7 @@
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.connection import Connections, TargetError
+from savoryfork.forward.crashes import CrashMonitor
 from savoryfork.forward.freeing import ResultFreer
 from savoryfork.forward.health import CERTAIN_FAULT, LIKELY_FAULT, HealthTracker
 from savoryfork.forward.messages import StageResult
@@ -81,6 +82,7 @@
         background: BackgroundTasks,
         metrics: ForwardMetrics,
         signals: TargetSignals,
+        crashes: CrashMonitor,
     ) -> None:
         self.registry = registry
         self.health = health
@@ -92,9 +94,12 @@
         self.budget = budget
         self.pools: dict[tuple[str, Cell], Pool] = {}
         self.task_numbers = itertools.count()
+        # The open call with pieces of each isolated request.
+        self.isolated_calls: dict[int | str, list[tuple[StageTask, int]]] = {}
         self.background = background
         self.metrics = metrics
         self.signals = signals
+        self.crashes = crashes
         self.result_freer = ResultFreer(
             connections, wire, clock, background, self.mark_freed, registry, signals
         )
@@ -178,10 +183,11 @@
         if self.limits(pool.service) is None or self.registry.all_leaving(pool.service):
             self.refuse_waiting(pool)
             return
+        self.refuse_quarantined_work(pool)
         targets = {t.name: t for t in self.usable(pool, now)}
         self.refuse_pushed_back_work(pool, list(targets.values()), now)
         if any(pool.is_idle(target, now) for target in targets.values()):
-            tasks = [task.to_batching_task() for task in pool.tasks.values() if task.waiting]
+            tasks = self.sendable_tasks(pool)
             statuses = [self.target_status(pool, target, now) for target in targets.values()]
             for name, allocations in batching.assign(tasks, statuses, pool.limits, now).items():
                 self.start_call(pool, targets[name], allocations, now)
@@ -196,6 +202,36 @@
             if task.waiting:
                 task.finish(StageFailure.NO_TARGETS)
 
+    def sendable_tasks(self, pool: Pool) -> list[batching.Task]:
+        """Returns the waiting tasks for the scheduler.
+
+        Of equal isolated requests one call is open at a time, over all pools: if each call crashes
+        its target, the crashes come one after the other until the request is quarantined.
+        """
+        tasks = []
+        held: set[int | str] = set(self.isolated_calls)
+        for task in pool.tasks.values():
+            if not task.waiting or task.future.done():
+                continue
+            isolated = self.is_isolated(task.work)
+            if isolated:
+                key = task.isolation_key()
+                if key in held:
+                    continue
+                held.add(key)
+            tasks.append(task.to_batching_task(isolated))
+        return tasks
+
+    def refuse_quarantined_work(self, pool: Pool) -> None:
+        """Fails the tasks of requests on which targets crash."""
+        for task in pool.tasks.values():
+            if task.waiting and self.crashes.is_quarantined(task.work.fingerprint):
+                task.finish(StageFailure.QUARANTINED)
+
+    def is_isolated(self, work: Work) -> bool:
+        """Returns whether a request was lost in a crash, so that its pieces are sent alone."""
+        return work.isolated or work.fingerprint in self.crashes.quarantine.lost_requests
+
     def refuse_pushed_back_work(self, pool: Pool, targets: list[Target], now: float) -> None:
         """Refuses waiting pieces that would be too late after the earliest push-back."""
         push_backs = self.registry.push_backs
@@ -272,6 +308,8 @@
                 task.attempts[number] += 1
                 task.calls[number] += 1
                 batch.append((task, number))
+            if self.is_isolated(task.work):
+                self.isolated_calls[task.isolation_key()] = batch
             reserved_bytes += allocation.pieces * task.plan.result_bytes
         state.calls += 1
         state.reserved_bytes += reserved_bytes
@@ -319,6 +357,8 @@
             state.reserved_bytes -= reserved_bytes
             for task, number in batch:
                 task.calls[number] -= 1
+            if error is None or not error.ended_by_peer:
+                self.end_isolated_call(batch)
         now = self.now()
         duration_ms = now - started
         logs.event(
@@ -341,9 +381,20 @@
             for (task, number), result in zip(batch, results, strict=True):
                 self.handle_result(pool, target, state, task, number, result)
         else:
-            self.handle_call_failure(pool, target, batch, error, now)
+            self.record_call_failure(pool, target, error, now)
+            try:
+                if error.ended_by_peer:
+                    await self.record_crash(pool, target, batch)
+            finally:
+                self.end_isolated_call(batch)
+                self.requeue_call(pool, batch, error)
         self.dispatch(pool)
 
+    def end_isolated_call(self, batch: list[tuple[StageTask, int]]) -> None:
+        """Lets the next call start with pieces of an isolated request."""
+        calls = self.isolated_calls
+        self.isolated_calls = {key: open for key, open in calls.items() if open is not batch}
+
     async def exchange(
         self,
         pool: Pool,
@@ -359,6 +410,8 @@
                 raise TargetError("left", sent=False)
             if self.registry.push_backs.is_blocked(target, self.now()):
                 raise TargetError("pushed back", sent=False)
+            if any(self.crashes.is_quarantined(task.work.fingerprint) for task, _ in batch):
+                raise TargetError("quarantined", sent=False)
             now = self.now()
             pieces = [self.make_piece(task, number, now) for task, number in batch]
             connection.send(*self.wire.pieces_call(target, pieces))
@@ -375,6 +428,9 @@
             if made and not answer.leaving:
                 self.connections.release_connection(connection, self.now(), answer.idle_s)
                 reusable = True
+        except TargetError as error:
+            error.ended_by_peer = connection.ended_by_peer()
+            raise
         finally:
             if not reusable:
                 connection.abort()
@@ -406,6 +462,7 @@
         """Retries on other targets the pieces of a call that exceeds its expected duration."""
         now = self.now()
         pool.state(target).stuck = True
+        self.end_isolated_call(batch)
         self.health.record_failure(
             target, self.registry.usable(pool.service), CERTAIN_FAULT, "stuck", now
         )
@@ -438,25 +495,39 @@
         if number not in task.waiting and number not in task.results:
             task.waiting.appendleft(number)
 
-    def handle_call_failure(
-        self,
-        pool: Pool,
-        target: Target,
-        batch: list[tuple[StageTask, int]],
-        error: TargetError,
-        now: float,
+    def record_call_failure(
+        self, pool: Pool, target: Target, error: TargetError, now: float
     ) -> None:
-        """Records a failed call and queues its pieces again.
-
-        Pieces that the target did not receive, or refused to run, do not use up an attempt.
-        """
-        if error.reason not in ("full", "wrong target", "left", "pushed back"):
+        """Charges a failed call to the health of its target."""
+        if error.reason not in ("full", "wrong target", "left", "pushed back", "quarantined"):
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
             if not error.sent:
                 state = pool.state(target)
                 state.blocked_until = max(state.blocked_until, now + UNREACHED_BACKOFF_MS)
+
+    async def record_crash(
+        self, pool: Pool, target: Target, batch: list[tuple[StageTask, int]]
+    ) -> None:
+        """Reports the requests of a call that ended with a crash of its target.
+
+        Their pieces are repeated apart from each other: a sound request that was lost together
+        with the cause of the crash would be lost with it again.
+        """
+        requests = {task.work.fingerprint: task.work.request_id for task, _ in batch}
+        if await self.crashes.record_stage_loss(target, pool.service, requests):
+            for task, _ in batch:
+                task.work.isolated = True
+
+    def requeue_call(
+        self, pool: Pool, batch: list[tuple[StageTask, int]], error: TargetError
+    ) -> None:
+        """Queues the pieces of a failed call again.
+
+        Pieces that the target did not receive, or refused to run, do not use up an attempt.
+        """
+        now = self.now()
         for task, number in batch:
             if not self.is_open(pool, task):
                 continue
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -19,7 +19,7 @@
 import enum
 import logging
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -73,6 +73,10 @@
 BYSTANDER_RETENTION_MS = 600_000.0
 REPORT_RETENTION_MS = 86_400_000.0
 
+# Requests of one stage call that are reported when its target crashes. The reports of one crash
+# must not displace those of the crashes before, of which MAX_REPORTS are kept.
+MAX_LOST_IN_CALL = 32
+
 REPORT_PREFIX = "report/"
 CLEARANCE_PREFIX = "clear/"
 
@@ -153,6 +157,19 @@
     return REPORT_PREFIX + identity, msgspec.json.encode(report)
 
 
+def lost_in_call(requests: Iterable[int], lost_before: Collection[int]) -> list[int]:
+    """Returns which requests of a stage call to report when its target has crashed.
+
+    Those that were lost before come first; requests without a fingerprint can't be reported.
+
+    >>> lost_in_call([4, 0, 3, 4], {3})
+    [3, 4]
+    """
+    known = {request for request in requests if request}
+    ordered = sorted(known, key=lambda request: (request not in lost_before, request))
+    return ordered[:MAX_LOST_IN_CALL]
+
+
 def clearance_entry(clearance: Clearance) -> tuple[str, bytes]:
     """Returns the key and the value of a clearance."""
     return f"{CLEARANCE_PREFIX}{clearance.cause:x}", msgspec.json.encode(clearance)
@@ -232,7 +249,8 @@
     """The reports and clearances that a host knows, its own observations, and the verdicts.
 
     `cooldown_share`, from 0 to 1, is what this host adds to cooldowns. `requests` are the
-    fingerprints of whole requests that are quarantined or suspected.
+    fingerprints of whole requests that are quarantined or suspected, `lost_requests` those of all
+    that were lost in a crash and not cleared of it.
 
     >>> quarantine = Quarantine()
     >>> for engine in ("e1", "e2"):
@@ -249,6 +267,7 @@
         self.cleared: dict[int, frozenset[int]] = {}
         self.clearance_keys: dict[str, int] = {}
         self.requests: frozenset[int] = frozenset()
+        self.lost_requests: frozenset[int] = frozenset()
         self.answered_at: OrderedDict[int, float] = OrderedDict()
         self.answered_before: dict[CrashId, frozenset[int]] = {}
         self.groups: list[QuarantinedGroup] = []
@@ -288,8 +307,14 @@
 
     def add_local(self, key: str, report: Report, now: float) -> None:
         """Adds a report of this host, which counts before it has been read back."""
-        if key not in self.reports:
+        self.add_all_local({key: report}, now)
+
+    def add_all_local(self, reports: Mapping[str, Report], now: float) -> None:
+        """Adds reports of this host; those that are known already stay."""
+        new = {key: report for key, report in reports.items() if key not in self.reports}
+        for key, report in new.items():
             self.put(key, report, False, now)
+        if new:
             self.review()
 
     def put(self, key: str, report: Report, was_read: bool, now: float) -> None:
@@ -368,6 +393,9 @@
         self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in groups]
         watched = self.quarantined() | self.suspects
         self.requests = frozenset(r.request for r in reports if r.request in watched)
+        self.lost_requests = frozenset(
+            r.request for r in reports if r.request and not self.is_cleared(r, r.request)
+        )
         reported = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
         self.reported = reported | self.requests
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -80,6 +80,7 @@
                 work.aim_at - now,
                 work.zone,
                 cell,
+                work.fingerprint,
             )
             if coordinator_address == self.follower.members.local.address:
                 reply = await self.coordinator.handle(request)
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -19,6 +19,7 @@
     INPUT_GONE = "input_gone"
     NO_TARGETS = "no_targets"
     FAILED = "failed"
+    QUARANTINED = "quarantined"
 
 
 class StageError(Exception):
@@ -38,6 +39,8 @@
     results are needed. `coordinator_address` is the host that had the results produced. `late` is
     True if the request is not expected to be on time, `started` once a call was made for it. `cell`
     selects the targets that may be used. `freed` are the stages whose results have been freed.
+    `fingerprint` is the hash by which the request is quarantined, 0 if its host sends none.
+    `isolated` is True once a target has crashed in a call with its pieces.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         aim_at: float,
         zone: str | None,
         cell: Cell = UNDIVIDED,
+        fingerprint: int = 0,
     ) -> None:
         self.request_id = request_id
         self.plans = tuple(plans)
@@ -67,6 +71,8 @@
         self.aim_at = aim_at
         self.zone = zone
         self.cell = cell
+        self.fingerprint = fingerprint
+        self.isolated = False
         self.coordinator_address = ""
         self.late = False
         self.started = False
--- a/tests/forward/test_batching.py
+++ b/tests/forward/test_batching.py
@@ -105,3 +105,25 @@
             "t"
         ]
         assert allocations[0].pieces == 4
+
+
+class TestIsolation:
+    """Guards against a sound request that is lost in each crash together with its cause."""
+
+    def test_isolated_pieces_share_no_call(self):
+        tasks = [task(1), task(2, isolated=True), task(3)]
+        calls = batching.assign(tasks, [status("t"), status("u")], CARRI, 0.0)
+        assert sorted(sent(calls).values()) == [[1, 3], [2]]
+
+    def test_isolated_pieces_wait_for_a_call_of_their_own(self):
+        tasks = [task(1), task(2, isolated=True), task(3)]
+        assert sent(batching.assign(tasks, [status("t")], CARRI, 0.0)) == {"t": [1, 3]}
+
+    def test_isolated_pieces_of_equal_urgency_are_not_joined(self):
+        tasks = [task(1, isolated=True), task(2, isolated=True)]
+        assert sent(batching.assign(tasks, [status("t")], CARRI, 0.0)) == {"t": [1]}
+
+    def test_isolated_pieces_are_sent_in_one_call_at_a_time(self):
+        tasks = [task(1, isolated=True, pieces=40)]
+        calls = batching.assign(tasks, [status("t"), status("u")], CARRI, 0.0)
+        assert [allocation.pieces for call in calls.values() for allocation in call] == [18]
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -302,6 +302,40 @@
         assert host.quarantined_parts() == {CRASHING}
 
 
+class TestStageCalls:
+    """A call may hold pieces of several requests, all of them lost at once and none begun."""
+
+    def lose(self, topic: Topic, *requests: int) -> None:
+        topic.crash(*[((), False)] * len(requests), requests=requests)
+
+    def test_request_repeated_apart_from_the_others_is_quarantined_alone(self):
+        """Guards against refusing sound requests that were lost in the first crash of a bad one."""
+        topic = Topic()
+        (host,) = topic.hosts
+        self.lose(topic, AGAIN, OTHER_AGAIN, 1003, 1004)
+        assert host.lost_requests == {AGAIN, OTHER_AGAIN, 1003, 1004}
+        self.lose(topic, AGAIN)
+        assert host.verdict((AGAIN,), 0.0) is Verdict.PROBE
+        self.lose(topic, AGAIN)
+        assert host.quarantined_requests() == {AGAIN}
+        for sound in (OTHER_AGAIN, 1003, 1004):
+            assert host.verdict((sound,), 0.0) is Verdict.ALLOWED
+
+    def test_requests_lost_once_each_are_not_suspected(self):
+        """Guards against refusals because targets crash by themselves."""
+        topic = Topic()
+        (host,) = topic.hosts
+        for first in range(2000, 2100, 10):
+            self.lose(topic, *range(first, first + 10))
+        assert not host.quarantined() and not host.suspects
+
+    def test_reports_of_one_call_are_bounded(self):
+        """Guards against one large call that displaces the reports of earlier crashes."""
+        found = quarantines.lost_in_call(range(1, 10_000), {9_000, 5})
+        assert found[:2] == [5, 9_000]
+        assert len(found) == quarantines.MAX_LOST_IN_CALL < MAX_REPORTS / 4
+
+
 class TestReplay:
     def replay(self, seed: int, crashing: set[int], self_crashes: float) -> tuple[Topic, int]:
         """Replays 400 requests over nine hosts; returns the topic and the requests refused wrongly.
--- a/tests/forward/test_stage_crashes.py
+++ b/tests/forward/test_stage_crashes.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 
+from savoryfork.forward.messages import WorkRequest
+from savoryfork.forward.model import StagePlan
+from savoryfork.forward.pools import MAX_ATTEMPTS
 from standins.replicas import Replica
-from tests.forward.deployment import Deployment
+from tests.forward.deployment import Deployment, until
 
 # Crashes after which no host in touch sends anything of a request.
 CRASHES_BEFORE_BOUND = 3
@@ -22,6 +26,12 @@
 
 ROUNDS = 10
 
+# Long enough for the later requests of a round to arrive while all targets are busy.
+CALL_DELAY_S = 0.1
+
+# The stages of the route of `Deployment`.
+PLANS = (StagePlan("cave", (), 8_000), StagePlan("carri", (0,), 60_000))
+
 
 def stage_targets(deployment: Deployment) -> list[Replica]:
     """Returns the targets of the first stage."""
@@ -53,13 +63,19 @@
             targets = stage_targets(deployment)
             for replica in targets:
                 replica.crash_keys.add("bad")
+                replica.delay_s = CALL_DELAY_S
             hosts = itertools.cycle(range(3))
             crashing: list[int] = []
             sound: list[int] = []
             for number in range(ROUNDS):
                 names = [f"sound-{number}-{n}" for n in range(SOUND_PER_ROUND)]
                 names.insert(SOUND_PER_ROUND // 2, "bad")
-                calls = [send(deployment, next(hosts), name) for name in names]
+                calls = []
+                for name in names:
+                    if name == "bad":
+                        # The targets are busy, so it waits and shares a call with the next ones.
+                        await until(lambda: sum(len(r.batch_sizes) for r in targets) >= 5)
+                    calls.append(asyncio.create_task(send(deployment, next(hosts), name)))
                 statuses = dict(zip(names, await asyncio.gather(*calls), strict=True))
                 crashing.append(statuses.pop("bad"))
                 sound += statuses.values()
@@ -82,6 +98,65 @@
             assert float(answer_headers["Retry-After"]) >= 1.0
             assert arrivals(deployment, "bad") == CRASHES_BEFORE_BOUND
 
+    async def test_equal_requests_crash_targets_one_after_the_other(self):
+        """Guards against equal requests that end one target each before the third crash."""
+        async with Deployment(hosts=3, replicas=5) as deployment:
+            targets = stage_targets(deployment)
+            for replica in targets:
+                replica.crash_keys.add("bad")
+            first = asyncio.create_task(send(deployment, 0, "bad"))
+            await until(
+                lambda: any(host.crashes.quarantine.lost_requests for host in deployment.hosts)
+            )
+            others = [send(deployment, number % 3, "bad") for number in range(9)]
+            statuses = await asyncio.gather(first, *others)
+            assert statuses == [503] * 10
+            assert sum(replica.crashes for replica in targets) == CRASHES_BEFORE_BOUND
+
+    async def test_pieces_of_hosts_that_send_no_fingerprint_are_repeated_as_before(self):
+        """Guards against an unknown request that is taken for the cause, or never ends."""
+        async with Deployment(hosts=1, replicas=5) as deployment:
+            (host,) = deployment.hosts
+            targets = stage_targets(deployment)
+            for replica in targets:
+                replica.crash_keys.add("bad")
+            request = WorkRequest("r", PLANS, (1, 2), "bad", 1, 2_000.0, 1_000.0, None)
+            reply = await host.stages.coordinator.handle(request)
+            assert reply.failure == "failed" and not host.crashes.quarantine.reports
+            assert sum(replica.crashes for replica in targets) == MAX_ATTEMPTS
+            sound = request._replace(request_id="s", key="sound")
+            assert (await host.stages.coordinator.handle(sound)).failure is None
+
+
+class TestReports:
+    async def test_target_that_only_breaks_a_call_off_accuses_nobody(self):
+        """Guards against refusing requests because connections are cut."""
+        async with Deployment(hosts=1, replicas=3) as deployment:
+            (host,) = deployment.hosts
+            targets = stage_targets(deployment)
+            for replica in targets:
+                replica.on_crash = reset_connection_of(replica, deployment)
+            for _ in range(4):
+                for replica in targets:
+                    replica.crashing_calls = 1
+                assert await send(deployment, 0, "sound") == 200
+            assert sum(replica.crashes for replica in targets) >= 4
+            assert not host.crashes.quarantine.reports
+
+
+def reset_connection_of(replica: Replica, deployment: Deployment) -> Callable[[], Awaitable[None]]:
+    """Returns a fault that resets the connections of a replica, which goes on listening."""
+
+    async def reset() -> None:
+        for runner in deployment.runners:
+            if replica.address in [f"{ip}:{port}" for ip, port in runner.addresses]:
+                assert runner.server is not None
+                for connection in runner.server.connections:
+                    if connection.transport is not None:
+                        connection.transport.abort()
+
+    return reset
+
 
 class TestTargetsThatCrashByThemselves:
     async def test_requests_are_served_elsewhere_and_not_refused_later(self):
