--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -19,7 +19,7 @@
 import enum
 import logging
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -74,6 +74,10 @@
 BYSTANDER_RETENTION_MS = 600_000.0
 REPORT_RETENTION_MS = 86_400_000.0
 
+# Requests of one stage call that are reported when its target crashes. The reports of one crash
+# must not displace those of the crashes before, of which MAX_REPORTS are kept.
+MAX_LOST_IN_CALL = 32
+
 REPORT_PREFIX = "report/"
 CLEARANCE_PREFIX = "clear/"
 
@@ -166,6 +170,19 @@
     return known.value == value or key.startswith(REPORT_PREFIX)
 
 
+def lost_in_call(requests: Iterable[int], lost_before: Collection[int]) -> list[int]:
+    """Returns which requests of a stage call to report when its target has crashed.
+
+    Those that were lost before come first; requests without a fingerprint can't be reported.
+
+    >>> lost_in_call([4, 0, 3, 4], {3})
+    [3, 4]
+    """
+    known = {request for request in requests if request}
+    ordered = sorted(known, key=lambda request: (request not in lost_before, request))
+    return ordered[:MAX_LOST_IN_CALL]
+
+
 def clearance_entry(clearance: Clearance) -> tuple[str, bytes]:
     """Returns the key and the value of a clearance."""
     return f"{CLEARANCE_PREFIX}{clearance.cause:x}", msgspec.json.encode(clearance)
@@ -341,8 +358,14 @@
 
     def add_local(self, key: str, report: Report, now: float) -> None:
         """Adds a report of this host, which counts before it has been read back."""
-        if key not in self.reports:
+        self.add_all_local({key: report}, now)
+
+    def add_all_local(self, reports: Mapping[str, Report], now: float) -> None:
+        """Adds reports of this host; those that are known already stay."""
+        new = {key: report for key, report in reports.items() if key not in self.reports}
+        for key, report in new.items():
             self.put(key, report, False, now)
+        if new:
             self.review()
 
     def put(self, key: str, report: Report, was_read: bool, now: float) -> None:
