--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -57,8 +57,9 @@
 FIRST_COOLDOWN_MS = 60_000.0
 COOLDOWN_MS = 1_800_000.0
 
-# Number of crashes below which the first cooldown applies.
-CERTAIN_CRASHES = 3
+# Score below which the first cooldown applies. With the score that just suffices, a sound request
+# may have been on a few targets that crashed by themselves at once.
+CERTAIN_SCORE = 2.5
 
 # Events after which an answer proves the parts of its prompt sound; an engine may send the first
 # one before it crashes.
@@ -439,12 +440,17 @@
             causes = {cause for report in reports for cause in report.causes()}
             crashes = {crash_id(report) for report in reports}
             self.cleared = {c: ids & crashes for c, ids in self.cleared.items() if c in causes}
-        requests = judge(self.request_weights())
-        parts = judge(self.part_weights(requests.groups))
+        request_weights = self.request_weights()
+        requests = judge(request_weights)
+        part_weights = self.part_weights(requests.groups)
+        parts = judge(part_weights)
         totals = scores(requests.unexplained) | scores(parts.unexplained)
         self.suspects = {cause for cause, total in totals.items() if total >= SUSPECT_SCORE}
-        groups = [*requests.groups, *parts.groups]
-        self.groups = [QuarantinedGroup(g, self.refused_until(g)) for g in groups]
+        totals = scores(request_weights) | scores(part_weights)
+        self.groups = [
+            QuarantinedGroup(group, self.refused_until(group, max(totals[c] for c in group)))
+            for group in (*requests.groups, *parts.groups)
+        ]
         watched = self.quarantined() | self.suspects
         self.requests = frozenset(r.request for r in reports if r.request in watched)
         reported = {r.request for r in reports if not self.is_cleared(r, r.request)} - {0}
@@ -454,12 +460,10 @@
         live = {(s.report.target, s.report.born) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
 
-    def refused_until(self, causes: frozenset[int]) -> float:
-        """Returns the end of the cooldown of quarantined causes."""
+    def refused_until(self, causes: frozenset[int], score: float) -> float:
+        """Returns the end of the cooldown of quarantined causes with a score."""
         stored = [s for s in self.reports.values() if causes.intersection(s.report.causes())]
-        crashes = {(s.report.target, s.report.born) for s in stored}
-        certain = len(crashes) >= CERTAIN_CRASHES
-        cooldown_ms = COOLDOWN_MS if certain else FIRST_COOLDOWN_MS
+        cooldown_ms = COOLDOWN_MS if score >= CERTAIN_SCORE else FIRST_COOLDOWN_MS
         return max(s.learned_at for s in stored) + cooldown_ms * (1 + self.cooldown_share)
 
     # Answers.
