Bound the wait for the followers of a stopping host

Followers are cancelled until they have ended, since a call may swallow the cancellation. One that never ends would have kept the process until it is killed; after 2 s the stop goes on and logs it.

--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -68,8 +68,9 @@
 UNREACHABLE_CHECK_PERIOD_MS = 100.0
 LISTEN_BACKLOG = 1_024
 
-# Interval at which followers that survived their cancellation are cancelled again.
+# Interval at which followers that survived their cancellation are cancelled again, and how often.
 CANCEL_RETRY_S = 0.1
+MAX_CANCELS = 20
 
 
 class ForwardHost(aiomisc.Service):
@@ -423,10 +424,14 @@
         # which a follower survives. So the followers end before the connections are closed, and are
         # cancelled again if another host closed theirs.
         pending = set(self.followers)
-        while pending:
+        for _ in range(MAX_CANCELS):
+            if not pending:
+                break
             for task in pending:
                 task.cancel()
             _, pending = await asyncio.wait(pending, timeout=CANCEL_RETRY_S)
+        if pending:
+            logs.event(log, "followers_not_ended", logging.WARNING, count=len(pending))
         self.crashes.close()
         self.connections.close()
         self.peers.close()
