Leave pauses of the host out of connect timeouts

A target that was sound got nothing, and its request ended with 503 no_targets.

One of the logs shows "plain-1:connect: TimeoutError" after 391 ms. A timer that falls due during a pause fires before the loop reads what has arrived, so a connection that the kernel had made long ago counted as a failure of its target, with the weight that ejects it. A host that was frozen thus ejects sound targets, and takes a refused connection of a crashed one for no answer (crash_unconfirmed).

Change: running_timeout counts a pause as one step of 50 ms. Connections to targets and the check whether a target refuses connections use it.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -21,6 +21,7 @@
 from savoryfork.forward.limits import DEFAULT_LIMITS, MIN_CHUNK_BYTES, ReadLimits
 from savoryfork.forward.model import Headers
 from savoryfork.forward.turns import wait_for_turn
+from savoryfork.util.timeouts import running_timeout
 
 # Bytes that are handed to the parser at a time. It keeps what it has not parsed, so received data
 # of hundreds of kilobytes must not be handed over at once.
@@ -310,7 +311,7 @@
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+            async with running_timeout(CONNECT_TIMEOUT_MS / 1000):
                 _, connection = await loop.create_connection(
                     lambda: Connection(address, self.limits), ip, int(port)
                 )
--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -21,6 +21,7 @@
 from savoryfork.forward.run import Progress, Run, shared_parts_label
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
+from savoryfork.util.timeouts import running_timeout
 from savoryfork.util.topic import LogUnavailable
 
 log = logging.getLogger(__name__)
@@ -421,7 +422,7 @@
     loop = asyncio.get_running_loop()
     factory: Callable[[], asyncio.Protocol] = asyncio.Protocol
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+        async with running_timeout(CONNECT_TIMEOUT_MS / 1000):
             transport, _ = await loop.create_connection(factory, ip, int(port))
     except ConnectionRefusedError:
         return True
