Bound the bodies that the product's own interface reads

The forwarding hosts bound all that they read; the hosts that run pipelines did not bound the answers of targets, the text of a stream, the host list and the reports of load and state. A target or the platform that sends without end filled the memory of a host until the time-out or the deadline.

read_body gives a body up at its limit, closes the connection and writes one log line. BodyTooLarge is a ClientError, so callers treat it like any broken answer: "may have run" stays true, and a target is charged. Bodies of callers were bounded before (client_max_size).

The new tests fail without the limits: nothing is given up early, and a third token beyond the limit is accepted. Not bounded yet: a page of the log (util/topic.py), whose 500 records may be 8 MiB each, and what the command line reads from the operator's own host.

--- a/savoryfork/calls.py
+++ b/savoryfork/calls.py
@@ -23,6 +23,7 @@
     RetrieveStage,
     Stage,
 )
+from savoryfork.util.bodies import read_body
 from savoryfork.util.timer import Clock
 
 log = logging.getLogger(__name__)
@@ -97,10 +98,14 @@
     def __init__(self, on_token: Callable[[int, str], None]) -> None:
         self.on_token = on_token
         self.tokens: list[str] = []
+        self.text_bytes = 0
         self.delivering_attempt: str | None = None
 
     def accept(self, attempt: str, index: int, text: str) -> None:
-        """Appends one token; ignores a repeated one, and raises CallError on a gap."""
+        """Appends one token; ignores a repeated one.
+
+        Raises CallError on a gap, and if the text grows beyond MAX_ANSWER_BYTES.
+        """
         if self.delivering_attempt is None:
             self.delivering_attempt = attempt
         if self.delivering_attempt != attempt:
@@ -113,6 +118,9 @@
                 CallResult.FAILED,
                 sent=True,
             )
+        self.text_bytes += len(text.encode())
+        if self.text_bytes > defaults.MAX_ANSWER_BYTES:
+            raise CallError("stream is too long", CallResult.FAILED, sent=True)
         self.tokens.append(text)
         self.on_token(index, text)
 
@@ -314,7 +322,8 @@
                 if attempt.stream is not None:
                     text = await self.read_stream(response, attempt, attempt.stream)
                     return next_input(stage, stage_input, text)
-                return next_input(stage, stage_input, msgspec.json.decode(await response.read()))
+                answer = await read_body(response, defaults.MAX_ANSWER_BYTES)
+                return next_input(stage, stage_input, msgspec.json.decode(answer))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             result = CallResult.FAILED if progress.sent else CallResult.CONNECT_FAILED
             raise CallError(type(error).__name__, result, sent=progress.sent) from error
@@ -333,7 +342,8 @@
         if response.headers.get("X-Target-State") == "draining" and response.status == 503:
             raise CallError("draining", CallResult.CANCELLED, sent=False, draining=True)
         if response.status == 422 and attempt.key is not None:
-            raise ActionRejected(msgspec.json.decode(await response.read()))
+            body = await read_body(response, defaults.MAX_ANSWER_BYTES)
+            raise ActionRejected(msgspec.json.decode(body))
         if response.status != 200:
             raise CallError(f"status {response.status}", CallResult.FAILED, sent=True)
 
--- a/savoryfork/defaults.py
+++ b/savoryfork/defaults.py
@@ -5,6 +5,12 @@
 MAX_JSON_DEPTH = 16
 BODY_TIMEOUT_MS = 5_000
 
+# Bodies that a host reads from others: the answer of a target or the text of a stream, the list of
+# hosts and targets (some 200 bytes for each of 2,000), and the load or state of one target.
+MAX_ANSWER_BYTES = 4_194_304
+MAX_HOST_LIST_BYTES = 4_194_304
+MAX_REPORT_BYTES = 65_536
+
 # On stopping, how long the load balancer may keep sending after /readyz answers 503.
 BALANCER_DELAY_MS = 1_000
 
--- a/savoryfork/discovery.py
+++ b/savoryfork/discovery.py
@@ -14,6 +14,7 @@
 from savoryfork.board import Board, TargetView
 from savoryfork.membership import HostEntry, LoadReport, Membership
 from savoryfork.util import logs, rendezvous
+from savoryfork.util.bodies import read_body
 from savoryfork.util.timer import Clock
 
 log = logging.getLogger(__name__)
@@ -62,7 +63,7 @@
             async with self.session.get(self.url, headers=headers) as response:
                 response.raise_for_status()
                 changed = response.status != HTTPStatus.NOT_MODIFIED
-                body = await response.read()
+                body = await read_body(response, defaults.MAX_HOST_LIST_BYTES)
                 etag = response.headers.get("ETag", "")
             if changed:
                 self.entries = [HostEntry(**row) for row in msgspec.json.decode(body)["hosts"]]
@@ -114,7 +115,8 @@
                 incarnation = response.headers.get("X-Incarnation", target.incarnation)
                 if response.headers.get("X-Target-State") == "draining":
                     self.membership.mark_leaving(target.name, incarnation, "load_poll")
-                body = msgspec.json.decode(await response.read())
+                data = await read_body(response, defaults.MAX_REPORT_BYTES)
+            body = msgspec.json.decode(data)
             report = LoadReport(body["running"], body["waiting"], body["tokens"])
         except (aiohttp.ClientError, OSError, TimeoutError):
             return
--- a/savoryfork/orders.py
+++ b/savoryfork/orders.py
@@ -35,6 +35,7 @@
 from savoryfork.metrics import Metrics
 from savoryfork.pipeline import Service
 from savoryfork.util import logs, rendezvous
+from savoryfork.util.bodies import read_body
 from savoryfork.util.timer import TimerService
 from savoryfork.util.topic import (
     LogClient,
@@ -196,7 +197,8 @@
         try:
             async with self.session.get(f"http://{target.address}/state") as response:
                 response.raise_for_status()
-                state = msgspec.json.decode(await response.read(), type=EngineState)
+                data = await read_body(response, defaults.MAX_REPORT_BYTES)
+                state = msgspec.json.decode(data, type=EngineState)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             orders.unreachable.add(target.name)
             return
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from savoryfork import defaults
 from savoryfork.board import Board, TargetView
 from savoryfork.calls import (
     Attempt,
@@ -25,6 +26,7 @@
 from savoryfork.membership import Membership
 from savoryfork.pipeline import ActionStage, RerankStage, RetrieveStage
 from savoryfork.util.timer import system_clock
+from tests.forward.endless import PIECE, EndlessServer
 
 TOKENS = [f"t{index} " for index in range(12)]
 
@@ -65,6 +67,16 @@
         with pytest.raises(CallError):
             stream.accept("a", 2, "z")
 
+    def test_text_without_end_is_a_failure(self) -> None:
+        """Guards against a target that fills the memory of a host with tokens."""
+        stream = TokenStream(lambda index, text: None)
+        token = "x" * (defaults.MAX_ANSWER_BYTES // 2)
+        stream.accept("a", 0, token)
+        stream.accept("a", 1, token)
+        with pytest.raises(CallError):
+            stream.accept("a", 2, "x")
+        assert len(stream.tokens) == 2
+
 
 class TestOutput:
     STAGE_INPUT = StageInput("text", {})
@@ -99,6 +111,11 @@
             await client.close()
 
 
+async def unused(request: web.Request) -> web.Response:
+    """Answers nothing; the test has a server of its own."""
+    raise web.HTTPInternalServerError
+
+
 async def attempt_action(
     client: TargetClient, view: TargetView, before_send: Callable[[], None] = lambda: None
 ) -> CallError:
@@ -113,6 +130,16 @@
 
 
 class TestActionAttempt:
+    @pytest.mark.parametrize("status", [200, 422])
+    async def test_answer_without_end_is_a_failure(self, status: int) -> None:
+        """Guards against a body that grows in memory until the deadline."""
+        head = f"HTTP/1.1 {status} S\r\nX-Attempt-Id: mine\r\n\r\n".encode()
+        server = EndlessServer(head, PIECE)
+        async with server as address, target(unused) as (client, view):
+            error = await attempt_action(client, view._replace(address=address))
+        assert error.sent and str(error) == "BodyTooLarge"
+        assert server.sent_bytes < 8 * defaults.MAX_ANSWER_BYTES
+
     async def test_nothing_is_sent_after_a_veto(self) -> None:
         """Guards against an action that is sent although `before_send` raised."""
         calls = []
