Name the start of an incarnation for what it holds

The field is now start_unix_ms; the wire's name stays in savoryfork/platform/, which decodes it, and in the stand-ins, which write it. Messages between hosts and reports encode these types by position, so nothing changes there.

--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -195,7 +195,7 @@
         # Parts on which the target has just sent events, or that were answered lately and nothing
         # had begun, are not the cause; the whole request may be.
         parts = () if attempt.answered or (proven and not began) else run.parts
-        report = Report(target.name, target.born, parts, began, request, attempt.answered)
+        report = Report(target.name, target.start_unix_ms, parts, began, request, attempt.answered)
         self.metrics.crash_losses.inc({"service": run.service, "began": str(began).lower()})
         logs.event(
             log,
@@ -230,7 +230,7 @@
             return False
         lost: dict[str, Report] = {}
         for request in quarantines.lost_in_call(requests, self.quarantine.reported_requests):
-            report = Report(target.name, target.born, (), False, request)
+            report = Report(target.name, target.start_unix_ms, (), False, request)
             # One report for all pieces of equal requests, whose ids may differ.
             lost[f"{request:x}"] = report
             self.metrics.crash_losses.inc({"service": service, "began": "false"})
@@ -258,7 +258,7 @@
 
         A connection that was merely broken off, or that can't be established, says nothing.
         """
-        key = (target.name, target.born)
+        key = (target.name, target.start_unix_ms)
         if key not in self.crashed:
             self.crashed[key] = asyncio.create_task(refuses_connections(target.address))
         task = self.crashed[key]
@@ -400,7 +400,7 @@
         what other hosts told: they may end, or be cut off from the store, before they can.
         """
         targets = self.follower.registry.targets
-        current = {(target.name, target.born) for target in targets.values()}
+        current = {(target.name, target.start_unix_ms) for target in targets.values()}
         self.crashed = {
             key: task for key, task in self.crashed.items() if key in current or not task.done()
         }
--- a/savoryfork/forward/departures.py
+++ b/savoryfork/forward/departures.py
@@ -42,7 +42,7 @@
     """Identifies one start of a target."""
 
     name: str
-    born: int
+    start_unix_ms: int
     address: str
 
 
@@ -64,7 +64,7 @@
     """A departure as hosts report it to each other; `age_ms` counts from the target's answer."""
 
     name: str
-    born: int
+    start_unix_ms: int
     address: str
     age_ms: float
 
@@ -82,7 +82,7 @@
 
 def incarnation_of(target: Target) -> Incarnation:
     """Returns the key of a target's incarnation."""
-    return Incarnation(target.name, target.born, target.address)
+    return Incarnation(target.name, target.start_unix_ms, target.address)
 
 
 class Departures:
@@ -94,7 +94,7 @@
     True
     >>> departures.add(incarnation_of(target), Source.STORE, 5.0)
     False
-    >>> departures.is_leaving(target), departures.is_leaving(target._replace(born=2))
+    >>> departures.is_leaving(target), departures.is_leaving(target._replace(start_unix_ms=2))
     (True, False)
     """
 
@@ -201,9 +201,9 @@
         """Records the marks that a host reported and returns those that are new here."""
         return [
             incarnation
-            for name, born, target_address, age_ms in news.marks[:MAX_MARKS_SENT]
+            for name, start_unix_ms, target_address, age_ms in news.marks[:MAX_MARKS_SENT]
             if self.departures.add(
-                incarnation := Incarnation(name, born, target_address),
+                incarnation := Incarnation(name, start_unix_ms, target_address),
                 Source.PEER,
                 now - max(0.0, age_ms),
                 address,
--- a/savoryfork/forward/health.py
+++ b/savoryfork/forward/health.py
@@ -27,7 +27,7 @@
 
     def key(self, target: Target) -> tuple[str, int, str]:
         """Returns the key that identifies a target's incarnation."""
-        return target.name, target.born, target.address
+        return target.name, target.start_unix_ms, target.address
 
     def get(self, target: Target) -> Health:
         """Returns the health of a target; a target without faults has the default."""
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -95,13 +95,13 @@
 
 
 class Target(NamedTuple):
-    """One incarnation of a target; `born` distinguishes incarnations of the same name."""
+    """One incarnation of a target; `start_unix_ms` distinguishes incarnations of the same name."""
 
     name: str
     service: str
     address: str
     zone: str
-    born: int
+    start_unix_ms: int
     slots: int
     leaving: bool
 
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -128,7 +128,7 @@
 
     def state(self, target: Target) -> TargetState:
         """Returns the state of a target's incarnation."""
-        return self.targets.setdefault((target.address, target.born), TargetState())
+        return self.targets.setdefault((target.address, target.start_unix_ms), TargetState())
 
     def is_idle(self, target: Target, now: float) -> bool:
         """Whether a target can get a call now."""
@@ -152,7 +152,7 @@
 
     def remove_departed_targets(self, known: Sequence[Target]) -> None:
         """Drops the state of unregistered incarnations that have no call in progress."""
-        current = {(target.address, target.born) for target in known}
+        current = {(target.address, target.start_unix_ms) for target in known}
         self.targets = {
             key: state for key, state in self.targets.items() if key in current or state.calls
         }
--- a/savoryfork/forward/quarantine.py
+++ b/savoryfork/forward/quarantine.py
@@ -109,7 +109,7 @@
     """
 
     target: str
-    born: int
+    start_unix_ms: int
     parts: tuple[int, ...]
     began: bool
     request: int = 0
@@ -152,12 +152,14 @@
 
 def crash_id(report: Report) -> int:
     """Returns the 63-bit hash of the crash that a report is about."""
-    return xxhash.xxh3_64_intdigest(f"{report.target} {report.born}".encode()) >> 1
+    return xxhash.xxh3_64_intdigest(f"{report.target} {report.start_unix_ms}".encode()) >> 1
 
 
 def report_entry(report: Report, request_id: str) -> tuple[str, bytes]:
     """Returns the key and the value of a report; a second append of it replaces the first."""
-    identity = xxhash.xxh3_64_hexdigest(f"{report.target} {report.born} {request_id}".encode())
+    identity = xxhash.xxh3_64_hexdigest(
+        f"{report.target} {report.start_unix_ms} {request_id}".encode()
+    )
     return REPORT_PREFIX + identity, msgspec.json.encode(report)
 
 
@@ -259,7 +261,7 @@
 
 def add_weight(crashes: Crashes, report: Report, cause: int, weight: float) -> None:
     """Adds the weight of a cause to the crash of a report; the highest of a crash counts."""
-    weights = crashes.setdefault((report.target, report.born), {})
+    weights = crashes.setdefault((report.target, report.start_unix_ms), {})
     weights[cause] = max(weights.get(cause, 0.0), weight)
 
 
@@ -375,7 +377,7 @@
         learned_at = known.learned_at if known is not None else now
         self.reports[key] = StoredReport(was_read, learned_at, report)
         answered = {c for c in report.causes() if self.answered_recently(c, learned_at)}
-        crash = (report.target, report.born)
+        crash = (report.target, report.start_unix_ms)
         self.answered_before[crash] = self.answered_before.get(crash, frozenset()) | answered
 
     def is_cleared(self, report: Report, cause: int) -> bool:
@@ -385,7 +387,7 @@
 
     def weight(self, report: Report, cause: int, weight: float) -> float:
         """Returns the weight of a cause in a report; less if it was answered shortly before."""
-        answered = cause in self.answered_before[(report.target, report.born)]
+        answered = cause in self.answered_before[(report.target, report.start_unix_ms)]
         return weight * ANSWERED_FACTOR if answered else weight
 
     def request_weights(self) -> Crashes:
@@ -406,7 +408,7 @@
         """
         group_of = {request: number for number, group in enumerate(groups) for request in group}
         explained = {
-            (stored.report.target, stored.report.born)
+            (stored.report.target, stored.report.start_unix_ms)
             for stored in self.reports.values()
             if stored.report.request in group_of
         }
@@ -414,7 +416,10 @@
         accusers: dict[int, set[str | int]] = {}
         for key, stored in self.reports.items():
             report = stored.report
-            if (report.target, report.born) in explained and report.request not in group_of:
+            if (
+                report.target,
+                report.start_unix_ms,
+            ) in explained and report.request not in group_of:
                 continue
             weight = BEGAN_WEIGHT if report.began else BYSTANDER_WEIGHT
             for part in report.parts:
@@ -457,7 +462,7 @@
         self.reported_requests = self.requests | reported
         reported_parts = {p for r in reports for p in r.parts if not self.is_cleared(r, p)}
         self.reported = reported_parts | self.reported_requests
-        live = {(s.report.target, s.report.born) for s in self.reports.values()}
+        live = {(s.report.target, s.report.start_unix_ms) for s in self.reports.values()}
         self.answered_before = {c: p for c, p in self.answered_before.items() if c in live}
 
     def refused_until(self, causes: frozenset[int], score: float) -> float:
@@ -501,7 +506,8 @@
     def is_explained(self, report: Report) -> bool:
         """Returns whether a likelier cause of a report's crash was reported."""
         return any(
-            s.report.began and (s.report.target, s.report.born) == (report.target, report.born)
+            s.report.began
+            and (s.report.target, s.report.start_unix_ms) == (report.target, report.start_unix_ms)
             for s in self.reports.values()
         )
 
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -178,4 +178,4 @@
 
 def is_same_incarnation(known: Target, other: Target) -> bool:
     """Returns whether two entries of a name are of the same incarnation of a target."""
-    return (known.born, known.address) == (other.born, other.address)
+    return (known.start_unix_ms, known.address) == (other.start_unix_ms, other.address)
--- a/tests/forward/test_pushback.py
+++ b/tests/forward/test_pushback.py
@@ -61,7 +61,7 @@
         """Guards against a new replica that pays for what its predecessor wanted."""
         push_backs = PushBacks()
         push_backs.record(TARGET, 10.0, 0.0)
-        assert push_backs.is_open(TARGET._replace(born=2), 5, 1.0)
+        assert push_backs.is_open(TARGET._replace(start_unix_ms=2), 5, 1.0)
 
     def test_first_tries_after_it_are_few(self):
         """Guards against a host that sends all it has to a target as its time ends."""
--- a/tests/forward/test_quarantine_model.py
+++ b/tests/forward/test_quarantine_model.py
@@ -35,7 +35,7 @@
     def knows_crashes(self, request: int) -> int:
         """Returns in how many crashes that this host knows a request was lost."""
         reports = [stored.report for stored in self.quarantine.reports.values()]
-        return len({(r.target, r.born) for r in reports if r.request == request})
+        return len({(r.target, r.start_unix_ms) for r in reports if r.request == request})
 
 
 class Crashes(RuleBasedStateMachine):
--- a/tests/forward/test_registry.py
+++ b/tests/forward/test_registry.py
@@ -44,7 +44,7 @@
         again = value("10.0.0.1:80", born=2)
         changes = registry.update([Entry(9, "t1", b""), Entry(10, "t1", again)], 50_000.0)
         assert [change for _, change in changes] == ["reborn"]
-        assert registry.targets["t1"].born == 2 and len(registry.usable("s")) == 5
+        assert registry.targets["t1"].start_unix_ms == 2 and len(registry.usable("s")) == 5
         deleted = [Entry(11, "t1", b""), Entry(12, "t1", again), Entry(13, "t1", b"")]
         assert [change for _, change in registry.update(deleted, 50_000.0)] == ["gone"]
         assert "t1" not in registry.targets
@@ -68,7 +68,7 @@
         registry = make_registry()
         again = Entry(10, "t1", value("10.0.0.1:80", born=2))
         registry.update([Entry(9, "t1", b""), again], 50_000.0)
-        assert registry.targets["t1"].born == 2 and len(registry.usable("s")) == 5
+        assert registry.targets["t1"].start_unix_ms == 2 and len(registry.usable("s")) == 5
 
 
 class TestLapse:
--- a/tests/forward/test_restore_model.py
+++ b/tests/forward/test_restore_model.py
@@ -72,7 +72,7 @@
         self.registry.update(entries, now, restored)
         for target in self.registry.targets.values():
             if target.leaving:
-                self.left.add((target.name, target.born))
+                self.left.add((target.name, target.start_unix_ms))
 
 
 class RestoredStore(RuleBasedStateMachine):
@@ -207,7 +207,7 @@
             host.registry.expire(self.now)
             assert host.version == self.version
             found = {
-                name: (target.born, target.leaving)
+                name: (target.start_unix_ms, target.leaving)
                 for name, target in host.registry.targets.items()
             }
             assert found == {n: (t.born, t.state == "draining") for n, t in self.alive.items()}
@@ -227,7 +227,7 @@
     def targets_that_leave_never_return(self) -> None:
         for host in getattr(self, "hosts", []):
             for target in host.registry.usable("s"):
-                assert (target.name, target.born) not in host.left
+                assert (target.name, target.start_unix_ms) not in host.left
 
     @invariant()
     def only_the_newest_version_is_trusted(self) -> None:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -215,7 +215,7 @@
     def test_target_with_any_field(self, field, value):
         target = records.decode_target("t", msgspec.json.encode({**TARGET, field: value}))
         if target is not None:
-            assert isinstance(target.born, int) and 0 < target.slots <= records.MAX_SLOTS
+            assert isinstance(target.start_unix_ms, int) and 0 < target.slots <= records.MAX_SLOTS
             assert msgspec.msgpack.decode(msgspec.msgpack.encode(target), type=Target) == target
 
     @quick
