--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -88,7 +88,7 @@
     NAMES = (
         r"Response-Seal|Expect-Instance|Not-Executed|(?<!-)Deadline-Ms|Prefix-Hash|Token-Usage|"
         r"route_kind|path_prefix|stage-run|stage-free|log-newest|log-read|keyed\.|listen_addrs|"
-        r"node_name|headroom_mb|api_keys|traffic_split"
+        r"node_name|headroom_mb|api_keys|traffic_split|\bborn\b"
     )
 
     def test_platform_names_appear_only_in_its_package(self):
