--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,77 +1,121 @@
-"""A host that is cut off vouches for a key that was taken away."""
+"""A heartbeat is done late, after the entry of its replica was removed."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 
-from common import case, replicas, wire
+from common import case, replicas, store, wire
 from common.case import Case
-from common.deployment import Host, free_port, make_hosts, start_hosts
+from common.deployment import make_hosts, start_hosts
 
-# `revoke_ms`, and the time after it at which requests are sent.
-REVOKE_S = 5.0
-SENT_AFTER_S = (5.5, 6.0, 6.5, 7.0, 7.5)
+HEARTBEAT_S = 1.2
+
+# Times since the start of traffic. The store loses answers of writes until LOST_UNTIL_S; it counts
+# as stable again 3 s (`contact_ms`) later.
+LOST_FROM_S = 1.0
+LOST_UNTIL_S = 5.4
+LATE_S = 5.9
+REMOVED_S = 8.7
+
+# `drain_ms`, and how long the leaving replica goes on beyond it.
+DRAIN_S = 2.0
+LINGER_S = 3.0
+
+END_S = 16.0
+REQUESTS_PER_S = 60
+
+# Time for which a replica works on a request, as on the sheet.
+WORK_S = 0.09
 
 KEY = "9dnn2ctnfzs989anu6ws"
-OTHER_KEY = "jnbanfqasnmgkcuyj8pj"
 
 
-def cut_off_host(played: Case) -> Host:
-    """Returns a host that reaches none of the other machines of the system."""
-    peers = [f"127.0.0.1:{free_port()}" for _ in range(3)]
-    return Host(0, peers[0], peers, played.store.address, played.folder)
+async def beat(played: Case, replica: replicas.Replica, started: float) -> None:
+    """Writes heartbeats until the replica's entry is removed.
+
+    One heartbeat shortly before LOST_UNTIL_S gets no answer and is done late.
+    """
+    lost = not played.trouble
+    while True:
+        now = time.time() - started
+        leaving = replica.name == "i-cal1"
+        if leaving and now > REMOVED_S - HEARTBEAT_S:
+            return
+        entry = replica.entry()
+        if leaving and not lost and now > LOST_UNTIL_S - HEARTBEAT_S:
+            lost = True
+            played.record.write(f"heartbeat {entry['sequence']} of {replica.name} is not answered")
+            asyncio.get_running_loop().call_later(LATE_S, put, played, replica, entry)
+        else:
+            put(played, replica, entry)
+        await asyncio.sleep(HEARTBEAT_S)
+
+
+def put(played: Case, replica: replicas.Replica, entry: dict | None) -> None:
+    """Writes an entry to the store."""
+    if replica.name == "i-cal1":
+        done = f"heartbeat {entry['sequence']}" if entry else "removal"
+        played.record.write(f"{done} of {replica.name} is done and acknowledged")
+    played.store.put(store.REPLICAS, replica.name, entry)
 
 
 async def play(played: Case) -> list[str]:
     """Plays the case."""
     record = played.record
-    replica = replicas.PlainReplica("i-cal1", "calendario", 6, record)
-    tenants: dict[str, str | None] = {}
-    plain_answer = replica.answer
-
-    async def answer(request: wire.Message, connection: replicas.Connection) -> None:
-        """Notes the tenant that a request has at the replica."""
-        tenants[request.headers["request-id"]] = request.headers.get("tenant")
-        await plain_answer(request, connection)
-
-    replica.answer = answer  # type: ignore[method-assign]
-    await played.add_replicas(replica)
-    routes = [case.route("view", "idempotent", "calendario", allow_anonymous=True)]
-    services = [{"name": "calendario"}]
-    played.publish(1, routes, services, [KEY, OTHER_KEY])
-    if played.trouble:
-        played.hosts = [cut_off_host(played)]
-    else:
-        played.hosts = make_hosts(3, played.store.address, played.folder)
+    found = [replicas.PlainReplica(f"i-cal{n}", "calendario", 6, record) for n in range(1, 5)]
+    for replica in found:
+        replica.work_s = WORK_S
+    leaving = found[0]
+    await played.add_replicas(*found)
+    routes = [case.route("book", "non_idempotent", "calendario")]
+    played.publish(1, routes, [{"name": "calendario"}], [KEY])
+    played.hosts = make_hosts(3, played.store.address, played.folder)
     await start_hosts(played.hosts)
-    host = played.hosts[0]
-
-    async def send(request_id: str) -> None:
-        """Sends a request with the key to the host."""
-        request = case.plain_request("GET", "/view/1", request_id, KEY)
-        answer = await wire.call(host.callers, request, 6.0)
-        record.write(f"{request_id} answered: {answer}; tenant {tenants.get(request_id)}")
-
-    await send("before")
-    if tenants.get("before") != "bozi300":
-        raise RuntimeError("the key is not accepted before it is taken away")
-    if played.trouble:
-        played.store.refuse(True)
-        record.write("the store refuses the calls of this host")
-    revoked_at = time.time()
-    played.publish(2, routes, services, [OTHER_KEY])
-    broken = []
-    for after_s in SENT_AFTER_S:
-        await asyncio.sleep(revoked_at + after_s - time.time())
-        request_id = f"after-{after_s}"
-        await send(request_id)
-        if tenants.get(request_id) is not None:
-            broken.append(
-                f"a request sent {after_s} s after its key was taken away ran with"
-                f" `Tenant: {tenants[request_id]}`"
-            )
-    return broken
+
+    started = time.time()
+    sent_at: dict[str, float] = {}
+    unserved: list[str] = []
+    tasks = {asyncio.create_task(beat(played, replica, started)) for replica in found}
+
+    async def send(number: int) -> None:
+        """Sends a request to one of the hosts."""
+        request_id = f"b{number:05}"
+        sent_at[request_id] = time.time()
+        request = case.plain_request("POST", "/book/1", request_id, KEY)
+        answer = await wire.call(played.hosts[number % 3].callers, request, 6.0)
+        record.write(f"{request_id} answered: {answer}")
+        if isinstance(answer, str) or answer.status() != 200:
+            unserved.append(request_id)
+
+    async def leave() -> None:
+        """Removes the entry of a replica that never says that it is draining; then it exits."""
+        await asyncio.sleep(started + REMOVED_S - time.time())
+        put(played, leaving, None)
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        record.write(f"{leaving.name} exits")
+        leaving.exit()
+
+    left = asyncio.create_task(leave())
+    number = 0
+    while time.time() < started + END_S:
+        tasks.add(asyncio.create_task(send(number)))
+        number += 1
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    await left
+    removed_at = started + REMOVED_S
+    late = [
+        f"{arrival.request_id} reached {leaving.name} {arrival.at - removed_at:.2f} s after its"
+        f" removal, sent by its caller {sent_at[arrival.request_id] - removed_at:.2f} s after it"
+        for arrival in leaving.arrivals
+        if arrival.at > removed_at + DRAIN_S
+    ]
+    await asyncio.sleep(1.0)
+    for task in tasks:
+        task.cancel()
+    reached = {arrival.request_id for arrival in leaving.arrivals}
+    record.write(f"unserved: {unserved}, of these sent to it: {reached.intersection(unserved)}")
+    return late
 
 
 if __name__ == "__main__":
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -54,9 +54,9 @@
         self.server: asyncio.Server | None = None
         self.connections: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
-        """Starts to listen."""
-        port = free_port()
+    async def start(self, port: int | None = None) -> None:
+        """Starts to listen, on a free port if none is given."""
+        port = port or free_port()
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{port}"
 
@@ -90,7 +90,7 @@
                 request = await wire.read_message(reader)
                 self.arrivals.append(Arrival(time.time(), request.headers.get("request-id", "")))
                 if request.headers.get("expect-instance", self.name) != self.name:
-                    await connection.write(refusal("421 Misdirected Request"))
+                    await self.misdirect(connection)
                     continue
                 if connection.extra is not None:
                     extra, connection.extra = connection.extra, None
@@ -103,6 +103,10 @@
             self.connections.discard(writer)
             writer.close()
 
+    async def misdirect(self, connection: Connection) -> None:
+        """Refuses a request for another incarnation."""
+        await connection.write(refusal("421 Misdirected Request"))
+
     async def answer(self, request: Message, connection: Connection) -> None:
         """Answers one request."""
         raise NotImplementedError
