--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -38,7 +38,7 @@
     """Reads a chunked body to its end."""
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        size = int((await reader.readuntil(b"\n")).split(b";")[0], 16)
         data = await reader.readexactly(size + 2)
         if not size:
             return body
