Hold back heartbeats that the store executes late

Cause: within an era of the store, entries of targets were ordered by offset alone. A write without an answer may be executed seconds later, behind newer ones, and a deletion left nothing to compare its number with.

Ruled out: the order between eras (the case has one era); comparing the numbers alone: a host that starts after the removal, one that was cut off and a new reader do not know them, since heartbeats that change nothing are not propagated. Propagating them costs some 33 KB/s a host at 2,000 targets.

Change: targets are kept in a SequencedTable. The host that reads the log judges values by their number, a deletion carries the highest one, deletions are remembered for 30 s and told to hosts that start, and a host that begins to read the log reads its last 10 s first. A late value that the store still has after 15 s is used.

Conclusion: the order of a log is not the order of writing.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -23,6 +23,7 @@
     incarnation_of,
 )
 from savoryfork.forward.knowledge import (
+    FIRST_ERA,
     NO_ENTRIES,
     TRUST_LOST_MS,
     Changes,
@@ -37,6 +38,7 @@
 from savoryfork.forward.model import Catalog, Target
 from savoryfork.forward.quarantine import Quarantine, is_stored
 from savoryfork.forward.registry import OUTAGE_MS, Registry
+from savoryfork.forward.sequenced import SequencedTable, recalled_records
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerCaller, PeerUnavailable
 from savoryfork.util import logs
@@ -118,6 +120,14 @@
     era: int
 
 
+class RecentRecords(NamedTuple):
+    """The records of a topic from the offset `start` up to `next`."""
+
+    start: int
+    entries: list[Entry]
+    next: int
+
+
 class Store(Protocol):
     """Read access to the platform's store; `calls` counts the reads."""
 
@@ -163,9 +173,10 @@
         self.rng = rng
         self.metrics = metrics
         self.background = background
-        self.tables = {
+        self.targets_table = SequencedTable()
+        self.tables: dict[Topic, TopicTable] = {
             Topic.CONFIGURATION: TopicTable(ordered=True, keeps_missing=True),
-            Topic.TARGETS: TopicTable(),
+            Topic.TARGETS: self.targets_table,
             Topic.CRASHES: TopicTable(keeps_missing=True),
         }
         self.registry = Registry(skip_failing(wire.decode_target, "target"))
@@ -249,15 +260,18 @@
         era = table.era
         if table.next_offset >= 0:
             try:
-                read = await self.store.read(topic, table.next_offset, wait_ms)
+                read = await self.read_records(topic, table, wait_ms)
                 if read.era == era == table.era:
-                    return Changes(table.apply_records(read.entries, read.next)), read.end
+                    new = table.apply_records(read.entries, read.next, self.now())
+                    return Changes(new), read.end
             except OffsetExpired:
                 logs.event(log, "offset_expired", topic=topic.value, offset=table.next_offset)
         read = await self.store.newest(topic)
+        recent = None
+        if table is self.targets_table and table.next_offset < 0:
+            recent = await self.read_recent(read)
         if table.next_offset < 0:
-            new = table.start(read.era, read.entries, read.next, self.now())
-            return Changes(new), read.end
+            return Changes(self.start_table(table, read, recent)), read.end
         if read.era < table.era:
             raise LogUnavailable(f"an answer of era {read.era} after one of era {table.era}")
         if read.era == table.era:
@@ -265,6 +279,60 @@
         new = table.start_era(read.era, read.entries, read.next, self.now())
         return Changes(new, restored=True), read.end
 
+    async def read_records(self, topic: Topic, table: TopicTable, wait_ms: float) -> StoreRead:
+        """Reads the records of a topic from where this host should go on.
+
+        Raises LogUnavailable or OffsetExpired.
+        """
+        start = table.read_start()
+        if start < table.next_offset:
+            try:
+                return await self.store.read(topic, start, 0.0)
+            except OffsetExpired as error:
+                logs.event(log, "history_expired", topic=topic.value, first=error.start)
+                if start < error.start <= table.next_offset:
+                    return await self.store.read(topic, error.start, 0.0)
+        return await self.store.read(topic, table.next_offset, wait_ms)
+
+    async def read_recent(self, newest: StoreRead) -> RecentRecords | None:
+        """Reads the records of targets before the end of a snapshot; None if that fails.
+
+        A host that starts without them would not know of the latest deletions.
+        """
+        if newest.era > FIRST_ERA:
+            return None  # these records may be from before the copy that was restored
+        start = first = max(0, newest.next - recalled_records(len(newest.entries)))
+        records: list[Entry] = []
+        try:
+            while first < newest.next:
+                try:
+                    read = await self.store.read(Topic.TARGETS, first, 0.0)
+                except OffsetExpired as error:
+                    if not first < error.start < newest.next:
+                        return None
+                    start = first = error.start
+                    records.clear()
+                    continue
+                if read.era != newest.era or read.next <= first:
+                    return None
+                records += read.entries
+                first = read.next
+        except LogUnavailable as error:
+            logs.event(log, "history_unread", logging.WARNING, reason=str(error))
+            return None
+        return RecentRecords(start, records, first)
+
+    def start_table(
+        self, table: TopicTable, newest: StoreRead, recent: RecentRecords | None
+    ) -> list[Entry]:
+        """Applies the first snapshot; what is in the recent records is taken from these."""
+        now = self.now()
+        if recent is None:
+            return table.start(newest.era, newest.entries, newest.next, now)
+        older = [entry for entry in newest.entries if entry.offset < recent.start]
+        new = table.start(newest.era, older, newest.next, now)
+        return new + table.apply_records(recent.entries, recent.next, now)
+
     def record_store_result(self, topic: Topic, ok: bool, reason: str) -> None:
         """Records whether a read was answered, and propagates a change of that to peers."""
         result = "answered" if ok else "failed"
@@ -685,3 +753,13 @@
             self.on_crash_reports()
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
+        for entry in self.targets_table.pop_new_held():
+            logs.event(
+                log,
+                "late_write_held",
+                target=entry.key,
+                offset=entry.offset,
+                start_unix_ms=entry.revision[0],
+                sequence=entry.revision[1],
+                known=self.targets_table.entries[entry.key].revision[1],
+            )
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -207,7 +207,7 @@
             self.purge_tombstones()
         return new
 
-    def apply_records(self, records: Iterable[Entry], next_offset: int) -> list[Entry]:
+    def apply_records(self, records: Iterable[Entry], next_offset: int, now: float) -> list[Entry]:
         """Applies records that were read from the log, as `apply` does.
 
         They were written after the restore with which the era began, so unless the topic is
@@ -276,12 +276,18 @@
         return self.apply([*snapshot, *absent], next_offset)
 
     def purge_tombstones(self) -> None:
-        """Removes all tombstones; hosts behind this point get a full update from now on."""
+        """Removes tombstones; hosts behind this point get a full update from now on."""
         self.entries = {
-            key: entry for key, entry in self.entries.items() if entry.value or entry.era < self.era
+            key: entry
+            for key, entry in self.entries.items()
+            if entry.value or self.remembers_deletion(entry)
         }
         self.full_sync_before = self.next_offset
 
+    def remembers_deletion(self, entry: Entry) -> bool:
+        """Returns whether a tombstone is still needed; hosts that get a full update get it, too."""
+        return entry.era < self.era
+
     def confirm(self, at: float, trusted_at: float) -> None:
         """Records that the entries were complete at `at` and the newest ones at `trusted_at`.
 
@@ -311,6 +317,10 @@
             return min(wait_ms, math.ceil(settle_ms))
         return wait_ms if self.kept_keys or self.trusted_age_ms(now) < TRUST_LOST_MS else 0.0
 
+    def read_start(self) -> int:
+        """Returns the offset from which this host should read the log."""
+        return self.next_offset
+
     # Updates between hosts.
 
     def kept(self) -> list[Entry]:
@@ -333,7 +343,7 @@
         if position.next == NO_ENTRIES_OFFSET:
             full, found = False, []
         elif full:
-            found = [e for e in self.entries.values() if e.value or e.era < self.era]
+            found = [e for e in self.entries.values() if e.value or self.remembers_deletion(e)]
         else:
             found = [
                 entry
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -64,6 +64,18 @@
     return changes, offset, end
 
 
+def decode_first_offset(body: bytes) -> int:
+    """Decodes the answer to a read of expired records: the first offset that is retained.
+
+    >>> decode_first_offset(b'{"first":7}'), decode_first_offset(b"[")
+    (7, 0)
+    """
+    try:
+        return whole(decode_json(body)["first"], "first")
+    except (UndecodableError, LookupError, TypeError):
+        return 0
+
+
 def encode_records(entries: Sequence[tuple[str, bytes]]) -> bytes:
     r"""Encodes the body of an append to a keyed topic.
 
@@ -248,7 +260,7 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise LogUnavailable(f"{name}: {type(error).__name__}") from error
         if status == 410:
-            raise OffsetExpired(0, 0)
+            raise OffsetExpired(decode_first_offset(body), 0)
         if status != 200:
             raise LogUnavailable(f"{name}: status {status}")
         if not era_value.isdecimal() or len(era_value) > MAX_ERA_DIGITS:
--- a/tests/forward/controlplane.py
+++ b/tests/forward/controlplane.py
@@ -31,10 +31,14 @@
 
 
 class Store:
-    """The log of all topics; `down` makes every read fail, `era` rises with each restore."""
+    """The log of all topics; `down` makes every read fail, `era` rises with each restore.
+
+    Records before the offset `first` of a topic have expired.
+    """
 
     def __init__(self) -> None:
         self.logs: dict[Topic, list[Entry]] = {topic: [] for topic in Topic}
+        self.first = dict.fromkeys(Topic, 0)
         self.down = False
         self.era = 1
         self.calls = 0
@@ -78,8 +82,8 @@
         if self.down:
             raise LogUnavailable("down")
         end = len(self.logs[topic])
-        if offset > end:
-            raise OffsetExpired(0, 0)
+        if not self.first[topic] <= offset <= end:
+            raise OffsetExpired(self.first[topic], 0)
         entries = normalize_entries(topic, self.logs[topic][offset:], self.era, records=True)
         return StoreRead(entries, end, end, self.era)
 
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -126,7 +126,7 @@
         other = started(Entry(0, "t", b"changed", 1, (100, 7)))
         for table in (host, other):
             table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
-        host.apply_records([Entry(1, "t", b"", 2)], 2)
+        host.apply_records([Entry(1, "t", b"", 2)], 2, 1_000.0)
         follow(host, other)
         follow(other, host)
         for table in (host, other):
@@ -173,7 +173,7 @@
         other = started()
         for table in (host, other):
             table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
-        other.apply_records([Entry(1, "t", b"leaving", 2, (100, 6))], 2)
+        other.apply_records([Entry(1, "t", b"leaving", 2, (100, 6))], 2, 1_000.0)
         follow(host, other)
         assert host.entries["t"].value == b"leaving" and not host.kept_keys
 
@@ -181,7 +181,7 @@
         """Guards against a target that has ended and that only the copy still has."""
         copy = Entry(0, "t", b"v", 2, (100, 2))
         table = started(Entry(0, "t", b"v", 1, (100, 5)))
-        table.apply_records([Entry(1, "t", b"", 1)], 2)
+        table.apply_records([Entry(1, "t", b"", 1)], 2, 1_000.0)
         table.start_era(2, [copy], 1, 1_000.0)
         table.purge_tombstones()
         for host in (TopicTable(), started(Entry(0, "t", b"v", 1, (100, 1)))):
@@ -200,7 +200,7 @@
     def test_a_kept_deletion_ends_when_a_snapshot_lacks_the_key(self):
         """Guards against entries that are kept, and sent or appended again, for good."""
         table = started(Entry(0, "t", b"v", 1, (100, 5)))
-        table.apply_records([Entry(1, "t", b"", 1)], 2)
+        table.apply_records([Entry(1, "t", b"", 1)], 2, 1_000.0)
         table.start_era(2, [Entry(0, "t", b"v", 2, (100, 2))], 1, 1_000.0)
         assert table.kept_keys == {"t"}
         table.apply_snapshot([], 2)
--- a/tests/forward/test_restore_model.py
+++ b/tests/forward/test_restore_model.py
@@ -10,6 +10,7 @@
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry, TopicTable
 from savoryfork.forward.registry import LAPSE_GRACE_MS, Registry
+from savoryfork.forward.sequenced import SequencedTable
 from savoryfork.platform.records import decode_target
 from savoryfork.platform.store import normalize_entries
 
@@ -57,7 +58,7 @@
 
     def __init__(self) -> None:
         self.config = TopicTable(ordered=True, keeps_missing=True)
-        self.targets = TopicTable()
+        self.targets = SequencedTable()
         self.registry = Registry(decode_target)
         self.version = -1
         # Incarnations that this host has seen leaving.
@@ -154,7 +155,7 @@
                 new = table.start_era(self.era, log.newest(topic, self.era), end, self.now)
             else:
                 records = log.entries(topic, table.next_offset, self.era)
-                new = table.apply_records(records, end)
+                new = table.apply_records(records, end, self.now)
             table.confirm_read(self.now)
             self.apply(host, topic, new, restored)
 
