Refuse keys on anonymous routes while the configuration may be stale

Cause: on a route that needs no key, the check of the key returned before that of the configuration's age, but set the workspace that is sent to the target.

Ruled out: a wrong age (other routes are refused from 4.7 s on); a workspace kept from the admission (the key is resolved again before each send).

Change: with a key, the age is checked on every route. A run without the workspace is no alternative: the key may be in force, and a 503 sends the caller to a host that knows.

Conclusion: a check may be skipped where nothing can be denied only if nothing is granted either.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -231,8 +231,7 @@
         """Tries the request on one target; returns True if the caller has its final answer."""
         assert run.route is not None
         now = self.now()
-        if run.workspace is not None or not run.route.anonymous:
-            self.gate.check_key(run, self.gate.current_catalog())
+        self.gate.check_key(run, self.gate.current_catalog())
         if run.deadline_at - now < MIN_ATTEMPT_MS:
             raise self.deadline_error(run)
         run.tried_targets.add(target.name)
--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -137,16 +137,21 @@
 
         Called again just before each send: the key may have been revoked while the request waited,
         or the host may have been frozen.
+
+        An anonymous route needs no key, so that a request without one is served however old the
+        configuration is. One with a key is refused then: whether it has the rights of a workspace,
+        and of which, is known to other hosts only, and a run without them is not what was asked.
         """
         if not catalog.keyed:
             return
-        workspace = catalogs.workspace_of(catalog, run.request.key)
-        if run.route is not None and run.route.anonymous:
-            run.workspace = workspace
+        anonymous = run.route is not None and run.route.anonymous
+        if anonymous and not run.request.key:
             return
         self.check_trusted(run)
-        if workspace is None:
+        run.workspace = catalogs.workspace_of(catalog, run.request.key)
+        if anonymous:
+            return
+        if run.workspace is None:
             raise ServiceError(ErrorKind.UNAUTHORIZED, "unknown key")
-        run.workspace = workspace
         if run.workspace.priority is not None:
             run.priority = run.workspace.priority
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -28,6 +28,8 @@
     {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
     {"name": "view", "path_prefix": "/view/", "route_kind": "idempotent", "service": "plain",
      "max_attempts": 2},
+    {"name": "open", "path_prefix": "/open/", "route_kind": "idempotent", "service": "plain",
+     "max_attempts": 2, "allow_anonymous": True},
     {"name": "chat", "path_prefix": "/chat/", "route_kind": "streaming", "service": "engine",
      "stream_resume": True, "max_attempts": 2, "target_gap_ms": 150,
      "stages": [{"service": "cave", "after": [], "payload_bytes": 8000},
@@ -182,7 +184,7 @@
         request_headers = {"Host": "a.example", "Request-Id": uuid.uuid4().hex[:16], "Key": "k1"}
         request_headers |= {"Deadline-Ms": "3000"}
         request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
-        method = "GET" if path.startswith("/view/") else "POST"
+        method = "GET" if path.startswith(("/view/", "/open/")) else "POST"
         async with self.session.request(
             method,
             self.url(path, host),
--- /dev/null
+++ b/tests/forward/test_gate.py
@@ -0,0 +1,97 @@
+"""Which requests are admitted on routes that need no key."""
+
+import asyncio
+
+import pytest
+
+from tests.forward.deployment import Deployment, configuration, until
+from tests.forward.test_connection import reset
+from tests.forward.test_forwarder import Scripted, answer
+
+
+@pytest.fixture
+async def deployment():
+    async with Deployment() as running:
+        yield running
+
+
+@pytest.fixture
+async def scripted(deployment):
+    scripted = Scripted(deployment)
+    yield scripted
+    for server in scripted.servers:
+        server.close()
+
+
+def tenants(deployment: Deployment) -> list[str | None]:
+    """Returns the tenant of each request that a plain replica has run."""
+    received = [request for r in deployment.replicas["plain"] for request in r.received]
+    return [request["headers"].get("Tenant") for request in received]
+
+
+class TestAnonymousRoutes:
+    async def test_key_in_force_gives_its_workspace_and_another_one_none(self, deployment):
+        for headers in ({}, {"Key": "other"}, {"Key": ""}):
+            assert (await deployment.call("/open/x", **headers))[0] == 200
+        assert tenants(deployment) == ["w1", None, None]
+
+    async def test_host_that_is_cut_off_does_not_vouch_for_a_key(self, deployment):
+        """Guards against the rights of a key that was taken away while this host heard nothing."""
+        host = deployment.hosts[0]
+        host.gate.set_revocation(1_000.0)
+        deployment.store.down = True
+        await until(lambda: host.follower.config_age_ms() > host.gate.trusted_ms)
+        for key in ("k1", "other"):
+            status, _, headers = await deployment.call("/open/x", Key=key)
+            assert status == 503 and float(headers["Retry-After"]) > 0
+        assert tenants(deployment) == []
+
+    async def test_host_that_is_cut_off_serves_requests_without_a_key(self, deployment):
+        """Guards against an outage of the store that stops what needs nothing from it."""
+        host = deployment.hosts[0]
+        host.gate.set_revocation(1_000.0)
+        deployment.store.down = True
+        await until(lambda: host.follower.config_age_ms() > host.gate.trusted_ms)
+        assert (await deployment.call("/open/x", Key=""))[0] == 200
+        assert tenants(deployment) == [None]
+
+    async def test_frozen_host_does_not_vouch_for_a_key(self, deployment):
+        """Guards against requests that are read as the host wakes, before any timer has fired."""
+        host = deployment.hosts[0]
+        host.gate.trusted_ms = -1.0
+        calls = [deployment.call("/open/x") for _ in range(10)]
+        assert {status for status, _, _ in await asyncio.gather(*calls)} == {503}
+        assert tenants(deployment) == []
+
+    async def test_key_is_judged_again_before_a_second_attempt(self, scripted):
+        """Guards against a repetition with the rights that the key had at admission."""
+        host = scripted.deployment.hosts[0]
+
+        async def lose_trust(request, writer):
+            host.gate.trusted_ms = -1.0
+            reset(writer)
+
+        targets = await scripted.replace("plain", lose_trust, lose_trust)
+        status, _, _ = await scripted.deployment.call("/open/x")
+        assert status == 502 and sum(len(target.received) for target in targets) == 1
+
+    async def test_key_that_belongs_to_another_workspace_by_now(self, scripted):
+        """Guards against a second attempt for the workspace that held the key at the first one."""
+        deployment = scripted.deployment
+        follower = deployment.hosts[0].follower
+        seen = []
+
+        async def move_key(request, writer):
+            seen.append(request.headers.get("tenant"))
+            if len(seen) == 2:
+                writer.write(answer("200 OK", request.id, b"done", "Response-Seal: s"))
+                return
+            document = configuration(2)
+            document["tenants"] = [{"name": "w2", "api_keys": ["k1"]}]
+            deployment.store.put("keyed.op", "config", document)
+            await until(lambda: follower.catalog.version == 2)
+            reset(writer)
+
+        await scripted.replace("plain", move_key, move_key)
+        assert (await deployment.call("/open/x"))[0] == 200
+        assert seen == ["w1", "w2"]
