Apply a workspace's priority on anonymous routes

A request with a key on a route that needs none ran for its workspace, but with the route's priority, though the pages say that a tenant's priority takes precedence. And a request whose key moved to a workspace without a priority kept that of the workspace before.

Cause: the priority was set only behind the check that anonymous routes skip, and was never taken back.

--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -149,9 +149,9 @@
             return
         self.check_trusted(run)
         run.workspace = catalogs.workspace_of(catalog, run.request.key)
-        if anonymous:
-            return
-        if run.workspace is None:
+        if run.workspace is None and not anonymous:
             raise ServiceError(ErrorKind.UNAUTHORIZED, "unknown key")
-        if run.workspace.priority is not None:
+        if run.workspace is not None and run.workspace.priority is not None:
             run.priority = run.workspace.priority
+        elif run.route is not None:
+            run.priority = run.route.priority
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -23,17 +23,17 @@
         server.close()
 
 
-def tenants(deployment: Deployment) -> list[str | None]:
-    """Returns the tenant of each request that a plain replica has run."""
-    received = [request for r in deployment.replicas["plain"] for request in r.received]
-    return [request["headers"].get("Tenant") for request in received]
+def tenants(deployment: Deployment) -> dict[str, str | None]:
+    """Returns the tenant of each request that a plain replica has run, by its id."""
+    received = [request["headers"] for r in deployment.replicas["plain"] for request in r.received]
+    return {headers["Request-Id"]: headers.get("Tenant") for headers in received}
 
 
 class TestAnonymousRoutes:
     async def test_key_in_force_gives_its_workspace_and_another_one_none(self, deployment):
-        for headers in ({}, {"Key": "other"}, {"Key": ""}):
-            assert (await deployment.call("/open/x", **headers))[0] == 200
-        assert tenants(deployment) == ["w1", None, None]
+        for request_id, key in (("a", "k1"), ("b", "other"), ("c", "")):
+            assert (await deployment.call("/open/x", Key=key, Request_Id=request_id))[0] == 200
+        assert tenants(deployment) == {"a": "w1", "b": None, "c": None}
 
     async def test_host_that_is_cut_off_does_not_vouch_for_a_key(self, deployment):
         """Guards against the rights of a key that was taken away while this host heard nothing."""
@@ -44,7 +44,7 @@
         for key in ("k1", "other"):
             status, _, headers = await deployment.call("/open/x", Key=key)
             assert status == 503 and float(headers["Retry-After"]) > 0
-        assert tenants(deployment) == []
+        assert tenants(deployment) == {}
 
     async def test_host_that_is_cut_off_serves_requests_without_a_key(self, deployment):
         """Guards against an outage of the store that stops what needs nothing from it."""
@@ -52,8 +52,8 @@
         host.gate.set_revocation(1_000.0)
         deployment.store.down = True
         await until(lambda: host.follower.config_age_ms() > host.gate.trusted_ms)
-        assert (await deployment.call("/open/x", Key=""))[0] == 200
-        assert tenants(deployment) == [None]
+        assert (await deployment.call("/open/x", Key="", Request_Id="a"))[0] == 200
+        assert tenants(deployment) == {"a": None}
 
     async def test_frozen_host_does_not_vouch_for_a_key(self, deployment):
         """Guards against requests that are read as the host wakes, before any timer has fired."""
@@ -61,7 +61,7 @@
         host.gate.trusted_ms = -1.0
         calls = [deployment.call("/open/x") for _ in range(10)]
         assert {status for status, _, _ in await asyncio.gather(*calls)} == {503}
-        assert tenants(deployment) == []
+        assert tenants(deployment) == {}
 
     async def test_key_is_judged_again_before_a_second_attempt(self, scripted):
         """Guards against a repetition with the rights that the key had at admission."""
@@ -95,3 +95,49 @@
         await scripted.replace("plain", move_key, move_key)
         assert (await deployment.call("/open/x"))[0] == 200
         assert seen == ["w1", "w2"]
+
+
+class TestPriority:
+    @pytest.mark.parametrize("path", ["/open/x", "/view/x"])
+    async def test_priority_of_the_workspace_precedes_that_of_the_route(self, deployment, path):
+        """Guards against an urgent workspace that gets the route's priority on anonymous routes."""
+        priorities = self.record_priorities(deployment)
+        follower = deployment.hosts[0].follower
+        document = configuration(2)
+        document["tenants"][0]["priority"] = 3
+        deployment.store.put("keyed.op", "config", document)
+        await until(lambda: follower.catalog.version == 2)
+        assert (await deployment.call(path))[0] == 200
+        assert priorities[-1] == 3
+
+    async def test_key_that_moves_to_a_workspace_without_a_priority(self, scripted):
+        """Guards against a second attempt with the priority of the workspace before."""
+        deployment = scripted.deployment
+        follower = deployment.hosts[0].follower
+        priorities = self.record_priorities(deployment)
+
+        async def move_key(request, writer):
+            deployment.store.put("keyed.op", "config", configuration(3))
+            await until(lambda: follower.catalog.version == 3)
+            reset(writer)
+
+        document = configuration(2)
+        document["tenants"][0]["priority"] = 3
+        deployment.store.put("keyed.op", "config", document)
+        await until(lambda: follower.catalog.version == 2)
+        await scripted.replace("plain", move_key, move_key)
+        await deployment.call("/view/x")
+        assert priorities[0] == 3 and priorities[-1] == 1
+
+    def record_priorities(self, deployment: Deployment) -> list[int]:
+        """Returns a list to which each check before a send adds the priority of its request."""
+        priorities: list[int] = []
+        forwarder = deployment.hosts[0].forwarder
+        check_sendable = forwarder.check_sendable
+
+        def record(run, target, **details):
+            check_sendable(run, target, **details)
+            priorities.append(run.priority)
+
+        forwarder.check_sendable = record
+        return priorities
