Compare event ids of any length

A stream with an event id of more than 4,300 digits ended with an internal error: numeric_id converted ids by int(), which raises ValueError for a text of that length, and nothing in relay expects it.

Ruled out: a limit for the length of ids; the size of an event is bounded, and an id is only compared and sent back.

Change: ids are compared as digits.

Conclusion: looked for other int() of a target's bytes; they go through util/untrusted, which bounds them.

--- a/savoryfork/forward/events.py
+++ b/savoryfork/forward/events.py
@@ -76,6 +76,14 @@
     return None
 
 
-def numeric_id(raw_id: bytes | None) -> int | None:
-    """Returns an event id as a number; None if it is not numeric."""
-    return int(raw_id) if raw_id is not None and raw_id.isdigit() else None
+def is_later(event_id: bytes, last_id: bytes) -> bool:
+    """Returns whether an id follows another one; those that are no numbers have no order.
+
+    >>> is_later(b"10", b"9"), is_later(b"9", b"9"), is_later(b"x", b"9")
+    (True, False, True)
+    """
+    if not (event_id.isdigit() and last_id.isdigit()):
+        return True
+    # An id may have more digits than Python converts to a number.
+    digits, last_digits = event_id.lstrip(b"0"), last_id.lstrip(b"0")
+    return (len(digits), digits) > (len(last_digits), last_digits)
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -9,7 +9,7 @@
 
 from savoryfork.forward import silence
 from savoryfork.forward.connection import Connection, TargetError
-from savoryfork.forward.events import EventSplitter, EventTooLarge, numeric_id
+from savoryfork.forward.events import EventSplitter, EventTooLarge, is_later
 from savoryfork.forward.model import AnswerHead
 from savoryfork.forward.run import Run
 from savoryfork.forward.silence import Decision
@@ -83,8 +83,9 @@
 
 def is_duplicate(run: Run, event_id: bytes | None) -> bool:
     """Returns whether an event of a resumed stream was already sent to the caller."""
-    last_id, current_id = numeric_id(run.last_event), numeric_id(event_id)
-    return last_id is not None and current_id is not None and current_id <= last_id
+    if event_id is None or run.last_event is None:
+        return False
+    return not is_later(event_id, run.last_event)
 
 
 async def relay_events(
