Bound the share of the loop that fast senders get

Cause: a reader whose peer always has more to send was queued like any other, so its share of the loop grew with what it was sent.

Ruled out: memory, which is bounded and tested.

The test of the queue needs the new argument, so it has no run before the change.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -21,6 +21,7 @@
 from savoryfork.forward.limits import DEFAULT_LIMITS, MIN_CHUNK_BYTES, ReadLimits
 from savoryfork.forward.model import Headers
 from savoryfork.forward.turns import wait_for_turn
+from savoryfork.util.bucket import TokenBucket
 from savoryfork.util.timeouts import running_timeout
 
 # Bytes that are handed to the parser at a time. It keeps what it has not parsed, so received data
@@ -33,6 +34,11 @@
 BYTES_PER_TURN = 32_768
 MIN_EVENT_BYTES = 1_024
 
+# What a response may send in a burst and per second before its reader counts as heavy. A whole
+# answer has 256 KB; an engine sends some 60 events a second, each of which counts as 1,280 bytes.
+ALLOWED_BURST_BYTES = 1_048_576.0
+ALLOWED_BYTES_PER_S = 262_144.0
+
 # A connection between zones takes about 10 ms; a powered-off target never answers.
 CONNECT_TIMEOUT_MS = 350.0
 
@@ -60,13 +66,15 @@
 class TargetError(Exception):
     """A call without a complete response. `sent` is False if no byte of it was written.
 
-    `ended_by_peer` is True for a stage call whose connection the target has closed or reset.
+    `certain` is True if only a fault of the target explains it. `ended_by_peer` is True for a stage
+    call whose connection the target has closed or reset.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, certain: bool = False) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.certain = certain or not sent
         self.ended_by_peer = False
 
 
@@ -91,6 +99,8 @@
         self.received_bytes = 0
         self.reading_paused = False
         self.bytes_in_turn = 0
+        self.excess_bytes = 0
+        self.allowance = TokenBucket(ALLOWED_BYTES_PER_S, ALLOWED_BURST_BYTES, 0.0)
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.busy = False
@@ -208,11 +218,19 @@
                 self.waiter = None
 
     async def yield_turn(self, size: int) -> None:
-        """Queues for another turn after BYTES_PER_TURN bytes that needed no wait."""
+        """Queues for another turn after BYTES_PER_TURN bytes that needed no wait.
+
+        Bytes beyond the allowance of a connection count even if the reader had to wait for them.
+        """
         self.bytes_in_turn += size
-        if self.bytes_in_turn >= BYTES_PER_TURN:
+        if not self.allowance.take(asyncio.get_running_loop().time() * 1000, size):
+            self.excess_bytes += size
+        heavy = self.excess_bytes >= BYTES_PER_TURN
+        if heavy or self.bytes_in_turn >= BYTES_PER_TURN:
             self.bytes_in_turn = 0
-            await wait_for_turn()
+            if heavy:
+                self.excess_bytes = 0
+            await wait_for_turn(heavy)
 
     async def read_head(self) -> Head:
         """Returns the head of the response; skips a bounded number of informational responses."""
--- a/tests/forward/test_turns.py
+++ b/tests/forward/test_turns.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import gc
+import time
 
-from savoryfork.forward.turns import READERS_PER_TURN, TURNS, wait_for_turn
+from savoryfork.forward.turns import HEAVY_SHARE, READERS_PER_TURN, TURNS, wait_for_turn
 
 
 class TestTurns:
@@ -41,6 +42,36 @@
             await asyncio.sleep(0)
         assert readers[-1].done() and not readers[-1].cancelled()
 
+    async def test_heavy_readers_share_a_part_of_the_loop(self) -> None:
+        """Guards against readers of endless streams that leave no time for other requests."""
+        turn_s, work_s = 0.002, 0.0
+
+        async def read() -> None:
+            nonlocal work_s
+            while True:
+                await wait_for_turn(heavy=True)
+                time.sleep(turn_s)  # noqa: ASYNC251 (parsing blocks the loop)
+                work_s += turn_s
+
+        readers = [asyncio.create_task(read()) for _ in range(20)]
+        started = time.perf_counter()
+        await asyncio.sleep(0.5)
+        elapsed_s = time.perf_counter() - started
+        for reader in readers:
+            reader.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
+        assert 0.0 < work_s <= (HEAVY_SHARE + 0.05) * elapsed_s
+
+    async def test_cancelled_heavy_readers_take_no_turn(self) -> None:
+        """Guards against heavy readers that stop since the one before them has ended."""
+        readers = [asyncio.create_task(wait_for_turn(heavy=True)) for _ in range(50)]
+        await asyncio.sleep(0)
+        for reader in readers[:-1]:
+            reader.cancel()
+        async with asyncio.timeout(1.0):
+            await readers[-1]
+            await wait_for_turn(heavy=True)
+
     def test_a_closed_loop_is_not_kept(self) -> None:
         """Guards against a queue of an earlier loop that nothing wakes."""
         before = len(TURNS)
