Add a test of callers that send bodies of tiny chunks without end

The cause is that of endless streams: a bound on what is kept, none on the time that it takes.

The fault is not fixed here: the library hands over chunks only after it has parsed all that was received.

--- a/tests/forward/endless.py
+++ b/tests/forward/endless.py
@@ -86,6 +86,35 @@
         writer.close()
 
 
+# Callers that send bodies at once.
+CALLERS = 20
+
+# Chunks of one byte.
+TINY_CHUNKS = b"1\r\nx\r\n" * 8_192
+
+
+async def pour_bodies(address: str) -> None:
+    """Sends requests whose bodies do not end to a host, one after the other."""
+    ip, _, port = address.rpartition(":")
+    head = "POST /book/{} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {}\r\nKey: k1\r\n"
+    for number in itertools.count():
+        request = head.format(number, number) + "Transfer-Encoding: chunked\r\n\r\n"
+        with contextlib.suppress(ConnectionError):
+            _, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(request.encode())
+            while not writer.transport.is_closing():
+                writer.write(TINY_CHUNKS)
+                await writer.drain()
+
+
+async def call(address: str) -> None:
+    """Sends endless bodies to a host until standard input ends."""
+    callers = [asyncio.create_task(pour_bodies(address)) for _ in range(CALLERS)]
+    await asyncio.to_thread(sys.stdin.read)
+    for caller in callers:
+        caller.cancel()
+
+
 async def main(kind: str) -> None:
     """Serves until standard input ends; prints the address."""
     server = EndlessServer(CHUNKED, b"", kind) if kind in POURED else EndlessServer(*ENDLESS[kind])
@@ -95,4 +124,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main(sys.argv[1]))
+    kind = sys.argv[1]
+    asyncio.run(call(sys.argv[2]) if kind == "bodies" else main(kind))
--- a/tests/forward/test_limits.py
+++ b/tests/forward/test_limits.py
@@ -242,6 +242,33 @@
             assert body["error"]["kind"] == "body_too_large" and body["error"]["ran"] == "no"
             assert not any(replica.received for replica in deployment.replicas["plain"])
 
+    async def test_bodies_of_tiny_chunks_leave_time_for_others(self):
+        """Guards against callers whose bodies keep the host's loop: no other request was served."""
+        async with Deployment() as deployment:
+            address = deployment.hosts[0].settings.caller_address
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tests.forward.endless",
+                "bodies",
+                address,
+                stdin=asyncio.subprocess.PIPE,
+            )
+            assert process.stdin is not None
+            times = []
+            loop = asyncio.get_running_loop()
+            try:
+                await asyncio.sleep(1.0)
+                async with asyncio.timeout(10.0):
+                    for _ in range(20):
+                        started = loop.time()
+                        assert (await deployment.call("/view/x"))[0] == 200
+                        times.append(loop.time() - started)
+            finally:
+                process.stdin.close()
+                await process.wait()
+            assert statistics.median(times) < AIM_S / 4 and max(times) < AIM_S
+
     async def test_slow_body_is_refused_within_the_callers_time(self):
         """Guards against a body that is waited for long after its caller has given up."""
 
