Purge tombstones by their number, not by that of all entries

With more than 2,000 entries every change purged the tombstones, so that every host behind it got a full list: at 2,000 targets some 400 KB a host (computed) for each change.

Cause: the threshold was compared with all entries, of which the design size has 2,000 that stay.

Found while looking at what a host that was cut off knows of a removal.

Before: the new test of a change among 2,001 entries failed (full update). After: it passes, and tombstones are still purged.

--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -19,7 +19,7 @@
 import xxhash
 
 # Deleted keys are kept as tombstones, so that hosts that ask for changes learn of the deletion.
-# Above this number of entries the tombstones are purged, and hosts behind that get a full update.
+# Above this number of them tombstones are purged, and hosts behind that get a full update.
 PURGE_THRESHOLD = 2_000
 
 # An offset beyond all others, by which a requester asks for no entries.
@@ -111,7 +111,7 @@
     `full_sync_before` needs a full update, as a snapshot does not tell which keys were deleted.
     `kept_keys` are the keys of entries of former eras, as the restored store has none that are as
     new. `era_start` is the offset at which this host began to follow the era: records from there on
-    were written after the restore.
+    were written after the restore. `deletions` counts the tombstones stored since the last purge.
 
     `ordered` is True if each value of a key has a higher revision than the one before, whatever
     happens to the store. `keeps_missing` is True if keys that a restored store lacks stay.
@@ -121,6 +121,7 @@
         self.ordered = ordered
         self.keeps_missing = keeps_missing
         self.entries: dict[str, Entry] = {}
+        self.deletions = 0
         self.kept_keys: set[str] = set()
         self.era = 0
         self.era_since = -math.inf
@@ -194,6 +195,7 @@
     def store(self, entry: Entry) -> None:
         """Stores an entry."""
         self.entries[entry.key] = entry
+        self.deletions += not entry.value
         if entry.era == self.era:
             self.kept_keys.discard(entry.key)
         else:
@@ -203,7 +205,7 @@
         """Applies changes and returns those that were new."""
         new = [entry for entry in entries if self.put(entry)]
         self.next_offset = max(self.next_offset, next_offset)
-        if len(self.entries) > PURGE_THRESHOLD:
+        if self.deletions > PURGE_THRESHOLD:
             self.purge_tombstones()
         return new
 
@@ -282,6 +284,7 @@
             for key, entry in self.entries.items()
             if entry.value or self.remembers_deletion(entry)
         }
+        self.deletions = 0
         self.full_sync_before = self.next_offset
 
     def remembers_deletion(self, entry: Entry) -> bool:
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryfork.forward.knowledge import Entry, Position, TopicTable
+from savoryfork.forward.knowledge import PURGE_THRESHOLD, Entry, Position, TopicTable
 
 
 def entry(offset: int, key: str, value: bytes = b"v") -> Entry:
@@ -69,6 +69,23 @@
         """Guards against long polls that are answered at once while a topic can't be read."""
         assert not TopicTable().has_changes_since(TopicTable().position())
 
+    def test_a_change_among_many_entries_is_sent_alone(self):
+        """Guards against full updates for each change of 2,000 targets, 400 KB to each host."""
+        peer, host = TopicTable(), TopicTable()
+        count = PURGE_THRESHOLD + 1
+        peer.apply([entry(n, f"k{n}") for n in range(count)], count)
+        host.merge_update(peer.changes_since(host.position(), 0.0), 0.0, 0.0)
+        peer.apply([entry(count, "k0")], count + 1)
+        update = peer.changes_since(host.position(), 0.0)
+        assert not update.full and [e.key for e in update.entries] == ["k0"]
+
+    def test_tombstones_are_purged(self):
+        """Guards against memory that grows with each key that was ever deleted."""
+        table = TopicTable()
+        for n in range(3 * PURGE_THRESHOLD):
+            table.apply([entry(2 * n, f"k{n}"), entry(2 * n + 1, f"k{n}", b"")], 2 * n + 2)
+        assert len(table.entries) <= PURGE_THRESHOLD + 1
+
     def test_a_host_behind_the_purged_tombstones_gets_a_full_update(self):
         peer, host = TopicTable(), TopicTable()
         host.apply([entry(0, "dropped")], 1)
