Keep the deletion of a value that is held back

A purge of tombstones could drop the deletion with which a held value is compared; the review of held values then raised KeyError, and reads of the targets failed until the next restart. Found by reading; not seen in a run.

A deletion is kept as long as a value of its key is held. The new test fails before the change (KeyError).

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -754,6 +754,7 @@
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
         for entry in self.targets_table.pop_new_held():
+            known = self.targets_table.entries.get(entry.key)
             logs.event(
                 log,
                 "late_write_held",
@@ -761,5 +762,5 @@
                 offset=entry.offset,
                 start_unix_ms=entry.revision[0],
                 sequence=entry.revision[1],
-                known=self.targets_table.entries[entry.key].revision[1],
+                known=known.revision[1] if known is not None else None,
             )
--- a/savoryfork/forward/sequenced.py
+++ b/savoryfork/forward/sequenced.py
@@ -128,6 +128,7 @@
         if entry.era == self.era:
             self.held.pop(entry.key, None)
         if not entry.value:
+            self.heard_at.pop(entry.key, None)
             self.deleted_at.pop(entry.key, None)  # so that the order is that of time
             self.deleted_at[entry.key] = self.now
         elif changed:
@@ -163,7 +164,6 @@
             else:
                 expired = was_away or self.silent_ms(record.key) >= EXPIRED_MS
                 record = record._replace(revision=self.deletion_revision(record.key, expired))
-                self.heard_at.pop(record.key, None)
             new += self.apply([record], next_offset)
         self.read_offset = max(self.read_offset, next_offset)
         return new + self.review()
@@ -212,7 +212,8 @@
         return [entry for entry in released if self.put(entry)]
 
     def remembers_deletion(self, entry: Entry) -> bool:
-        return super().remembers_deletion(entry) or entry.key in self.deleted_at
+        remembered = entry.key in self.deleted_at or entry.key in self.held
+        return remembered or super().remembers_deletion(entry)
 
     def pop_new_held(self) -> list[Entry]:
         """Returns the values held back since the last call, one for each key."""
--- a/tests/forward/test_sequenced.py
+++ b/tests/forward/test_sequenced.py
@@ -97,6 +97,15 @@
         assert not table.deleted_at
         assert not [e for e in table.changes_since(Position(0, 0), 0.0).entries if e.key == "k"]
 
+    def test_deletion_of_a_held_value_is_kept(self):
+        """Guards against a review that misses the deletion with which a value is compared."""
+        table = table_with(value(0, 7), deletion(1))
+        read_for(table, 1_000.0, REMEMBER_MS)
+        assert read(table, value(table.next_offset, 5), 32_000.0) == []
+        table.purge_tombstones()
+        read_for(table, 32_000.0, HOLD_MS)
+        assert table.entries["k"].value
+
     def test_deletions_are_bounded(self):
         """Guards against memory that grows with a store whose entries all go at once."""
         table = SequencedTable()
