Give each response an allowance of its own

The allowance of what is read before a reader counts as heavy lasted as long as a kept connection, so that a sound target with large answers, some 256 KB a second on one connection, got the share of a faulty one.

Cause: the allowance was made with the connection. Found by reading the change before it landed; no caller saw it.

Before: the new test, 12 answers of 200 KB on one connection, failed. After: it passes; the figures of endless streams do not depend on it, as their response does not end.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -78,6 +78,11 @@
         self.ended_by_peer = False
 
 
+def new_allowance() -> TokenBucket:
+    """Returns the full allowance of a response."""
+    return TokenBucket(ALLOWED_BYTES_PER_S, ALLOWED_BURST_BYTES, 0.0)
+
+
 class Head(NamedTuple):
     """Status and headers of a response, as received."""
 
@@ -100,7 +105,7 @@
         self.reading_paused = False
         self.bytes_in_turn = 0
         self.excess_bytes = 0
-        self.allowance = TokenBucket(ALLOWED_BYTES_PER_S, ALLOWED_BURST_BYTES, 0.0)
+        self.allowance = new_allowance()
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.busy = False
@@ -191,6 +196,7 @@
             self.abort()
             raise TargetError(f"unsendable: {error}", sent=False) from error
         self.busy = True
+        self.allowance = new_allowance()
         self.transport.write(b"".join(part for part in (head, data, end) if part))
 
     async def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
@@ -220,7 +226,7 @@
     async def yield_turn(self, size: int) -> None:
         """Queues for another turn after BYTES_PER_TURN bytes that needed no wait.
 
-        Bytes beyond the allowance of a connection count even if the reader had to wait for them.
+        Bytes beyond the allowance of a response count even if the reader had to wait for them.
         """
         self.bytes_in_turn += size
         if not self.allowance.take(asyncio.get_running_loop().time() * 1000, size):
--- a/tests/forward/test_limits.py
+++ b/tests/forward/test_limits.py
@@ -179,6 +179,34 @@
         assert await connection.read_body() == b"ok"
         server.close()
 
+    async def test_whole_answers_on_one_connection_are_within_its_allowance(self):
+        """Guards against a sound target that gets the share of a faulty one for large answers."""
+        body = b"x" * 200_000
+        ended = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+            writer.close()
+            ended.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        connections = Connections()
+        for _ in range(12):
+            connection = await connections.open(f"{ip}:{port}", 0.0)
+            connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+            await read_answer(connection)
+            assert not connection.excess_bytes
+            connections.release_connection(connection, 0.0, 5.0)
+        assert connections.reused == 11
+        connections.close()
+        async with asyncio.timeout(5.0):
+            await ended.wait()
+        server.close()
+
     async def test_answer_up_to_the_limit_is_complete(self):
         """Guards against a limit that cuts off an answer of just the permitted size."""
         limits = ReadLimits(answer_bytes=200_000)
