--- a/tests/forward/test_late_writes.py
+++ b/tests/forward/test_late_writes.py
@@ -13,7 +13,7 @@
 from savoryfork.forward.follower import Topic
 from savoryfork.forward.registry import LAPSE_GRACE_MS
 from tests.forward.controlplane import Host
-from tests.forward.test_restore import Plane, quiet_logs, target_value, usable  # noqa: F401
+from tests.forward.registered import Plane, target_value, usable
 
 HEARTBEAT_S = 1.2
 
