--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -28,14 +28,14 @@
     {"name": "book", "path_prefix": "/book/", "route_kind": "non_idempotent", "service": "plain"},
     {"name": "view", "path_prefix": "/view/", "route_kind": "idempotent", "service": "plain",
      "max_attempts": 2},
-    {"name": "open", "path_prefix": "/open/", "route_kind": "idempotent", "service": "plain",
-     "max_attempts": 2, "allow_anonymous": True},
     {"name": "chat", "path_prefix": "/chat/", "route_kind": "streaming", "service": "engine",
      "stream_resume": True, "max_attempts": 2, "target_gap_ms": 150,
      "stages": [{"service": "cave", "after": [], "payload_bytes": 8000},
                 {"service": "carri", "after": [0], "payload_bytes": 60000}]},
     {"name": "ask", "path_prefix": "/ask/", "route_kind": "streaming", "service": "engine",
      "target_gap_ms": 150},
+    {"name": "open", "path_prefix": "/open/", "route_kind": "idempotent", "service": "plain",
+     "max_attempts": 2, "allow_anonymous": True},
 ]  # fmt: skip
 
 
