Take a value for late only if it is a little behind

An entry of another writer with a huge number under a target's name held back what the target itself said for 15 s, also that it is draining. Found by reading the change of the late heartbeats; no caller saw it.

Cause: any lower number counted as late. Late writes are executed within seconds, and a target writes every 1.2 s, so that a late value is a few numbers behind; a known number that is further ahead is not the target's.

Before: both variants of the new test of a draining target failed (not out of use within 2 s). After: they and the other tests of late writes, odd entries and restores pass.

Open: another writer that puts a number less than 64 ahead holds the target's values back until it has counted that far, 15 s at most.

--- a/savoryfork/forward/sequenced.py
+++ b/savoryfork/forward/sequenced.py
@@ -30,6 +30,10 @@
     Update,
 )
 
+# Numbers by which a late value is behind at most. Writers write every 1.2 s and late writes are
+# executed within seconds. A known number that is further ahead is that of another writer.
+MAX_BEHIND = 64
+
 # Time for which a deletion is remembered. Late writes of a key are executed within seconds of its
 # deletion.
 REMEMBER_MS = 30_000.0
@@ -70,12 +74,18 @@
     (False, True)
     >>> is_late(written._replace(revision=(100, 8)), deletion)
     False
+    >>> is_late(written, live._replace(revision=(100, 10**15)))
+    False
     """
     if not entry.value or entry.revision == UNKNOWN_REVISION or entry.era != known.era:
         return False
-    if known.value:
-        return entry.revision < known.revision
-    return entry.revision <= known.revision
+    start, number = entry.revision
+    known_start, known_number = known.revision
+    if start > known_start:
+        return False
+    # A later start counts anew, so its number tells how long ago the earlier one ended.
+    behind = known_number - number if start == known_start else known_number
+    return (1 if known.value else 0) <= behind <= MAX_BEHIND
 
 
 class Held(NamedTuple):
--- a/tests/forward/test_late_writes.py
+++ b/tests/forward/test_late_writes.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from savoryfork.forward.follower import Topic
@@ -188,6 +189,20 @@
                 for host in plane.live():
                     assert host.follower.registry.targets["t0"].start_unix_ms == start
 
+    @pytest.mark.parametrize(
+        "odd", [{"sequence": 10**15}, {"sequence": 10**15, "born": 1_900_000_000_000}]
+    )
+    async def test_entry_of_another_writer_does_not_outrank_the_target(self, odd):
+        """Guards against a target whose word that it leaves is held back, as another writer put a
+        huge number into its entry."""
+        async with Heartbeats() as plane:
+            await plane.beat(4)
+            row = msgspec.json.decode(target_value(0, plane.sequence))
+            plane.store.put(Topic.TARGETS, "t0", msgspec.json.encode({**row, **odd}))
+            await asyncio.sleep(1.0)
+            plane.put_target(0, plane.sequence + 1, "draining")
+            await plane.until(lambda: usable(plane.live()) == WITHOUT_T0, MAX_TARGETS_S)
+
     async def test_entry_that_the_store_keeps_is_used_in_the_end(self):
         """Guards against a target shut out for good, here one whose clock was set back."""
         async with Heartbeats() as plane:
--- a/tests/forward/test_sequenced.py
+++ b/tests/forward/test_sequenced.py
@@ -47,6 +47,13 @@
         assert read(table, value(3, 8, data=b"newer"), 1_200.0) == [b"newer"]
         assert not table.held
 
+    def test_number_far_ahead_is_that_of_another_writer(self):
+        """Guards against an odd entry after which nothing that the writer says counts."""
+        table = table_with(value(0, 7), value(1, 10**15, data=b"odd"))
+        assert read(table, value(2, 8), 1_100.0) == [b"v"]
+        table = table_with(value(0, 7), value(1, 10**15), deletion(2))
+        assert read(table, value(3, 8), 1_100.0) == [b"v"]
+
     def test_value_without_a_number_is_never_late(self):
         """Guards against writers without numbers whose keys would stay deleted."""
         table = table_with(value(0, 7), deletion(1))
