Count a repeated deletion of a key once

The number after which tombstones are purged counted each rewrite of a tombstone, so that a key deleted again and again brought full updates. Found by reading. The new test failed before and passes now.

--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -194,8 +194,10 @@
 
     def store(self, entry: Entry) -> None:
         """Stores an entry."""
+        known = self.entries.get(entry.key)
+        if not entry.value and (known is None or known.value):
+            self.deletions += 1
         self.entries[entry.key] = entry
-        self.deletions += not entry.value
         if entry.era == self.era:
             self.kept_keys.discard(entry.key)
         else:
--- a/tests/forward/test_knowledge.py
+++ b/tests/forward/test_knowledge.py
@@ -79,6 +79,13 @@
         update = peer.changes_since(host.position(), 0.0)
         assert not update.full and [e.key for e in update.entries] == ["k0"]
 
+    def test_a_repeated_deletion_is_not_counted_again(self):
+        """Guards against full updates for a key that is deleted again and again."""
+        table = TopicTable()
+        for n in range(PURGE_THRESHOLD + 1):
+            table.apply([entry(n, "k", b"")], n + 1)
+        assert not table.full_sync_before
+
     def test_tombstones_are_purged(self):
         """Guards against memory that grows with each key that was ever deleted."""
         table = TopicTable()
