--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -196,7 +196,6 @@
             self.abort()
             raise TargetError(f"unsendable: {error}", sent=False) from error
         self.busy = True
-        self.allowance = new_allowance()
         self.transport.write(b"".join(part for part in (head, data, end) if part))
 
     async def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
@@ -293,6 +292,8 @@
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
         http.start_next_cycle()
+        self.allowance = new_allowance()
+        self.excess_bytes = 0
         self.busy = False
         return True
 
