Count comments of a stream as no events

An engine that sends two comments and crashes on a part of the prompt had, by the crash check, answered on that part, which then counted as sound. Comments also ended the wait for the first event and entered the measured speed.

Cause: every block that ends with an empty line was an event. Comments are still relayed. The new test failed before (three events recorded) and passes now.

--- a/savoryfork/forward/endless.py
+++ b/savoryfork/forward/endless.py
@@ -33,7 +33,8 @@
 
     `sent` is the number of events that the caller has, and `last_id` the id of the last one of
     them, from this target or another. `max_tokens` is None if the request does not name it; only
-    the deadline then bounds a stream with increasing ids.
+    the deadline then bounds a stream with increasing ids. `received` counts the events of this
+    target; comments are none.
 
     >>> check = StreamCheck(max_tokens=4, sent=1, last_id=b"1")
     >>> repeated, new = Event(b"id: 1\\n\\n", b"1"), Event(b"id: 2\\n\\n", b"2")
@@ -46,6 +47,7 @@
         self.max_stale = MAX_STALE_PARTS + sent
         self.sent = sent
         self.last_id = last_id
+        self.received = 0
         self.stale = 0
 
     def select(self, events: list[Event]) -> list[Event]:
@@ -53,6 +55,7 @@
         selected = []
         for event in events:
             comment = event.id is None and is_comment(event)
+            self.received += not comment
             if not comment and self.is_new(event):
                 self.stale = 0
                 self.sent += 1
--- a/savoryfork/forward/relay.py
+++ b/savoryfork/forward/relay.py
@@ -118,11 +118,18 @@
             except EventTooLarge:
                 raise TargetError("event too large", sent=True) from None
             data = b""
-            if events:
+            if not events:
+                continue
+            received = check.received
+            new_events = select_new(run, check, events)
+            if check.received > received:
+                run.first_event_at = run.first_event_at or now()
                 on_events()
                 silence_ms = silence.event_silence_ms(run.route)
-                await relay_batch(run, answer, now, check, events)
-                await connection.yield_turn(len(events) * EVENT_COST_BYTES)
+            if new_events:
+                await send_events(run, answer, new_events)
+                run.events, run.last_event = check.sent, check.last_id
+            await connection.yield_turn(len(events) * EVENT_COST_BYTES)
     if splitter.buffer:
         raise TargetError("stream ended within an event", sent=True)
     if not connection.framed and run.attempt is not None and not run.attempt.events:
@@ -130,29 +137,25 @@
         raise TargetError("closed before the first event", sent=True)
 
 
-async def relay_batch(
-    run: Run,
-    answer: AnswerHead,
-    now: Callable[[], float],
-    check: StreamCheck,
-    events: list[Event],
-) -> None:
-    """Forwards those of some events that the caller lacks; raises TargetError for endless ones."""
-    if run.first_event_at is None:
-        run.first_event_at = now()
-    if run.attempt is not None:
-        run.attempt.events += len(events)
+def select_new(run: Run, check: StreamCheck, events: list[Event]) -> list[Event]:
+    """Returns the events that the caller lacks; raises TargetError for an endless stream."""
     try:
-        new_events = check.select(events)
+        return check.select(events)
     except EndlessStreamError as error:
         raise TargetError(f"{ENDLESS}: {error}", sent=True, certain=True) from None
-    if not new_events:
-        return
-    # A caller that reads slowly delays the next read, and so holds back the target.
+    finally:
+        if run.attempt is not None:
+            run.attempt.events = check.received
+
+
+async def send_events(run: Run, answer: AnswerHead, events: list[Event]) -> None:
+    """Sends events to the caller, after the head of the answer if it was not sent yet.
+
+    A caller that reads slowly delays the next read, and so holds back the target.
+    """
     run.waiting_for_caller = True
     if not run.response_started:
         await run.response_writer.start_stream(answer.status, answer.headers)
         run.response_started = True
-    await run.response_writer.write(b"".join(event.data for event in new_events))
+    await run.response_writer.write(b"".join(event.data for event in events))
     run.waiting_for_caller = False
-    run.events, run.last_event = check.sent, check.last_id
--- a/tests/forward/test_forwarder.py
+++ b/tests/forward/test_forwarder.py
@@ -338,6 +338,26 @@
         assert status == 502 and "Response-Seal" not in answer_headers
 
 
+class TestComments:
+    async def test_comments_prove_nothing(self, scripted):
+        """Guards against a prompt that crashes its engine and counts as answered by comments."""
+        host = scripted.deployment.hosts[0]
+        recorded = []
+        host.crashes.record_events = recorded.append
+
+        async def crash_after_comments(request, writer):
+            writer.write(stream_head(request, "Transfer-Encoding: chunked"))
+            for _ in range(3):
+                writer.write(chunk(b": still here\n\n"))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            reset(writer)
+
+        await scripted.replace("engine", crash_after_comments)
+        await scripted.raw_call("/ask/x")
+        assert not recorded and not host.entry.inflight
+
+
 class TestRevokedKeys:
     async def test_refusal_after_a_broken_attempt_does_not_claim_that_nothing_ran(self, scripted):
         """Guards against "did not run" for a request whose key is revoked between two attempts."""
