--- a/savoryfork/forward/crashes.py
+++ b/savoryfork/forward/crashes.py
@@ -15,10 +15,11 @@
 from savoryfork.errors import ErrorKind, Ran, ServiceError
 from savoryfork.forward import quarantine as quarantines
 from savoryfork.forward.connection import CONNECT_TIMEOUT_MS
-from savoryfork.forward.follower import Follower, Topic
+from savoryfork.forward.follower import Follower
 from savoryfork.forward.model import Target
 from savoryfork.forward.quarantine import Report, Verdict, is_stored
 from savoryfork.forward.run import Progress, Run, shared_parts_label
+from savoryfork.forward.topics import Topic
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
 from savoryfork.util.timeouts import running_timeout
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -8,12 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
 import math
 import random
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
 
 from savoryfork.forward.crashnews import CrashNewsExchange, NewsEntry
 from savoryfork.forward.departures import (
@@ -23,7 +21,6 @@
     incarnation_of,
 )
 from savoryfork.forward.knowledge import (
-    FIRST_ERA,
     NO_ENTRIES,
     TRUST_LOST_MS,
     Changes,
@@ -38,20 +35,19 @@
 from savoryfork.forward.model import Catalog, Target
 from savoryfork.forward.quarantine import Quarantine, is_stored
 from savoryfork.forward.registry import OUTAGE_MS, Registry
-from savoryfork.forward.sequenced import SequencedTable, recalled_records
+from savoryfork.forward.sequenced import SequencedTable
+from savoryfork.forward.topicreader import TopicReader
+from savoryfork.forward.topics import CONFIGURATION_KEY, Store, Topic
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerCaller, PeerUnavailable
 from savoryfork.util import logs
 from savoryfork.util.background import BackgroundTasks
 from savoryfork.util.supervise import skip_failing
 from savoryfork.util.timer import Clock
-from savoryfork.util.topic import LogUnavailable, OffsetExpired
+from savoryfork.util.topic import LogUnavailable
 
 log = logging.getLogger(__name__)
 
-# The key of the configuration within its topic.
-CONFIGURATION_KEY = "config"
-
 # Long poll of the configuration. Each answer confirms it as of the poll's start, so the last
 # confirmation before an outage is up to two polls old. Keyed requests must be served for 0.6 of
 # `key_revocation_ms` (5 s on the sheets) after the store is lost, so two polls must fit between
@@ -89,14 +85,6 @@
 FAILED_PROBE_SHARE = 0.3
 
 
-class Topic(enum.Enum):
-    """The topics of the store; hosts themselves write that of crash reports."""
-
-    CONFIGURATION = "configuration"
-    TARGETS = "targets"
-    CRASHES = "crashes"
-
-
 def stale_ms(topic: Topic, level: int) -> float:
     """Returns the age at which a host at a level of the tree reads the store itself.
 
@@ -111,45 +99,6 @@
     return reader_age_ms + level * SYNC_WAIT_MS + SYNC_WAIT_MS + SYNC_TIMEOUT_MARGIN_MS
 
 
-class StoreRead(NamedTuple):
-    """Entries of a topic, the offset to read from next, the end offset, and the store's era."""
-
-    entries: list[Entry]
-    next: int
-    end: int
-    era: int
-
-
-class RecentRecords(NamedTuple):
-    """The records of a topic from the offset `start` up to `next`."""
-
-    start: int
-    entries: list[Entry]
-    next: int
-
-
-class Store(Protocol):
-    """Read access to the platform's store; `calls` counts the reads."""
-
-    calls: int
-
-    async def newest(self, topic: Topic) -> StoreRead:
-        """Returns the newest value of each key. Raises LogUnavailable."""
-
-    async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
-        """Returns the records from an offset on.
-
-        Raises LogUnavailable, or OffsetExpired if the records are no longer retained or the store
-        was restored and does not have them.
-        """
-
-    async def append(self, topic: Topic, entries: Sequence[tuple[str, bytes]]) -> None:
-        """Appends a value for each key; an empty one deletes the key. Raises LogUnavailable.
-
-        After LogUnavailable the entries may be stored or not.
-        """
-
-
 class Follower:
     """Keeps `catalog`, `registry`, `quarantine` and `members` up to date."""
 
@@ -166,6 +115,7 @@
         background: BackgroundTasks,
     ) -> None:
         self.store = store
+        self.reader = TopicReader(store, self.now)
         self.wire = wire
         self.members = members
         self.peers = peers
@@ -233,7 +183,9 @@
         table = self.tables[topic]
         started = self.now()
         try:
-            changes, end = await self.read_changes(topic, table, table.poll_ms(wait_ms, started))
+            changes, end = await self.reader.read_changes(
+                topic, table, table.poll_ms(wait_ms, started)
+            )
         except LogUnavailable as error:
             self.record_store_result(topic, False, str(error))
             return False
@@ -249,90 +201,6 @@
         self.apply_entries(topic, changes, "store", now - started)
         return True
 
-    async def read_changes(
-        self, topic: Topic, table: TopicTable, wait_ms: float
-    ) -> tuple[Changes, int]:
-        """Reads one topic once; returns what was new and the end offset.
-
-        All newest values are read if the store was restored since the last read, as it gives out
-        offsets again. Raises LogUnavailable.
-        """
-        era = table.era
-        if table.next_offset >= 0:
-            try:
-                read = await self.read_records(topic, table, wait_ms)
-                if read.era == era == table.era:
-                    new = table.apply_records(read.entries, read.next, self.now())
-                    return Changes(new), read.end
-            except OffsetExpired:
-                logs.event(log, "offset_expired", topic=topic.value, offset=table.next_offset)
-        read = await self.store.newest(topic)
-        recent = None
-        if table is self.targets_table and table.next_offset < 0:
-            recent = await self.read_recent(read)
-        if table.next_offset < 0:
-            return Changes(self.start_table(table, read, recent)), read.end
-        if read.era < table.era:
-            raise LogUnavailable(f"an answer of era {read.era} after one of era {table.era}")
-        if read.era == table.era:
-            return Changes(table.apply_snapshot(read.entries, read.next)), read.end
-        new = table.start_era(read.era, read.entries, read.next, self.now())
-        return Changes(new, restored=True), read.end
-
-    async def read_records(self, topic: Topic, table: TopicTable, wait_ms: float) -> StoreRead:
-        """Reads the records of a topic from where this host should go on.
-
-        Raises LogUnavailable or OffsetExpired.
-        """
-        start = table.read_start()
-        if start < table.next_offset:
-            try:
-                return await self.store.read(topic, start, 0.0)
-            except OffsetExpired as error:
-                logs.event(log, "history_expired", topic=topic.value, first=error.start)
-                if start < error.start <= table.next_offset:
-                    return await self.store.read(topic, error.start, 0.0)
-        return await self.store.read(topic, table.next_offset, wait_ms)
-
-    async def read_recent(self, newest: StoreRead) -> RecentRecords | None:
-        """Reads the records of targets before the end of a snapshot; None if that fails.
-
-        A host that starts without them would not know of the latest deletions.
-        """
-        if newest.era > FIRST_ERA:
-            return None  # these records may be from before the copy that was restored
-        start = first = max(0, newest.next - recalled_records(len(newest.entries)))
-        records: list[Entry] = []
-        try:
-            while first < newest.next:
-                try:
-                    read = await self.store.read(Topic.TARGETS, first, 0.0)
-                except OffsetExpired as error:
-                    if not first < error.start < newest.next:
-                        return None
-                    start = first = error.start
-                    records.clear()
-                    continue
-                if read.era != newest.era or read.next <= first:
-                    return None
-                records += read.entries
-                first = read.next
-        except LogUnavailable as error:
-            logs.event(log, "history_unread", logging.WARNING, reason=str(error))
-            return None
-        return RecentRecords(start, records, first)
-
-    def start_table(
-        self, table: TopicTable, newest: StoreRead, recent: RecentRecords | None
-    ) -> list[Entry]:
-        """Applies the first snapshot; what is in the recent records is taken from these."""
-        now = self.now()
-        if recent is None:
-            return table.start(newest.era, newest.entries, newest.next, now)
-        older = [entry for entry in newest.entries if entry.offset < recent.start]
-        new = table.start(newest.era, older, newest.next, now)
-        return new + table.apply_records(recent.entries, recent.next, now)
-
     def record_store_result(self, topic: Topic, ok: bool, reason: str) -> None:
         """Records whether a read was answered, and propagates a change of that to peers."""
         result = "answered" if ok else "failed"
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -23,7 +23,7 @@
 from savoryfork.forward.crashes import CrashMonitor
 from savoryfork.forward.departures import Source
 from savoryfork.forward.entry import EntryServer
-from savoryfork.forward.follower import Follower, Store, Topic
+from savoryfork.forward.follower import Follower
 from savoryfork.forward.forwarder import Forwarder
 from savoryfork.forward.gate import Gate
 from savoryfork.forward.health import HealthTracker
@@ -44,6 +44,7 @@
 from savoryfork.forward.settings import ForwardSettings
 from savoryfork.forward.signals import TargetSignals
 from savoryfork.forward.stages import Stages
+from savoryfork.forward.topics import Store, Topic
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerClient, PeerServer
 from savoryfork.settings import split_address
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -326,6 +326,10 @@
         """Returns the offset from which this host should read the log."""
         return self.next_offset
 
+    def recalled_records(self, keys: int) -> int:
+        """Returns how many past records of so many keys a host reads as it starts to read."""
+        return 0
+
     # Updates between hosts.
 
     def kept(self) -> list[Entry]:
--- a/savoryfork/forward/sequenced.py
+++ b/savoryfork/forward/sequenced.py
@@ -56,15 +56,6 @@
 MAX_RECALLED = 8_192
 
 
-def recalled_records(keys: int) -> int:
-    """Returns how many records a host reads again as it starts to read the log.
-
-    >>> recalled_records(0), recalled_records(30), recalled_records(2_000)
-    (256, 300, 8192)
-    """
-    return min(MAX_RECALLED, max(MIN_RECALLED, RECALLED_PER_KEY * keys))
-
-
 def is_late(entry: Entry, known: Entry) -> bool:
     """Returns whether a value was written before the known one, or before the known deletion.
 
@@ -239,6 +230,15 @@
         """
         if self.read_offset >= self.next_offset:
             return self.next_offset
-        oldest = self.next_offset - recalled_records(len(self.entries))
+        oldest = self.next_offset - self.recalled_records(len(self.entries))
         era_start = self.era_start if self.era > FIRST_ERA else 0
         return min(self.next_offset, max(era_start, self.read_offset, oldest))
+
+    def recalled_records(self, keys: int) -> int:
+        """Returns how many past records of so many keys a host reads as it starts to read.
+
+        >>> table = SequencedTable()
+        >>> [table.recalled_records(keys) for keys in (0, 30, 2_000)]
+        [256, 300, 8192]
+        """
+        return min(MAX_RECALLED, max(MIN_RECALLED, RECALLED_PER_KEY * keys))
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -10,9 +10,9 @@
 import aiohttp
 import msgspec
 
-from savoryfork.forward.follower import CONFIGURATION_KEY, StoreRead, Topic
 from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
+from savoryfork.forward.topics import CONFIGURATION_KEY, StoreRead, Topic
 from savoryfork.platform.records import MAX_TARGET_BYTES
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from savoryfork.util.untrusted import UndecodableError, decode_json, split_json, whole
--- a/tests/forward/controlplane.py
+++ b/tests/forward/controlplane.py
@@ -10,11 +10,12 @@
 from collections.abc import Sequence
 from typing import Any
 
-from savoryfork.forward.follower import Follower, StoreRead, Topic
+from savoryfork.forward.follower import Follower
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.members import Member, Members
 from savoryfork.forward.messages import METHODS, MessageCodec
 from savoryfork.forward.metrics import ForwardMetrics
+from savoryfork.forward.topics import StoreRead, Topic
 from savoryfork.peers import PeerUnavailable
 from savoryfork.platform.store import normalize_entries
 from savoryfork.platform.wire import PlatformWire
--- a/tests/forward/registered.py
+++ b/tests/forward/registered.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from savoryfork.forward.follower import Topic
+from savoryfork.forward.topics import Topic
 from tests.forward.controlplane import ControlPlane, Host
 
 # The bound within which a change is in force after its acknowledgement.
--- a/tests/forward/test_controlplane.py
+++ b/tests/forward/test_controlplane.py
@@ -9,8 +9,8 @@
 import pytest
 
 from savoryfork.forward import quarantine
-from savoryfork.forward.follower import Topic
 from savoryfork.forward.quarantine import Report
+from savoryfork.forward.topics import Topic
 from tests.forward.controlplane import ControlPlane, Host
 
 ENGINES = [f"engine-{number}" for number in range(50)]
--- a/tests/forward/test_late_writes.py
+++ b/tests/forward/test_late_writes.py
@@ -11,8 +11,8 @@
 import msgspec
 import pytest
 
-from savoryfork.forward.follower import Topic
 from savoryfork.forward.registry import LAPSE_GRACE_MS
+from savoryfork.forward.topics import Topic
 from tests.forward.controlplane import Host
 from tests.forward.registered import Plane, target_value, usable
 
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -13,11 +13,12 @@
 import pytest
 
 from savoryfork.forward import quarantine as quarantines
-from savoryfork.forward.follower import Topic, stale_ms
+from savoryfork.forward.follower import stale_ms
 from savoryfork.forward.gate import TRUSTED_SHARE
 from savoryfork.forward.knowledge import RESTORE_SETTLE_MS, REWRITE_MS
 from savoryfork.forward.quarantine import Report
 from savoryfork.forward.registry import LAPSE_GRACE_MS
+from savoryfork.forward.topics import Topic
 from tests.forward.deployment import Deployment, configuration, until
 from tests.forward.registered import (
     MAX_CONFIG_S,
@@ -247,7 +248,7 @@
                 return result
 
             monkeypatch.setattr(plane.store, "read", read_late)
-            changes, _ = await follower.read_changes(Topic.TARGETS, table, 0.0)
+            changes, _ = await follower.reader.read_changes(Topic.TARGETS, table, 0.0)
             assert {entry.era for entry in changes.entries} == {2}
 
     async def test_host_cut_off_through_the_drill(self):
--- a/tests/forward/test_restore_model.py
+++ b/tests/forward/test_restore_model.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, initialize, invariant, rule
 
-from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry, TopicTable
 from savoryfork.forward.registry import LAPSE_GRACE_MS, Registry
 from savoryfork.forward.sequenced import SequencedTable
+from savoryfork.forward.topics import Topic
 from savoryfork.platform.records import decode_target
 from savoryfork.platform.store import normalize_entries
 
--- a/tests/forward/test_sequenced.py
+++ b/tests/forward/test_sequenced.py
@@ -134,7 +134,7 @@
         reader.apply_records([value(offset, offset) for offset in range(5_001, 6_000)], 6_000, 50.0)
         host.merge_update(reader.changes_since(Position(0, 0), 60.0), 60.0, 60.0)
         assert host.entries["k"].revision == (100, 5_999)
-        assert host.read_start() == 6_000 - sequenced.recalled_records(1)
+        assert host.read_start() == 6_000 - host.recalled_records(1)
 
     def test_records_before_a_restore_are_not_read_again(self):
         """Guards against deletions of the copy that are taken for those of later entries."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,9 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryfork.forward.follower import Topic
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.limits import ReadLimits
+from savoryfork.forward.topics import Topic
 from savoryfork.platform.store import PlatformStore, decode_records, normalize_target
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from standins.keyedstore import KeyedStore
