Leave out targets of evacuated zones

Requests, pieces and freed results went on to the targets of a zone that its operator had asked to evacuate: the store client dropped every key of the operator's topic but the configuration.

The keys evacuate/ZONE are followed in the configuration's topic, so they reach all hosts without further reads and are there before a host is ready. The registry leaves the targets of such zones out, and the check before each send refuses them. Deletions decide by their offset, while the configuration stays ordered by its version; what a restored store lacks of the zones does not keep the configuration from being confirmed. Ruled out: a topic of its own, which costs every host another long poll, and failing open if no zone is left, which sends what the operator forbade.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -20,6 +20,7 @@
     Source,
     incarnation_of,
 )
+from savoryfork.forward.evacuation import evacuated_zones
 from savoryfork.forward.knowledge import (
     NO_ENTRIES,
     TRUST_LOST_MS,
@@ -125,12 +126,13 @@
         self.background = background
         self.targets_table = SequencedTable()
         self.tables: dict[Topic, TopicTable] = {
-            Topic.CONFIGURATION: TopicTable(ordered=True, keeps_missing=True),
+            Topic.CONFIGURATION: TopicTable(frozenset({CONFIGURATION_KEY}), keeps_missing=True),
             Topic.TARGETS: self.targets_table,
             Topic.CRASHES: TopicTable(keeps_missing=True),
         }
         self.registry = Registry(skip_failing(wire.decode_target, "target"))
         self.decode_catalog = skip_failing(wire.decode_catalog, "configuration")
+        self.decode_evacuation = wire.decode_evacuation
         self.departures = DepartureExchange(self.registry.departures)
         self.catalog: Catalog | None = None
         self.quarantine = Quarantine(rng.random())
@@ -228,6 +230,7 @@
             return
         if topic is Topic.CONFIGURATION:
             self.apply_catalog(new, source, age_ms)
+            self.apply_evacuations(source, age_ms)
         elif topic is Topic.CRASHES:
             self.discard_stored_news()
             self.quarantine.update(new, self.now())
@@ -350,6 +353,22 @@
                 age_ms=round(age_ms),
             )
 
+    def apply_evacuations(self, source: str, age_ms: float) -> None:
+        """Takes the targets of evacuated zones out of use, and those of other zones back in."""
+        entries = self.tables[Topic.CONFIGURATION].entries.values()
+        zones = evacuated_zones(entries, self.decode_evacuation)
+        for zone, evacuated in self.registry.set_evacuated(zones):
+            count = len(self.registry.of_zone(zone))
+            logs.event(
+                log,
+                "zone_evacuated" if evacuated else "zone_returned",
+                logging.INFO if count else logging.WARNING,
+                zone=zone,
+                targets=count,
+                source=source,
+                age_ms=round(age_ms),
+            )
+
     def propagate_trust(self, table: TopicTable, former_age_ms: float) -> None:
         """Wakes the waiting syncs if entries are trusted again that were not confirmed for long."""
         if former_age_ms > TRUST_LOST_MS >= table.trusted_age_ms(self.now()):
--- a/savoryfork/forward/freeing.py
+++ b/savoryfork/forward/freeing.py
@@ -66,6 +66,9 @@
         """Sends the collected results of one target, once it does not push back."""
         service, address = key
         target = self.registry.at_address(service, address)
+        if target is not None and target.zone in self.registry.evacuated:
+            self.pending.pop(key)  # the results expire; nothing may reach an evacuated zone
+            return
         if target is not None:
             wait_ms = self.registry.push_backs.blocked_until(target) - self.clock.monotonic_ms()
             if wait_ms > MAX_FREE_WAIT_MS:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -276,6 +276,7 @@
         for service, count in push_backs.received.items():
             metrics.push_backs.set({"service": service}, count)
         metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
+        metrics.evacuated_zones.set({}, len(self.follower.registry.evacuated))
         metrics.inflight.set({}, self.entry.inflight)
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
--- a/savoryfork/forward/knowledge.py
+++ b/savoryfork/forward/knowledge.py
@@ -113,11 +113,12 @@
     new. `era_start` is the offset at which this host began to follow the era: records from there on
     were written after the restore. `deletions` counts the tombstones stored since the last purge.
 
-    `ordered` is True if each value of a key has a higher revision than the one before, whatever
-    happens to the store. `keeps_missing` is True if keys that a restored store lacks stay.
+    `ordered` has the keys each of whose values has a higher revision than the one before, whatever
+    happens to the store; if there are any, only these count for `trusted_at`. `keeps_missing` is
+    True if keys that a restored store lacks stay.
     """
 
-    def __init__(self, ordered: bool = False, keeps_missing: bool = False) -> None:
+    def __init__(self, ordered: frozenset[str] = frozenset(), keeps_missing: bool = False) -> None:
         self.ordered = ordered
         self.keeps_missing = keeps_missing
         self.entries: dict[str, Entry] = {}
@@ -173,7 +174,7 @@
         False
         """
         newer_era = entry.era > known.era
-        if entry.era == known.era and not self.ordered:
+        if entry.era == known.era and entry.key not in self.ordered:
             return entry.offset > known.offset
         if entry.era != known.era and self.supersedes_former(entry if newer_era else known):
             return newer_era
@@ -188,7 +189,7 @@
         the key. Hosts know different revisions of a value, as rewrites of an unchanged value are
         not propagated, and no record would ever delete an entry that comes back.
         """
-        if self.ordered or entry.era != self.era:
+        if entry.key in self.ordered or entry.era != self.era:
             return False
         return entry.offset >= self.era_start or not (entry.value or self.keeps_missing)
 
@@ -214,18 +215,16 @@
     def apply_records(self, records: Iterable[Entry], next_offset: int, now: float) -> list[Entry]:
         """Applies records that were read from the log, as `apply` does.
 
-        They were written after the restore with which the era began, so unless the topic is
+        They were written after the restore with which the era began, so unless their key is
         ordered, they are at least as new as what this host knew before.
         """
-        if self.ordered:
-            return self.apply(records, next_offset)
         new = []
         for record in records:
             known = self.entries.get(record.key)
-            if known is not None:
+            if known is not None and record.key not in self.ordered:
                 record = record._replace(revision=max(known.revision, record.revision))
             new += self.apply([record], next_offset)
-        return new
+        return new + self.apply([], next_offset)
 
     def apply_snapshot(self, entries: Iterable[Entry], next_offset: int) -> list[Entry]:
         """Applies a full snapshot as of `next_offset`; keys missing from it are deleted."""
@@ -299,7 +298,7 @@
         While entries are kept that the store lacks, it can't show that they are the newest.
         """
         self.confirmed_at = max(self.confirmed_at, at)
-        if not self.kept_keys:
+        if not self.lacks_newest():
             self.trusted_at = max(self.trusted_at, trusted_at)
 
     def confirm_read(self, at: float) -> None:
@@ -320,7 +319,7 @@
         settle_ms = self.settle_ms(now)
         if settle_ms:
             return min(wait_ms, math.ceil(settle_ms))
-        return wait_ms if self.kept_keys or self.trusted_age_ms(now) < TRUST_LOST_MS else 0.0
+        return wait_ms if self.lacks_newest() or self.trusted_age_ms(now) < TRUST_LOST_MS else 0.0
 
     def read_start(self) -> int:
         """Returns the offset from which this host should read the log."""
@@ -330,6 +329,12 @@
         """Returns how many past records of so many keys a host reads as it starts to read."""
         return 0
 
+    def lacks_newest(self) -> bool:
+        """Returns whether the store lacks entries without which it can't be trusted."""
+        if self.ordered:
+            return not self.kept_keys.isdisjoint(self.ordered)
+        return bool(self.kept_keys)
+
     # Updates between hosts.
 
     def kept(self) -> list[Entry]:
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -47,6 +47,9 @@
         self.pushed_back_targets = self.gauge(
             "savoryfork_pushed_back_targets", "Targets that push back on this host now"
         )
+        self.evacuated_zones = self.gauge(
+            "savoryfork_evacuated_zones", "Zones whose targets get nothing, as operators ask"
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -27,7 +27,7 @@
 
     A target at whose address another incarnation answered is excluded until its entry changes, and
     one that is leaving by any source for good; see `departures`. `push_backs` are those that want
-    no requests for a time.
+    no requests for a time. Targets in the `evacuated` zones get nothing until these are taken back.
     """
 
     def __init__(self, decode: Decoder) -> None:
@@ -37,6 +37,7 @@
         self.misdirected: dict[str, Target] = {}
         self.departures = Departures()
         self.push_backs = PushBacks()
+        self.evacuated: frozenset[str] = frozenset()
         self.lapsed: dict[str, float] = {}
         self.store_returned_at = 0.0
 
@@ -133,10 +134,19 @@
         """Returns whether a registered target may get new work."""
         return (
             not target.leaving
+            and target.zone not in self.evacuated
             and not self.departures.is_leaving(target)
             and target.name not in self.misdirected
         )
 
+    def set_evacuated(self, zones: frozenset[str]) -> list[tuple[str, bool]]:
+        """Sets the evacuated zones; returns each that changed, and whether it is evacuated now."""
+        changes = [(zone, zone in zones) for zone in sorted(zones ^ self.evacuated)]
+        if changes:
+            self.evacuated = zones
+            self.reindex()
+        return changes
+
     def mark_leaving(self, target: Target, source: Source, since: float) -> bool:
         """Takes this incarnation of a target out of use; returns False if it is known to leave."""
         if not self.departures.add(incarnation_of(target), source, since):
@@ -145,11 +155,14 @@
         return True
 
     def all_leaving(self, service: str) -> bool:
-        """Returns whether a service has targets and all of them are leaving."""
+        """Returns whether a service has targets and all of them are leaving or evacuated."""
         if self.usable(service):
             return False
         targets = self.of_service(service)
-        return bool(targets) and all(map(self.departures.is_leaving, targets))
+        return bool(targets) and all(
+            target.zone in self.evacuated or self.departures.is_leaving(target)
+            for target in targets
+        )
 
     def mark_misdirected(self, target: Target) -> None:
         """Records that another incarnation answered at a target's address."""
@@ -161,6 +174,10 @@
         """Returns all targets of a service, including those that are leaving."""
         return [target for target in self.targets.values() if target.service == service]
 
+    def of_zone(self, zone: str) -> list[Target]:
+        """Returns all targets in a zone."""
+        return [target for target in self.targets.values() if target.zone == zone]
+
     def at_address(self, service: str, address: str) -> Target | None:
         """Returns the target of a service at an address; None if none is registered there."""
         found = (target for target in self.of_service(service) if target.address == address)
--- a/savoryfork/forward/wire.py
+++ b/savoryfork/forward/wire.py
@@ -52,5 +52,8 @@
     def decode_catalog(self, value: bytes) -> Catalog | None:
         """Decodes a configuration; None if it is malformed."""
 
+    def decode_evacuation(self, key: str) -> str | None:
+        """Returns the zone that the entry of a key in the configuration's topic evacuates."""
+
     def decode_target(self, name: str, value: bytes) -> Target | None:
         """Decodes a target's entry; None if it describes no usable target."""
--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -55,6 +55,9 @@
 # since the time for that would be taken from requests.
 MAX_TARGET_BYTES = 65_536
 
+# Keys of evacuations begin with this, followed by the zone.
+EVACUATION_PREFIX = "evacuate/"
+
 # Slots of a target; the largest engines on the sheets have 64.
 MAX_SLOTS = 100_000
 
@@ -327,6 +330,16 @@
     )
 
 
+def decode_evacuation(key: str) -> str | None:
+    """Returns the zone that the operator's entry of a key evacuates; None for other entries.
+
+    >>> decode_evacuation("evacuate/zone-1"), decode_evacuation("config")
+    ('zone-1', None)
+    """
+    prefix, _, zone = key.partition(EVACUATION_PREFIX)
+    return zone if not prefix and 0 < len(zone) <= MAX_TEXT else None
+
+
 def decode_target(name: str, value: bytes) -> Target | None:
     """Decodes a target's entry; logs a warning and returns None if it is not usable."""
     try:
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -13,7 +13,7 @@
 from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.forward.topics import CONFIGURATION_KEY, StoreRead, Topic
-from savoryfork.platform.records import MAX_TARGET_BYTES
+from savoryfork.platform.records import MAX_TARGET_BYTES, decode_evacuation
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from savoryfork.util.untrusted import UndecodableError, decode_json, split_json, whole
 
@@ -98,16 +98,26 @@
     `records` is False for a snapshot, whose values may be older than the era of the store.
     """
     if topic is Topic.CONFIGURATION:
-        # Other keys could keep a restored store from confirming the configuration.
         return [
-            e._replace(era=era, revision=config_revision(e.value))
+            normalize_operator_entry(e, era, records)
             for e in entries
-            if e.key == CONFIGURATION_KEY
+            if e.key == CONFIGURATION_KEY or decode_evacuation(e.key) is not None
         ]
     if topic is Topic.TARGETS:
         return [normalize_target(e)._replace(era=era) for e in entries]
-    revision = (era, 0) if records else UNKNOWN_REVISION
-    return [e._replace(era=era, revision=revision) for e in entries]
+    return [e._replace(era=era, revision=era_revision(era, records)) for e in entries]
+
+
+def era_revision(era: int, records: bool) -> Revision:
+    """Returns the revision of an entry without a version of its own; see `normalize_entries`."""
+    return (era, 0) if records else UNKNOWN_REVISION
+
+
+def normalize_operator_entry(entry: Entry, era: int, records: bool) -> Entry:
+    """Returns the configuration, or an evacuation, with its era and revision."""
+    if entry.key == CONFIGURATION_KEY:
+        return entry._replace(era=era, revision=config_revision(entry.value))
+    return entry._replace(era=era, revision=era_revision(era, records))
 
 
 class ConfigVersion(msgspec.Struct):
--- a/savoryfork/platform/wire.py
+++ b/savoryfork/platform/wire.py
@@ -17,6 +17,7 @@
     decode_answer = staticmethod(headers.decode_answer)
     decode_results = staticmethod(headers.decode_piece_results)
     decode_target = staticmethod(records.decode_target)
+    decode_evacuation = staticmethod(records.decode_evacuation)
 
     def __init__(self) -> None:
         self.decode_catalog = records.CatalogDecoder().decode
--- a/tests/forward/test_restore_model.py
+++ b/tests/forward/test_restore_model.py
@@ -10,7 +10,7 @@
 from savoryfork.forward.knowledge import Entry, TopicTable
 from savoryfork.forward.registry import LAPSE_GRACE_MS, Registry
 from savoryfork.forward.sequenced import SequencedTable
-from savoryfork.forward.topics import Topic
+from savoryfork.forward.topics import CONFIGURATION_KEY, Topic
 from savoryfork.platform.records import decode_target
 from savoryfork.platform.store import normalize_entries
 
@@ -57,7 +57,7 @@
     """The tables and the registry of a host."""
 
     def __init__(self) -> None:
-        self.config = TopicTable(ordered=True, keeps_missing=True)
+        self.config = TopicTable(ordered=frozenset({CONFIGURATION_KEY}), keeps_missing=True)
         self.targets = SequencedTable()
         self.registry = Registry(decode_target)
         self.version = -1
