--- a/soak/site.py
+++ b/soak/site.py
@@ -7,7 +7,9 @@
 import random
 import signal
 import sys
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -79,11 +81,29 @@
 ]
 
 
+# Of callers, as on the platform's larger deployments.
+LIMITS = {
+    "max_header_bytes": 16_384,
+    "max_body_bytes": 4_194_304,
+    "header_timeout_ms": 3_000,
+    "idle_timeout_ms": 15_000,
+}
+
+
 class HostProcess:
-    """One forwarding host. Requests sent before `disturbed_until` count as disturbed."""
+    """One forwarding host, with `settings` beside the necessary ones.
+
+    Requests sent before `disturbed_until` count as disturbed.
+    """
 
     def __init__(
-        self, number: int, seeds: list[str], store: str, folder: Path, ports: Ports
+        self,
+        number: int,
+        seeds: list[str],
+        store: str,
+        folder: Path,
+        ports: Ports,
+        settings: Mapping[str, Any] = MappingProxyType({}),
     ) -> None:
         self.number = number
         self.ready = ports.address()
@@ -110,6 +130,7 @@
                     "retry_ratio": 0.2,
                     "retry_window_s": 10,
                     "retry_reserve": 50,
+                    **settings,
                 }
             )
         )
@@ -141,8 +162,12 @@
 class Site:
     """The stand-ins and hosts of a run, started and stopped by `async with`."""
 
-    def __init__(self, hosts: int, folder: Path) -> None:
+    def __init__(
+        self, hosts: int, folder: Path, settings: Mapping[str, Any] = MappingProxyType({})
+    ) -> None:
         self.folder = folder
+        self.settings = settings
+        self.limits = dict(LIMITS)
         self.host_count = hosts
         self.ports = Ports(RNG)
         self.store = KeyedStore()
@@ -177,7 +202,8 @@
         self.publish()
         seeds = [self.ports.address() for _ in range(self.host_count)]
         self.hosts = [
-            HostProcess(n, seeds, store, self.folder, self.ports) for n in range(self.host_count)
+            HostProcess(n, seeds, store, self.folder, self.ports, self.settings)
+            for n in range(self.host_count)
         ]
         self.store_proxy = self.proxies[store]
         for host in self.hosts:
@@ -282,6 +308,7 @@
                         for n, overrides in pieces.items()
                     ),
                 ],
+                "limits": self.limits,
                 "tenants": [{"name": "w1", "api_keys": self.keys}],
             },
         )
