Bound what all callers together make a host hold

Callers that sent many large bodies of legal size, most just short of their end, ended a host: each read was bounded, their sum was not, and neither were connections without a request. Beside it, legal bodies above 1 MiB got 413, as the limits of the configuration were ignored.

A budget counts bodies, answers and a share for each request; stalled requests are ended first, then the one that asks for more is refused as not run, and a quarter is kept for small bodies. Connections are bounded by descriptors, accepted a few in a turn, and closed if their head takes longer than the configuration allows. A body is no longer copied when it is sent, and its parts are joined once.

Crowd and bounds are as before; the request within the limits asks for a short answer, as the stand-in repeats the body, and the stand-in takes bodies of that size.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -196,7 +196,8 @@
             self.abort()
             raise TargetError(f"unsendable: {error}", sent=False) from error
         self.busy = True
-        self.transport.write(b"".join(part for part in (head, data, end) if part))
+        # A large body is not copied once more.
+        self.transport.writelines([part for part in (head, data, end) if part])
 
     async def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Returns the next event of the response; raises TargetError if it is incomplete."""
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
 from savoryfork.errors import ErrorKind, Ran, ServiceError
+from savoryfork.forward.callers import CallerConnection, CallerServer
 from savoryfork.forward.forwarder import Forwarder
 from savoryfork.forward.gate import stopping_error
 from savoryfork.forward.limits import ReadLimits
+from savoryfork.forward.memory import (
+    BODY_FACTOR,
+    REQUEST_BYTES,
+    SMALL_BYTES,
+    Holding,
+    MemoryBudget,
+)
 from savoryfork.forward.metrics import ForwardMetrics
-from savoryfork.forward.model import Headers
+from savoryfork.forward.model import CallerLimits, Headers
 from savoryfork.forward.run import NOT_EXECUTED_STATUSES, Run, shared_parts_label
 from savoryfork.forward.wire import Wire
 from savoryfork.util import logs
@@ -24,6 +34,19 @@
 # Above the largest limit on the users' sheets (16 KB).
 MAX_LINE_BYTES = 32_768
 
+# Headers of a request. The limit of the operators is that on their bytes together; the shortest
+# header takes four of them.
+MAX_HEADERS = 4_096
+
+# Received bytes of a body that wait to be read, for each connection.
+READ_BUFFER_BYTES = 32_768
+
+# The largest body if neither the settings nor the operators' configuration say it.
+DEFAULT_BODY_BYTES = 1_048_576
+
+# What a received part of a body takes at least.
+MIN_PART_BYTES = 128
+
 # Must exceed the idle timeout of callers' connections (15 s on the sheets), or a request could race
 # with the server closing its connection.
 KEEP_ALIVE_S = 75.0
@@ -46,22 +69,38 @@
 SENT_POLL_MS = 10.0
 
 
-async def read_body(content: aiohttp.StreamReader, max_bytes: int, timeout_ms: float) -> bytes:
-    """Reads a caller's body; raises ServiceError if it is too large or takes too long."""
-    body = bytearray()
+def reserve_nothing(size: int) -> None:
+    """Takes any part of a body."""
+
+
+async def read_body(
+    content: aiohttp.StreamReader,
+    max_bytes: int,
+    timeout_ms: float,
+    reserve: Callable[[int], None] = reserve_nothing,
+) -> bytes:
+    """Reads a caller's body; raises ServiceError if it is too large or takes too long.
+
+    `reserve` is called with the size of each part, and raises ServiceError if it can't be kept.
+    """
+    # Parts are joined once: a buffer that grows would be moved, and leave holes in the heap.
+    parts: list[bytes] = []
+    size = 0
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             while part := await content.readany():
-                body += part
-                if len(body) > max_bytes:
+                size += len(part)
+                if size > max_bytes:
                     raise ServiceError(
                         ErrorKind.BODY_TOO_LARGE, f"the body exceeds {max_bytes} bytes"
                     )
+                reserve(len(part))
+                parts.append(part)
     except TimeoutError:
         raise ServiceError(
             ErrorKind.BODY_TOO_SLOW, f"no complete body within {timeout_ms:.0f} ms"
         ) from None
-    return bytes(body)
+    return b"".join(parts)
 
 
 def interrupted_error(run: Run) -> ServiceError:
@@ -76,9 +115,15 @@
 class CallerResponse:
     """Writes the answer to one request; implements `run.Delivery`."""
 
-    def __init__(self, request: web.BaseRequest, close_connection: bool) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        close_connection: bool,
+        hold_answer: Callable[[int], None],
+    ) -> None:
         self.request = request
         self.close_connection = close_connection
+        self.hold_answer = hold_answer
         self.response: web.StreamResponse | None = None
 
     def add_headers(self, response: web.StreamResponse, headers: Headers) -> None:
@@ -90,6 +135,7 @@
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete answer."""
+        self.hold_answer(len(body))
         response = web.Response(status=status, body=body)
         self.add_headers(response, headers)
         self.response = response
@@ -131,29 +177,40 @@
     """Handles the requests of callers on this host."""
 
     def __init__(
-        self, forwarder: Forwarder, wire: Wire, metrics: ForwardMetrics, limits: ReadLimits
+        self,
+        forwarder: Forwarder,
+        wire: Wire,
+        metrics: ForwardMetrics,
+        limits: ReadLimits,
+        budget: MemoryBudget,
+        most_connections: int,
     ) -> None:
         self.forwarder = forwarder
         self.wire = wire
         self.metrics = metrics
         self.limits = limits
+        self.budget = budget
+        self.most_connections = most_connections
         self.inflight = 0
         self.stopping = False
         self.idle = asyncio.Event()
         self.idle.set()
         self.bounds: set[asyncio.Timeout] = set()
-        self.web_server: web.Server | None = None
+        self.web_server: CallerServer | None = None
 
-    def server(self) -> web.Server:
+    def server(self) -> CallerServer:
         """Returns the HTTP server for the callers' port."""
-        self.web_server = web.Server(
+        self.web_server = CallerServer(
             self.handle,
+            self.most_connections,
             handler_cancellation=True,
             auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
             lingering_time=LINGERING_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
+            max_headers=MAX_HEADERS,
+            read_bufsize=READ_BUFFER_BYTES,
             access_log=None,
         )
         return self.web_server
@@ -186,23 +243,74 @@
         while self.unsent_bytes():  # noqa: ASYNC110 (transports tell nobody)
             await asyncio.sleep(SENT_POLL_MS / 1000)
 
+    def caller_limits(self) -> CallerLimits:
+        """Returns what the operators' configuration lets callers do."""
+        catalog = self.forwarder.follower.catalog
+        return catalog.caller_limits if catalog is not None else CallerLimits()
+
+    def max_body_bytes(self) -> int:
+        """Returns the largest body that a caller may send."""
+        return self.limits.request_bytes or self.caller_limits().body_bytes or DEFAULT_BODY_BYTES
+
+    def close_overdue(self) -> None:
+        """Closes connections whose callers take too long for a head, or send nothing."""
+        if self.web_server is None:
+            return
+        count = self.web_server.close_overdue(self.caller_limits(), self.forwarder.now())
+        if count:
+            logs.event(log, "overdue_connections_closed", count=count)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request and counts it as in flight until its answer ends."""
         self.inflight += 1
         self.idle.clear()
+        line = request.protocol
+        assert isinstance(line, CallerConnection)
+        line.begin_request()
+        holding = self.budget.open(line.force_close, self.forwarder.now())
         try:
-            return await self.serve(request)
+            return await self.serve(request, holding)
         finally:
+            self.budget.close(holding)
+            line.end_request()
             self.inflight -= 1
             if not self.inflight:
                 self.idle.set()
 
-    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    def reserve(self, holding: Holding, size: int) -> None:
+        """Takes room for what a caller sends; raises ServiceError if there is none."""
+        if not self.budget.grow(holding, size, self.forwarder.now()):
+            raise ServiceError(
+                ErrorKind.OVERLOADED, "this host has no memory for the request; try again later"
+            )
+
+    def hold_answer(self, holding: Holding, size: int) -> None:
+        """Counts an answer that its caller is to read; it is kept even if there is no room."""
+        now = self.forwarder.now()
+        holding.may_end = True
+        self.budget.make_room(holding, size, now)
+        self.budget.add(holding, size, now)
+
+    async def read_request_body(
+        self, request: web.BaseRequest, allowed_ms: float | None, holding: Holding
+    ) -> bytes:
+        """Reads the body of a request within the limits of time, size and memory."""
+        holding.small = 0 <= (request.content_length or -1) <= SMALL_BYTES
+
+        def reserve(size: int) -> None:
+            self.reserve(holding, BODY_FACTOR * max(size, MIN_PART_BYTES))
+
+        body_ms = self.limits.request_body_ms
+        if allowed_ms is not None:
+            body_ms = min(body_ms, allowed_ms)
+        return await read_body(request.content, self.max_body_bytes(), body_ms, reserve)
+
+    async def serve(self, request: web.BaseRequest, holding: Holding) -> web.StreamResponse:
         """Reads and forwards a request, and answers errors itself."""
         received_at = self.forwarder.now()
         headers = [(bytes(name), bytes(value)) for name, value in request.raw_headers]
         decoded = self.wire.decode_request(request.method, request.raw_path, headers)
-        reply = CallerResponse(request, self.stopping)
+        reply = CallerResponse(request, self.stopping, functools.partial(self.hold_answer, holding))
         run = Run(decoded, None, reply, received_at)
         error: ServiceError | None = None
         abandoned = False
@@ -210,11 +318,10 @@
         try:
             async with bound:
                 self.bounds.add(bound)
+                self.reserve(holding, REQUEST_BYTES)
                 if request.body_exists:
-                    body_ms = self.limits.request_body_ms
-                    if decoded.allowed_ms is not None:
-                        body_ms = min(body_ms, decoded.allowed_ms)
-                    run.body = await read_body(request.content, self.limits.request_bytes, body_ms)
+                    run.body = await self.read_request_body(request, decoded.allowed_ms, holding)
+                holding.may_end = False  # it no longer waits for its caller
                 await self.forwarder.forward(run)
         except ServiceError as failure:
             error = failure
@@ -236,11 +343,11 @@
             if run.response_started:
                 reply.abort()
             else:
-                return self.error_response(run, error)
+                return self.error_response(run, error, request.content.at_eof())
         assert reply.response is not None or abandoned
         return reply.response or web.Response(status=499)
 
-    def error_response(self, run: Run, error: ServiceError) -> web.Response:
+    def error_response(self, run: Run, error: ServiceError, body_read: bool) -> web.Response:
         """Returns this host's own error response to a request."""
         status = error.answer.status
         if run.possible_executions and error.ran is Ran.NO:
@@ -259,7 +366,7 @@
             response.headers[self.wire.request_id_header] = run.id
         if status in NOT_EXECUTED_STATUSES:
             response.headers["Retry-After"] = f"{max(MIN_RETRY_AFTER_S, run.retry_ms / 1000):.2f}"
-        if self.stopping or error.kind in (ErrorKind.BODY_TOO_LARGE, ErrorKind.BODY_TOO_SLOW):
+        if self.stopping or not body_read:
             response.force_close()
         return response
 
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -17,6 +17,7 @@
 
 from savoryfork import defaults
 from savoryfork.errors import UserError
+from savoryfork.forward import callers
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.connection import Connections
 from savoryfork.forward.coordinator import Coordinator
@@ -29,6 +30,7 @@
 from savoryfork.forward.health import HealthTracker
 from savoryfork.forward.limits import ReadLimits
 from savoryfork.forward.members import Member, Members
+from savoryfork.forward.memory import MemoryBudget, budget_bytes
 from savoryfork.forward.messages import (
     Done,
     ForwardService,
@@ -67,7 +69,6 @@
 MEMBERS_PERIOD_MS = 1_000.0
 HOUSEKEEPING_PERIOD_MS = 500.0
 UNREACHABLE_CHECK_PERIOD_MS = 100.0
-LISTEN_BACKLOG = 1_024
 
 # Interval at which followers that survived their cancellation are cancelled again, and how often.
 CANCEL_RETRY_S = 0.1
@@ -196,7 +197,13 @@
             self.crashes,
             self.signals,
         )
-        self.entry = EntryServer(self.forwarder, self.wire, self.metrics, limits)
+        descriptors = config.max_descriptors or callers.available_descriptors()
+        budget = MemoryBudget(budget_bytes(config.memory_mb))
+        connections = callers.max_connections(descriptors, budget.limit_bytes)
+        self.backlog = callers.backlog(descriptors)
+        self.entry = EntryServer(
+            self.forwarder, self.wire, self.metrics, limits, budget, connections
+        )
 
     def batch_limits(self, service: str) -> BatchLimits | None:
         """Returns the batch limits of a stage service; None for other services."""
@@ -228,7 +235,12 @@
         ip, _ = split_address(config.caller_address)
         metrics_address = f"{ip}:{config.internal_ports[0]}"
         await self.serve(web.Server(self.handle_metrics, access_log=None), metrics_address)
-        self.caller_site = await self.serve(self.entry.server(), config.caller_address)
+        runner = web.ServerRunner(server := self.entry.server())
+        await runner.setup()
+        self.runners.append(runner)
+        self.caller_listener = callers.CallerListener(server, self.background)
+        ip, port = split_address(config.caller_address)
+        self.caller_listener.start(ip, port, self.backlog)
 
     async def serve(self, server: web.Server, address: str) -> web.TCPSite:
         """Starts an HTTP server and returns its site."""
@@ -236,7 +248,7 @@
         await runner.setup()
         self.runners.append(runner)
         ip, port = split_address(address)
-        site = web.TCPSite(runner, ip, port, backlog=LISTEN_BACKLOG, reuse_address=True)
+        site = web.TCPSite(runner, ip, port, backlog=callers.MAX_BACKLOG, reuse_address=True)
         await site.start()
         return site
 
@@ -278,6 +290,15 @@
         metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
         metrics.evacuated_zones.set({}, len(self.follower.registry.evacuated))
         metrics.inflight.set({}, self.entry.inflight)
+        memory = self.entry.budget
+        metrics.held_bytes.set({}, memory.held_bytes)
+        metrics.memory_decisions.set({"decision": "ended"}, memory.usage.ended)
+        metrics.memory_decisions.set({"decision": "refused"}, memory.usage.refused)
+        if self.entry.web_server is not None:
+            server = self.entry.web_server
+            metrics.caller_connections.set({}, len(server.connections))
+            metrics.closed_connections.set({"decision": "closed"}, server.closed)
+            metrics.closed_connections.set({"decision": "refused"}, server.refused)
         metrics.store_calls.set({}, self.store.calls)
         age_ms = self.follower.config_age_ms()
         metrics.config_age.set({}, age_ms if self.follower.catalog is not None else -1)
@@ -308,6 +329,7 @@
             self.applied_settings_version = version
             self.reload_settings()
         self.connections.close_idle(self.follower.now())
+        self.entry.close_overdue()
         await self.follower.expire()
         self.health.retain(list(self.follower.registry.targets.values()))
         self.pools.remove_departed_targets()
@@ -389,7 +411,7 @@
             logs.failure(log, "leaving_not_announced")
         logs.event(log, "stopping", inflight=self.entry.inflight)
         await asyncio.sleep(BALANCER_REMOVAL_MS / 1000)
-        await self.caller_site.stop()
+        await self.caller_listener.stop()
         try:
             async with asyncio.timeout((grace_ms - (self.follower.now() - started)) / 1000):
                 await self.entry.wait_idle()
--- a/savoryfork/forward/limits.py
+++ b/savoryfork/forward/limits.py
@@ -17,8 +17,9 @@
     the informational responses before a response; `answer_bytes` the body of an answer that is
     passed on as a whole; `event_bytes` one event of a stream. Above `buffer_bytes` of received but
     unread bytes, a connection stops reading until its reader has caught up. `request_bytes` bounds
-    a caller's body, `request_body_ms` the time that it may take. `store_bytes` bounds one response
-    of the store, `snapshot_bytes` the pages of a snapshot together.
+    a caller's body, None leaves that to the operators' configuration; `request_body_ms` the time
+    that it may take. `store_bytes` bounds one response of the store, `snapshot_bytes` the pages of
+    a snapshot together.
 
     >>> ReadLimits(answer_bytes=1_000).answer_bytes
     1000
@@ -29,7 +30,7 @@
     answer_bytes: int = 262_144
     event_bytes: int = 65_536
     buffer_bytes: int = 65_536
-    request_bytes: int = 1_048_576
+    request_bytes: int | None = None
     request_body_ms: float = 30_000.0
     store_bytes: int = 8_388_608
     snapshot_bytes: int = 33_554_432
--- /dev/null
+++ b/savoryfork/forward/memory.py
@@ -0,0 +1,145 @@
+"""Bounds the memory that all callers together make a host hold.
+
+The load pattern: many callers that the operators don't control send bodies of legal size at the
+same time, most of them stop just short of the end and stay open, or they don't read their answers.
+Each of them is within the limits of a request; their sum ended a process. Ordinary callers with
+small requests come beside them and must be served.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+MB = 1_000_000
+
+# A process without callers takes some 60 MB; a busy coordinator of 74 hosts takes more.
+PROCESS_BYTES = 100 * MB
+
+# The least budget, for several bodies of the largest legal size on the users' sheets (4 MiB).
+LEAST_BUDGET_BYTES = 32 * MB
+
+# The budget of a host whose settings do not name its memory.
+DEFAULT_BUDGET_BYTES = 256 * MB
+
+# What a request takes besides its body: parser, task, headers, and bytes that wait to be read.
+REQUEST_BYTES = 65_536
+
+# The parts of a body are joined at its end, and the heap keeps holes where they were.
+BODY_FACTOR = 2
+
+# A share of the budget is kept for requests whose bodies have up to SMALL_BYTES.
+SMALL_BYTES = 131_072
+SMALL_SHARE = 0.25
+
+# A holding without progress for this long is given up first when memory is short. Callers send a
+# body without pauses; a lost packet is sent again after 0.2 s or more.
+STALLED_MS = 1_000.0
+
+
+class Holding:
+    """What one request makes the host hold: `size` bytes, last changed at `progress_at`.
+
+    `end` ends the request. `may_end` is False while the request is in the hands of a target, when
+    it does not depend on its caller. A `small` one, whose body has a length of up to SMALL_BYTES,
+    may use the whole budget.
+    """
+
+    def __init__(self, end: Callable[[], None], now: float) -> None:
+        self.end = end
+        self.size = 0
+        self.progress_at = now
+        self.may_end = True
+        self.small = True
+
+
+class Usage(NamedTuple):
+    """What a budget has done since the start: holdings ended, and requests for more refused."""
+
+    ended: int
+    refused: int
+
+
+class MemoryBudget:
+    """The budget of one host; sizes are in bytes.
+
+    If it is used up, the holdings that stalled longest are ended; if none has stalled, the request
+    that asks for more is refused.
+
+    >>> budget = MemoryBudget(4_000_000)
+    >>> ended = []
+    >>> first = budget.open(lambda: ended.append("first"), now=0.0)
+    >>> budget.grow(first, 2_900_000, now=0.0)
+    True
+    >>> second = budget.open(lambda: ended.append("second"), now=100.0)
+    >>> budget.grow(second, 2_900_000, now=100.0), budget.grow(second, 2_000, now=100.0)
+    (False, True)
+    >>> budget.grow(second, 2_900_000, now=1_200.0), ended
+    (True, ['first'])
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self.holdings: dict[int, Holding] = {}
+        self.usage = Usage(0, 0)
+
+    def open(self, end: Callable[[], None], now: float) -> Holding:
+        """Returns a new holding for a request; `end` must end the request and close the holding."""
+        holding = Holding(end, now)
+        self.holdings[id(holding)] = holding
+        return holding
+
+    def grow(self, holding: Holding, size: int, now: float) -> bool:
+        """Adds bytes to a holding; returns False if there is no room for them."""
+        if not self.make_room(holding, size, now):
+            self.usage = self.usage._replace(refused=self.usage.refused + 1)
+            return False
+        self.add(holding, size, now)
+        return True
+
+    def add(self, holding: Holding, size: int, now: float) -> None:
+        """Adds bytes that are held already, as those of an answer."""
+        if id(holding) in self.holdings:
+            holding.size += size
+            self.held_bytes += size
+        holding.progress_at = now
+
+    def close(self, holding: Holding) -> None:
+        """Gives back what a holding has; further calls change nothing."""
+        if self.holdings.pop(id(holding), None) is not None:
+            self.held_bytes -= holding.size
+            holding.size = 0
+
+    def room(self, holding: Holding) -> int:
+        """Returns the bytes left for a holding."""
+        share = 1.0 if holding.small else 1.0 - SMALL_SHARE
+        return int(share * self.limit_bytes) - self.held_bytes
+
+    def make_room(self, holding: Holding, size: int, now: float) -> bool:
+        """Ends stalled holdings, longest first, until there is room; returns False without any."""
+        if size <= self.room(holding):
+            return True
+        stalled = [
+            other
+            for other in self.holdings.values()
+            if other is not holding and other.may_end and now - other.progress_at >= STALLED_MS
+        ]
+        for other in sorted(stalled, key=lambda other: other.progress_at):
+            self.close(other)
+            self.usage = self.usage._replace(ended=self.usage.ended + 1)
+            other.end()
+            if size <= self.room(holding):
+                return True
+        return False
+
+
+def budget_bytes(memory_mb: float | None) -> int:
+    """Returns the budget of a host with this much memory; None if its settings don't say it.
+
+    >>> [budget_bytes(memory_mb) // MB for memory_mb in (None, 100.0, 160.0, 552.0)]
+    [256, 32, 60, 452]
+    """
+    if memory_mb is None:
+        return DEFAULT_BUDGET_BYTES
+    return max(LEAST_BUDGET_BYTES, int(memory_mb * MB) - PROCESS_BYTES)
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -47,6 +47,20 @@
         self.pushed_back_targets = self.gauge(
             "savoryfork_pushed_back_targets", "Targets that push back on this host now"
         )
+        self.held_bytes = self.gauge(
+            "savoryfork_held_bytes", "Bytes that callers' requests and answers take now"
+        )
+        self.memory_decisions = self.gauge(
+            "savoryfork_memory_decisions",
+            "Requests since the start that were ended or refused for lack of memory, by decision",
+        )
+        self.caller_connections = self.gauge(
+            "savoryfork_caller_connections", "Open connections of callers"
+        )
+        self.closed_connections = self.gauge(
+            "savoryfork_closed_connections",
+            "Connections of callers since the start that were closed or refused, by decision",
+        )
         self.evacuated_zones = self.gauge(
             "savoryfork_evacuated_zones", "Zones whose targets get nothing, as operators ask"
         )
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -84,6 +84,18 @@
     priority: int | None = None
 
 
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take for a head or stay idle.
+
+    The operators' configuration sets them; 0 where it doesn't.
+    """
+
+    header_bytes: int = 0
+    body_bytes: int = 0
+    header_ms: float = 0.0
+    idle_ms: float = 0.0
+
+
 class Catalog(NamedTuple):
     """One version of the operators' configuration."""
 
@@ -92,6 +104,7 @@
     services: Mapping[str, ServiceInfo]
     keys: Mapping[str, Workspace]
     keyed: bool
+    caller_limits: CallerLimits = CallerLimits()
 
 
 class Target(NamedTuple):
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -53,6 +53,8 @@
         "link_mbps": POSITIVE,
         "cross_zone_ms_per_mb": {"type": "number", "minimum": 0},
         "repeated_ms_per_1000_tokens": {"type": "number", "minimum": 0},
+        "memory_mb": POSITIVE,
+        "max_descriptors": SIZE,
         "max_request_bytes": SIZE,
         "max_answer_bytes": SIZE,
         "max_event_bytes": SIZE,
@@ -71,8 +73,10 @@
     Retries of a service's requests are limited, over all hosts together, to `retry_ratio` of its
     other requests plus `retry_reserve` in each `retry_window_s`. The host has `processor_share` of
     a core that is `processor_speed` times as fast as an ordinary one, and a link of `link_mbps`.
-    The `max_` fields bound what the host reads of one caller's body, one target's answer, one event
-    of a stream and one response of the store; see `limits.ReadLimits`. `cross_zone_ms_per_mb` and
+    `memory_mb` is the host's memory, of which `memory.budget_bytes` is for callers, and
+    `max_descriptors` the number of descriptors that its process may open. The other `max_` fields
+    bound what the host reads of one caller's body, one target's answer, one event of a stream and
+    one response of the store; see `limits.ReadLimits`. `cross_zone_ms_per_mb` and
     `repeated_ms_per_1000_tokens` are what placement weighs against latency; see
     `placement.Preferences`.
     """
@@ -93,7 +97,9 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     link_mbps: float = 1000.0
-    max_request_bytes: int = DEFAULT_LIMITS.request_bytes
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
+    max_request_bytes: int | None = None
     max_answer_bytes: int = DEFAULT_LIMITS.answer_bytes
     max_event_bytes: int = DEFAULT_LIMITS.event_bytes
     max_store_bytes: int = DEFAULT_LIMITS.store_bytes
--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -11,6 +11,7 @@
 
 from savoryfork.forward.model import (
     BatchLimits,
+    CallerLimits,
     Catalog,
     Repeat,
     Route,
@@ -112,6 +113,7 @@
             services={service.name: service for service in read_services(document.get("services"))},
             keys=dict(read_keys(tenants)),
             keyed=tenants is not None and bytes(tenants).strip() != b"null",
+            caller_limits=read_caller_limits(document.get("limits")),
         )
 
 
@@ -204,6 +206,23 @@
         return None
 
 
+def read_caller_limits(value: msgspec.Raw | None) -> CallerLimits:
+    """Decodes the limits of callers; logs malformed ones and returns none of them."""
+    if value is None:
+        return CallerLimits()
+    try:
+        row = decode_json(value, dict[str, Any] | None) or {}
+        return CallerLimits(
+            whole(row.get("max_header_bytes") or 0, "max_header_bytes"),
+            whole(row.get("max_body_bytes") or 0, "max_body_bytes"),
+            amount(row, "header_timeout_ms"),
+            amount(row, "idle_timeout_ms"),
+        )
+    except MALFORMED as error:
+        log_row("limits_unreadable", "limits", error)
+        return CallerLimits()
+
+
 def amount(row: dict[str, Any], name: str, default: float = 0.0) -> float:
     """Returns a number of a row; the default if it is absent or 0."""
     value = row.get(name)
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -14,6 +14,9 @@
 EVENT_S = 0.005
 CALL_S = 0.01
 
+# The largest body, above the limit of the operators' configuration in any test.
+MAX_BODY_BYTES = 2**24
+
 # Number of events after which a stream is silent while `pause_s` is set.
 PAUSE_AFTER = 3
 
@@ -83,7 +86,7 @@
 
     def app(self) -> web.Application:
         """Returns the web application."""
-        app = web.Application(middlewares=[self.record_arrival])
+        app = web.Application(middlewares=[self.record_arrival], client_max_size=MAX_BODY_BYTES)
         app.on_response_prepare.append(self.add_mark)
         app.router.add_post("/api/stage-run", self.stage_run)
         app.router.add_post("/api/stage-free", self.stage_free)
--- a/tests/failure/test_crowds.py
+++ b/tests/failure/test_crowds.py
@@ -81,7 +81,8 @@
 
     async def test_single_request_within_the_limits_is_served(self, site):
         """Guards against a budget that refuses the largest legal body to a caller in calm."""
-        headers = {"Host": "a.example", "Key": "key-0", "Request-Id": "r1", "Deadline-Ms": "3000"}
+        headers = {"Host": "a.example", "Key": "key-0", "Deadline-Ms": "3000"}
+        headers["Token-Usage"] = "10,2"  # a short answer, which does not repeat the body
         url = f"http://{site.hosts[0].callers}/book/1"
         body = b"b" * site.limits["max_body_bytes"]
         for chunked in (False, True):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,7 +26,13 @@
     "internal_ports": [7740, 7755],
     "seed_nodes": ["10.1.0.41:8628"],
     "platform": {"address": "10.200.1.7:8624"},
-    "limits": {"cpu_share": 0.5, "cpu_cores": 3, "link_mbps": 10.0},
+    "limits": {
+        "memory_mb": 300,
+        "max_fds": 4_100,
+        "cpu_share": 0.5,
+        "cpu_cores": 3,
+        "link_mbps": 10.0,
+    },
     "bounds": {
         "grace_s": 8,
         "revoke_ms": 5000,
