Predict stage queues by due time within a priority

Logs show why: all workspaces set the priority 1, which goes before that of the route, so all kinds have the same one. Calls are then ordered by due time, but admission counted all accepted work of the priority as ahead, so a request that would overtake hundreds was expected behind them and refused.

Admission now counts only accepted work that is due earlier as ahead, and arrivals with a shorter objective as overtaking. Both tests failed before.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -193,17 +193,27 @@
         return planning.expected_finish_at(work.plans, work.pieces, queues, now)
 
     def precedes(self, other: Work, work: Work, late: bool) -> bool:
-        """Whether the pieces of `other` run before those of `work`."""
+        """Whether the pieces of `other` run before those of `work`.
+
+        Within a priority the order is that of the due times, so a kind with a long objective does
+        not count as ahead of one with a short objective.
+        """
         if other is work or other.cell != work.cell:
             return False
         if not other.late or other.results:
-            return late or other.priority <= work.priority
+            return late or (other.priority, other.aim_at) <= (work.priority, work.aim_at)
         return late and (other.priority, other.aim_at) <= (work.priority, work.aim_at)
 
+    def overtakes(self, arrival: Arrival, work: Work, now: float) -> bool:
+        """Whether more work like an accepted one would run before `work`."""
+        other = arrival.work
+        return (other.priority, other.aim_at - arrival.at) < (work.priority, work.aim_at - now)
+
     def arrival_rates(self, work: Work, now: float, late: bool) -> dict[str, float]:
         """Returns the arrival rate of work that will run first, by service, in pieces per ms.
 
-        All work that can be on time runs before late work, whatever its priority.
+        All work that can be on time runs before late work, whatever its priority. Otherwise more
+        urgent work does, and work of the same priority with a shorter objective.
         """
         rates: dict[str, float] = {}
         for arrival in self.arrivals:
@@ -211,7 +221,7 @@
                 continue
             if arrival.work.cell != work.cell:
                 continue
-            if arrival.work.priority < work.priority or (late and not arrival.work.late):
+            if self.overtakes(arrival, work, now) or (late and not arrival.work.late):
                 for stage in arrival.work.nonempty_stages():
                     service = arrival.work.plans[stage].service
                     pieces = arrival.work.pieces[stage] / ARRIVAL_WINDOW_MS
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -110,6 +110,31 @@
         coordinator.pools.release.set()
         await asyncio.gather(*tasks, *urgent)
 
+    async def test_short_objective_is_on_time_behind_work_with_a_long_one(self, coordinator):
+        """Guards against a prediction by priority alone: all workspaces had the same priority, so
+        work with a long path and a short objective was refused behind a burst of work that it goes
+        before, and one kind lost nearly all of its requests."""
+        tasks = await start(coordinator, 40, aim_ms=3_000.0)
+        short = await start(coordinator, 1, aim_ms=1_500.0)
+        assert [w.late for w in coordinator.active.values() if w.aim_at == 1_500.0] == [False]
+        coordinator.pools.release.set()
+        await asyncio.gather(*tasks, *short)
+
+    async def test_long_objective_is_judged_by_what_will_overtake_it(self, coordinator):
+        """Guards against work that is accepted as on time and then overtaken until it is late."""
+        tasks = await start(coordinator, 14, aim_ms=1_500.0)
+        accepted = len([work for work in coordinator.active.values() if not work.late])
+        alone = Coordinator(FakePools(), ForwardMetrics())
+        tasks += await start(alone, 60, aim_ms=3_000.0)
+        tasks += await start(coordinator, 60, aim_ms=3_000.0)
+        on_time = [
+            len([work for work in c.active.values() if not work.late]) for c in (coordinator, alone)
+        ]
+        assert accepted > 10 and on_time[0] - accepted < on_time[1] - accepted
+        coordinator.pools.release.set()
+        alone.pools.release.set()
+        await asyncio.gather(*tasks)
+
     async def test_observed_delays_make_admission_stricter(self, coordinator):
         for _ in range(48):
             coordinator.delays.add(600.0)
