Learn the speed of each target

Speed was estimated for a service as a whole, so engines of 0.6 of the nominal speed were expected to be as fast as those of 1.6, and requests queued there.

Each host keeps for each incarnation of a target the mean logarithm of its answers' times over the expected ones. How much of its deviation counts follows from the variance between targets and from the target's own standard errors, so that noise moves nothing. Old answers fade, faster for a target known for a short time. Engines, plain requests and stage calls use the same class; the moving average of stage targets is replaced by it, with a weight of 0.4 of the logarithm, which follows a slowdown of 5 about as fast.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -168,6 +168,7 @@
         """Runs the stages that precede the request; raises ServiceError if one fails."""
         assert run.route is not None
         self.crashes.check(run, sending=False)
+        engine = self.selector.likely_engine(run)
         work = Work(
             run.id,
             run.route.stages,
@@ -175,8 +176,8 @@
             run.request.piece_key,
             run.priority,
             run.first_event_by if not run.response_started else run.deadline_at,
-            run.aim_at - self.selector.expected_first_event_ms(run),
-            self.selector.preferred_zone(run),
+            run.aim_at - self.selector.expected_first_event_ms(run, engine),
+            engine.zone if engine is not None else None,
             fingerprint=run.fingerprint(),
         )
         try:
@@ -237,8 +238,7 @@
         run.tried_targets.add(target.name)
         run.attempt = Attempt(target)
         self.health.begin_probe(target, now)
-        self.selector.add_outstanding(target, 1)
-        mark_prefilled = self.selector.add_pending_prefill(run, target)
+        mark_prefilled = self.selector.begin_attempt(run, target)
         connection: Connection | None = None
         try:
             share = 1.0 if run.repeatable() else NON_REPEATABLE_IDLE_SHARE
@@ -360,6 +360,7 @@
         else:
             self.health.record_success(target, now)
             if answer.status < 300:
+                self.selector.record_answer(run)
                 self.crashes.record_completion(run)
         await self.deliver(run, answer, body)
         return True
@@ -516,13 +517,14 @@
         assert run.route is not None
         now = self.now()
         hosts = len(self.follower.members.alive(now))
+        expected_ms = self.selector.expected_first_event_ms(run, self.selector.likely_engine(run))
         return MoveOptions(
             targets_left=run.route.max_targets - run.possible_executions - 1,
             offers_left=MAX_OFFERS - len(run.offers) - 1,
             candidates=len(self.selector.candidates(run)),
             retries_left=self.budget(run.service).remaining(now, hosts),
             left_ms=run.deadline_at - now,
-            needed_ms=max(MIN_ATTEMPT_MS, self.selector.expected_first_event_ms(run)),
+            needed_ms=max(MIN_ATTEMPT_MS, expected_ms),
             permitted=self.is_permitted(run),
         )
 
@@ -602,11 +604,8 @@
         """Relays a stream to its end; raises TargetError if it breaks off."""
 
         def on_events() -> None:
-            if run.events == 0 and run.request.prompt is not None:
-                assert run.attempt is not None and run.attempt.sent_at is not None
-                self.selector.speed(run.service).record(
-                    run.request.prompt, self.now() - run.attempt.sent_at
-                )
+            if run.events == 0:
+                self.selector.record_first_event(run)
             if run.attempt is not None:
                 run.attempt.silence = None
             self.drop_next_target(run)
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -289,6 +289,9 @@
             metrics.push_backs.set({"service": service}, count)
         metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
         metrics.evacuated_zones.set({}, len(self.follower.registry.evacuated))
+        for service, least, most in self.selector.slowdown_bounds():
+            metrics.target_slowdown.set({"service": service, "bound": "least"}, least)
+            metrics.target_slowdown.set({"service": service, "bound": "most"}, most)
         metrics.inflight.set({}, self.entry.inflight)
         memory = self.entry.budget
         metrics.held_bytes.set({}, memory.held_bytes)
@@ -333,6 +336,7 @@
         await self.follower.expire()
         self.health.retain(list(self.follower.registry.targets.values()))
         self.pools.remove_departed_targets()
+        self.selector.run_housekeeping()
         self.crashes.run_housekeeping()
 
     def handle_follower_end(self, task: asyncio.Task[None]) -> None:
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -64,6 +64,10 @@
         self.evacuated_zones = self.gauge(
             "savoryfork_evacuated_zones", "Zones whose targets get nothing, as operators ask"
         )
+        self.target_slowdown = self.gauge(
+            "savoryfork_target_slowdown",
+            "Least and most time that a target takes of its service's, by service and bound",
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/placement.py
+++ b/savoryfork/forward/placement.py
@@ -4,6 +4,8 @@
 
 * If many requests share prompt prefixes, a prefix is prefilled once, on the engine that rendezvous
   hashing prefers for it, unless that engine is much busier than others.
+* Engines of one service differ in speed (0.6 to 1.6 of the nominal one), so that all their times
+  count by the slowdown of each.
 * With inputs of several MB, an engine in the zone of the inputs is preferred.
 * Targets that fail or hang for some seconds are ejected and probed (see `ejection`).
 """
@@ -39,6 +41,9 @@
 
 NO_LOAD = EngineLoad(0.0, 0.0)
 
+# Every target is as fast as its service.
+NO_SLOWDOWNS: Mapping[str, float] = {}
+
 
 def shared_part_id(prompt: Prompt) -> str | None:
     """Returns the id of the last prompt part that is shared with other requests, if any."""
@@ -58,12 +63,18 @@
     return max(0.0, prompt.input_tokens - sum(part.tokens for part in cached))
 
 
-def expected_first_event_ms(prompt: Prompt | None, speed: EngineSpeed) -> float:
-    """Returns the expected time to the first event of a generation request."""
+def expected_first_event_ms(
+    prompt: Prompt | None, speed: EngineSpeed, load: EngineLoad = NO_LOAD
+) -> float:
+    """Returns the expected time to the first event of a generation request behind other work."""
     if prompt is None:
         return 0.0
-    tokens = uncached_tokens(prompt, on_preferred=True)
-    return speed.first_event_ms + tokens / speed.prefill_tokens_per_ms
+    tokens = load.prompt_tokens + uncached_tokens(prompt, on_preferred=True)
+    return (
+        speed.first_event_ms
+        + tokens / speed.prefill_tokens_per_ms
+        + speed.running_request_ms * load.requests
+    )
 
 
 def engine_costs(
@@ -74,10 +85,12 @@
     zone: str,
     speed: EngineSpeed,
     preferences: Preferences,
+    slowdowns: Mapping[str, float] = NO_SLOWDOWNS,
 ) -> dict[str, float]:
     """Returns the expected cost of a generation on each engine, in ms of latency.
 
-    `input_bytes` maps the zone that produced inputs to their size.
+    `input_bytes` maps the zone that produced inputs to their size, `slowdowns` the engines that
+    are not as fast as `speed` to how much slower they are.
     """
     names = [target.name for target in targets]
     prefix_id = shared_part_id(prompt) if prompt is not None else None
@@ -92,12 +105,13 @@
             prefix_miss = uncached - uncached_tokens(prompt, True)
         cross_zone_mb = (total_bytes - input_bytes.get(target.zone, 0.0)) / 1e6
         time_ms = (
-            (load.prompt_tokens + uncached) / speed.prefill_tokens_per_ms
+            speed.first_event_ms
+            + (load.prompt_tokens + uncached) / speed.prefill_tokens_per_ms
             + speed.running_request_ms * load.requests
-            + (CROSS_ZONE_MS if target.zone != zone else 0.0)
-        )
+        ) * slowdowns.get(target.name, 1.0)
         costs[target.name] = (
             time_ms
+            + (CROSS_ZONE_MS if target.zone != zone else 0.0)
             + preferences.cross_zone_ms_per_mb * cross_zone_mb
             + preferences.repeated_ms_per_1000_tokens * prefix_miss / 1000
         )
@@ -105,15 +119,27 @@
 
 
 def load_costs(
-    targets: Sequence[Target], running: Mapping[str, int], zone: str, salt: str
+    targets: Sequence[Target],
+    running: Mapping[str, int],
+    zone: str,
+    salt: str,
+    slowdowns: Mapping[str, float] = NO_SLOWDOWNS,
 ) -> dict[str, float]:
     """Returns the relative cost of a request without a prompt on each target.
 
-    The cost is this host's running requests per slot, plus a penalty for another zone. `salt`
-    breaks ties differently for each request, so that hosts do not all choose the same target.
+    The cost is the expected time of this host's running requests per slot and of the request
+    itself, as far as targets differ, plus a penalty for another zone. `salt` breaks ties
+    differently for each request, so that hosts do not all choose the same target.
+
+    >>> targets = [Target(name, "s", "10.0.0.1:1", "z", 1, 4, False) for name in ("a", "b")]
+    >>> costs = load_costs(targets, {"a": 2, "b": 1}, "z", "request", {"b": 2.0})
+    >>> costs["a"] < costs["b"]
+    True
     """
+    slower = {target.name: slowdowns.get(target.name, 1.0) for target in targets}
     return {
-        target.name: running.get(target.name, 0) / target.slots
+        target.name: running.get(target.name, 0) / target.slots * slower[target.name]
+        + (slower[target.name] - 1.0) / target.slots
         + (0.05 if target.zone != zone else 0.0)
         + 0.01 * rendezvous.score(salt, target.name) / 2**64
         for target in targets
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -11,8 +11,13 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import StageResult
 from savoryfork.forward.model import BatchLimits, PieceResult, Target
+from savoryfork.forward.speeds import Slowdowns
 from savoryfork.forward.work import StageFailure, Work
 
+# Weight of the latest call in the mean logarithm of a target's slowdown. A target that takes five
+# times as long is expected to be 1.9 times as slow after one call and 3.5 times after three.
+SLOWDOWN_SMOOTHING = 0.4
+
 # Handles that are remembered of each target, some ten calls of the largest batches.
 MAX_RETURNED_HANDLES = 1_024
 
@@ -85,7 +90,6 @@
         self.expected_end_at = 0.0
         self.blocked_until = 0.0
         self.no_room_since: float | None = None
-        self.slowdown = 1.0
         self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
         self.returned: OrderedDict[str, None] = OrderedDict()
@@ -124,6 +128,7 @@
         self.budget = budget
         self.tasks: dict[int, StageTask] = {}
         self.targets: dict[tuple[str, int], TargetState] = {}
+        self.slowdowns = Slowdowns(SLOWDOWN_SMOOTHING)
         self.retry_handle: asyncio.TimerHandle | None = None
 
     def state(self, target: Target) -> TargetState:
@@ -150,9 +155,10 @@
                 freed += sum(state.held.pop(handle, None) is not None for handle in handles)
         return freed > 0
 
-    def remove_departed_targets(self, known: Sequence[Target]) -> None:
+    def remove_departed_targets(self, known: Sequence[Target], now: float) -> None:
         """Drops the state of unregistered incarnations that have no call in progress."""
         current = {(target.address, target.start_unix_ms) for target in known}
         self.targets = {
             key: state for key, state in self.targets.items() if key in current or state.calls
         }
+        self.slowdowns.retain(known, now)
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -62,9 +62,6 @@
 # Requests lost in calls that a coordinator remembers, some crashes of the largest batches.
 MAX_LOST_REQUESTS = 512
 
-# Smoothing factor of the moving average of a target's slowdown.
-SLOWDOWN_SMOOTHING = 0.3
-
 # Interval between checks for remaining work during shutdown.
 DRAIN_POLL_MS = 100.0
 
@@ -289,9 +286,8 @@
                 max(free_at, state.expected_end_at + overdue, now + MIN_REMAINING_MS) + overdue
             )
         free_result_bytes = state.free_result_bytes(pool.limits, now)
-        return batching.TargetStatus(
-            target.name, target.zone, free_at, free_result_bytes, max(0.5, state.slowdown)
-        )
+        slowdown = max(0.5, pool.slowdowns.absolute(target))
+        return batching.TargetStatus(target.name, target.zone, free_at, free_result_bytes, slowdown)
 
     def free_result_share(self, service: str, cell: Cell) -> float:
         """Returns the free share of the result space of a service's targets in a cell."""
@@ -336,7 +332,9 @@
             reserved_bytes += allocation.pieces * task.plan.result_bytes
         state.calls += 1
         state.reserved_bytes += reserved_bytes
-        expected_ms = batching.call_ms(pool.limits, len(batch)) * max(1.0, state.slowdown)
+        expected_ms = batching.call_ms(pool.limits, len(batch)) * max(
+            1.0, pool.slowdowns.absolute(target)
+        )
         state.expected_end_at = now + expected_ms
         self.health.begin_probe(target, now)
         self.background.spawn(self.call(pool, target, state, batch, reserved_bytes, expected_ms))
@@ -399,7 +397,7 @@
         self.metrics.stage_call(pool.service, error.reason if error else "answered", duration_ms)
         if error is None:
             ratio = duration_ms / max(1.0, batching.call_ms(pool.limits, len(batch)))
-            state.slowdown += SLOWDOWN_SMOOTHING * (ratio - state.slowdown)
+            pool.slowdowns.record(target, ratio, now)
             self.health.record_success(target, now)
             for task, _ in batch:
                 self.lost_in_calls.pop(task.work.fingerprint, None)
@@ -631,10 +629,11 @@
 
     def remove_departed_targets(self) -> None:
         """Drops the state of departed targets and services, and pools without tasks and targets."""
+        now = self.now()
         for service in list(self.known_limits):
             self.limits(service)
         for pool in self.pools.values():
-            pool.remove_departed_targets(self.registry.of_service(pool.service))
+            pool.remove_departed_targets(self.registry.of_service(pool.service), now)
         self.pools = {key: p for key, p in self.pools.items() if p.tasks or p.targets}
 
     async def wait_drained(self) -> None:
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -118,6 +118,8 @@
     `connection` is set until the answer was read. `answered` is True once the target has surely
     written on the prompt; `cancelled` once this host has closed the connection because targets
     crash on it. `silence` is the last decision on a silent target, None while it is not.
+    `expected_ms` is the time to the first event that an engine of ordinary speed would take, 0 if
+    nothing was expected.
     """
 
     def __init__(self, target: Target) -> None:
@@ -129,6 +131,7 @@
         self.head_at: float | None = None
         self.events = 0
         self.silence: Decision | None = None
+        self.expected_ms = 0.0
 
     def progress(self) -> Progress:
         """Returns how far the answer has come."""
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+import logging
+from collections.abc import Callable, Iterator, Sequence
 
 from savoryfork.forward import placement
 from savoryfork.forward.follower import Follower
@@ -10,7 +11,10 @@
 from savoryfork.forward.model import Target
 from savoryfork.forward.placement import EngineLoad, Preferences
 from savoryfork.forward.run import Run
-from savoryfork.forward.speeds import SpeedEstimator
+from savoryfork.forward.speeds import REQUEST_SMOOTHING, Slowdowns, SpeedEstimator
+from savoryfork.util import logs
+
+log = logging.getLogger(__name__)
 
 # An engine counts as having a free slot below this share of its slots. The margin covers load
 # counts that are some hundred milliseconds old.
@@ -29,6 +33,8 @@
         self.zone = zone
         self.preferences = preferences
         self.speeds: dict[str, SpeedEstimator] = {}
+        # By service, and whether the requests have prompts: their times are not comparable.
+        self.slowdowns: dict[tuple[str, bool], Slowdowns] = {}
         self.outstanding: dict[str, int] = {}
         self.pending_prefill: dict[str, float] = {}
 
@@ -48,13 +54,7 @@
         self, run: Run, targets: Sequence[Target], input_bytes: dict[str, float]
     ) -> dict[str, float]:
         """Returns the estimated cost of a generation on each engine."""
-        loads = {}
-        for target in targets:
-            shared = self.follower.load_tree.others(target.name)
-            loads[target.name] = EngineLoad(
-                shared.prompt_tokens + self.pending_prefill.get(target.name, 0.0),
-                shared.requests + self.outstanding.get(target.name, 0),
-            )
+        loads = {target.name: self.load(target) for target in targets}
         return placement.engine_costs(
             targets,
             run.request.prompt,
@@ -63,17 +63,108 @@
             self.zone,
             self.speed(run.service).speed(),
             self.preferences,
+            self.slowdowns_of(run, targets),
+        )
+
+    def load(self, target: Target) -> EngineLoad:
+        """Returns the outstanding work of all hosts on an engine."""
+        shared = self.follower.load_tree.others(target.name)
+        return EngineLoad(
+            shared.prompt_tokens + self.pending_prefill.get(target.name, 0.0),
+            shared.requests + self.outstanding.get(target.name, 0),
         )
 
     def speed(self, service: str) -> SpeedEstimator:
         """Returns the estimator of the speed of a service's engines."""
         return self.speeds.setdefault(service, SpeedEstimator())
 
-    def expected_first_event_ms(self, run: Run) -> float:
-        """Returns the expected time from sending a request to its first event."""
-        return placement.expected_first_event_ms(
-            run.request.prompt, self.speed(run.service).speed()
-        )
+    def slowdown(self, run: Run) -> Slowdowns:
+        """Returns how much slower than the service each target is for requests like this one."""
+        key = (run.service, run.request.prompt is not None)
+        return self.slowdowns.setdefault(key, Slowdowns(REQUEST_SMOOTHING))
+
+    def slowdowns_of(self, run: Run, targets: Sequence[Target]) -> dict[str, float]:
+        """Returns how much slower than the service each of the targets is, by name."""
+        slowdown = self.slowdown(run)
+        return {target.name: slowdown.relative(target) for target in targets}
+
+    def expected_first_event_ms(self, run: Run, target: Target | None) -> float:
+        """Returns the expected time from sending a request to an idle target to its first event.
+
+        Without a target, that of the service counts.
+        """
+        speed = self.speed(run.service).speed()
+        expected_ms = placement.expected_first_event_ms(run.request.prompt, speed)
+        if target is None:
+            return expected_ms
+        return expected_ms * self.slowdown(run).relative(target)
+
+    # Speeds.
+
+    def begin_attempt(self, run: Run, target: Target) -> Callable[[], None]:
+        """Counts an attempt as outstanding; see `add_pending_prefill` for what is returned.
+
+        The time to its first event is predicted from the load before it. An engine without a free
+        slot lets requests wait, so that their times do not show its speed.
+        """
+        assert run.attempt is not None
+        load = self.load(target)
+        if run.request.prompt is not None and load.requests < target.slots:
+            speed = self.speed(run.service).speed()
+            run.attempt.expected_ms = placement.expected_first_event_ms(
+                run.request.prompt, speed, load
+            )
+        self.add_outstanding(target, 1)
+        return self.add_pending_prefill(run, target)
+
+    def record_first_event(self, run: Run) -> None:
+        """Records the time to the first event of an engine's answer."""
+        attempt, prompt = run.attempt, run.request.prompt
+        if attempt is None or attempt.sent_at is None or prompt is None:
+            return
+        now = self.follower.now()
+        took_ms = now - attempt.sent_at
+        slowdown = self.slowdown(run)
+        self.speed(run.service).record(prompt, took_ms / slowdown.relative(attempt.target))
+        if attempt.expected_ms:
+            slowdown.record(attempt.target, took_ms / attempt.expected_ms, now)
+
+    def record_answer(self, run: Run) -> None:
+        """Records the time of a complete answer to a request without a prompt.
+
+        Only its ratio to the times of other targets counts, so that the expected time is 1 ms.
+        """
+        attempt = run.attempt
+        if run.request.prompt is None and attempt is not None and attempt.sent_at is not None:
+            now = self.follower.now()
+            self.slowdown(run).record(attempt.target, now - attempt.sent_at, now)
+
+    def run_housekeeping(self) -> None:
+        """Drops the speeds of departed targets and logs those that have changed."""
+        now = self.follower.now()
+        for (service, prompts), slowdown in list(self.slowdowns.items()):
+            targets = self.registry.of_service(service)
+            slowdown.retain(targets, now)
+            for incarnation, factor in slowdown.changes().items():
+                logs.event(
+                    log,
+                    "target_speed",
+                    target=incarnation.name,
+                    service=service,
+                    slowdown=round(factor, 2),
+                    answers=round(slowdown.answers[incarnation].number_at(now), 1),
+                )
+            if not targets:
+                del self.slowdowns[service, prompts]
+                self.speeds.pop(service, None)
+
+    def slowdown_bounds(self) -> Iterator[tuple[str, float, float]]:
+        """Returns the lowest and the highest slowdown of the targets of each service."""
+        for service in {service for service, _ in self.slowdowns}:
+            tables = [self.slowdowns.get((service, prompts)) for prompts in (False, True)]
+            factors = [f for table in tables if table is not None for f in table.factors.values()]
+            if factors:
+                yield service, min(factors), max(factors)
 
     def choose(self, run: Run) -> Target | None:
         """Returns the cheapest target for the next attempt, or None if there are no candidates."""
@@ -83,17 +174,17 @@
         if run.request.prompt is not None:
             costs = self.engine_costs(run, targets, self.input_bytes(run))
         else:
-            costs = placement.load_costs(targets, self.outstanding, self.zone, run.id)
+            slowdowns = self.slowdowns_of(run, targets)
+            costs = placement.load_costs(targets, self.outstanding, self.zone, run.id, slowdowns)
         return min(targets, key=lambda target: costs[target.name])
 
-    def preferred_zone(self, run: Run) -> str | None:
-        """Returns the zone of the engine that the request will probably be sent to."""
+    def likely_engine(self, run: Run) -> Target | None:
+        """Returns the engine that the request will probably be sent to."""
         targets = self.candidates(run)
         if not targets or run.request.prompt is None:
             return None
         costs = self.engine_costs(run, targets, {})
-        best = min(targets, key=lambda target: costs[target.name])
-        return best.zone
+        return min(targets, key=lambda target: costs[target.name])
 
     def input_bytes(self, run: Run) -> dict[str, float]:
         """Returns the bytes of the request's inputs by zone of the targets that store them."""
