--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -10,6 +10,8 @@
 * If inputs are large (16 pieces that each read 480 KB), a request stays in the zone of its inputs
   unless waiting for a target there makes it late.
 * A piece is sent only to a target with enough free space for its result.
+* Of targets that cost the same, the one that has had no call for the longest time is chosen, so
+  that work, results and what is learned of targets spread over all of them.
 * A request whose pieces may crash their target gets calls of its own, so that a crash tells which
   request caused it.
 """
@@ -57,7 +59,7 @@
     """The scheduling state of one target.
 
     `free_at` is when its current call is expected to end. `slowdown` is the ratio of observed to
-    declared call duration.
+    declared call duration, `used_at` when its last call ended.
     """
 
     name: str
@@ -65,6 +67,7 @@
     free_at: float
     free_result_bytes: float
     slowdown: float
+    used_at: float = 0.0
 
 
 class Allocation(NamedTuple):
@@ -184,7 +187,11 @@
         while left:
             best = min(
                 candidates,
-                key=lambda candidate: (candidate.cost(task, left, now), candidate.target.name),
+                key=lambda candidate: (
+                    candidate.cost(task, left, now),
+                    candidate.target.used_at,
+                    candidate.target.name,
+                ),
             )
             count = best.pieces_to_start(task, left)
             if not count:
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -80,14 +80,16 @@
 class TargetState:
     """The coordinator's view of one target.
 
-    `calls` counts the calls in progress. `held` maps the handle of each result that the target
-    keeps to its size and expiry time. `returned` are the handles that it returned last.
+    `calls` counts the calls in progress; the last one ended at `used_at`. `held` maps the handle of
+    each result that the target keeps to its size and expiry time. `returned` are the handles that
+    it returned last.
     `no_room_since` is the first of its answers in a row that it has no space for a result.
     """
 
     def __init__(self) -> None:
         self.calls = 0
         self.expected_end_at = 0.0
+        self.used_at = 0.0
         self.blocked_until = 0.0
         self.no_room_since: float | None = None
         self.stuck = False
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -287,7 +287,9 @@
             )
         free_result_bytes = state.free_result_bytes(pool.limits, now)
         slowdown = max(0.5, pool.slowdowns.absolute(target))
-        return batching.TargetStatus(target.name, target.zone, free_at, free_result_bytes, slowdown)
+        return batching.TargetStatus(
+            target.name, target.zone, free_at, free_result_bytes, slowdown, state.used_at
+        )
 
     def free_result_share(self, service: str, cell: Cell) -> float:
         """Returns the free share of the result space of a service's targets in a cell."""
@@ -381,6 +383,7 @@
             if error is None or not error.ended_by_peer:
                 self.end_isolated_call(batch)
         now = self.now()
+        state.used_at = now
         duration_ms = now - started
         logs.event(
             log,
--- a/tests/forward/test_batching.py
+++ b/tests/forward/test_batching.py
@@ -65,6 +65,13 @@
     def test_a_busy_target_gets_no_second_call(self):
         assert batching.assign([task(1)], [status("t", free_at=50.0)], CARRI, 0.0) == {}
 
+    def test_equal_targets_take_turns(self):
+        """Guards against one of several equal targets that gets all work while there is little."""
+        targets = [status("t0")._replace(used_at=2.0), status("t1")._replace(used_at=1.0)]
+        assert sent(batching.assign([task(1)], targets, CARRI, 3.0)) == {"t1": [1]}
+        targets[1] = targets[1]._replace(slowdown=1.5)
+        assert sent(batching.assign([task(1)], targets, CARRI, 3.0)) == {"t0": [1]}
+
 
 class TestZones:
     def test_work_waits_for_a_target_in_the_zone_of_its_inputs(self):
