Place requests by the prompt parts that engines still hold

All hosts send a prefix to the engine that rendezvous hashing prefers. In a burst that engine is busy and others read the prefix, too, but each further request there was expected to read it anew.

Each host keeps which parts it sent to which engine and when, bounded by the engine's memory (kv_capacity), by time and by number. Placement weighs for each candidate what would be read there at its speed against its load and against what would be evicted. Where nothing is known, costs are as before. Prompt tokens ahead now include the shared parts that an engine other than the preferred one has to read.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -389,6 +389,8 @@
             service=run.service or None,
             workspace=run.workspace.name if run.workspace else None,
             parts=shared_parts_label(run.request),
+            held_tokens=round(run.attempt.held_tokens) or None if run.attempt else None,
+            read_tokens=round(run.attempt.uncached_tokens) or None if run.attempt else None,
             priority=run.priority,
             config_version=run.version,
             config_age_ms=round(run.config_age_ms),
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -293,6 +293,7 @@
         connection.send(*self.wire.request_call(run.request, routing, run.body))
         assert run.attempt is not None
         run.attempt.sent_at = self.now()
+        self.selector.record_sent(run)
         if run.work is not None and self.selector.has_free_slot(target):
             run.input_release_timer = asyncio.get_running_loop().call_later(
                 INPUT_FETCH_MS / 1000, self.release_inputs, run
@@ -367,6 +368,7 @@
 
     def refused_by_target(self, run: Run, target: Target, answer: AnswerHead) -> bool:
         """Handles an answer by which the target guarantees that the request did not run."""
+        self.selector.record_refusal(run)
         if answer.status == 409:
             # The target reports a missing input, so the stages are run again.
             self.release_inputs(run)
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -292,6 +292,8 @@
         for service, least, most in self.selector.slowdown_bounds():
             metrics.target_slowdown.set({"service": service, "bound": "least"}, least)
             metrics.target_slowdown.set({"service": service, "bound": "most"}, most)
+        for service, prefixes in self.selector.prefixes.items():
+            metrics.held_parts.set({"service": service}, prefixes.held_parts())
         metrics.inflight.set({}, self.entry.inflight)
         memory = self.entry.budget
         metrics.held_bytes.set({}, memory.held_bytes)
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -68,6 +68,14 @@
             "savoryfork_target_slowdown",
             "Least and most time that a target takes of its service's, by service and bound",
         )
+        self.prompt_tokens = self.counter(
+            "savoryfork_prompt_tokens_total",
+            "Prompt tokens sent to engines, by service and whether the engine is expected to hold"
+            " them (known, or as all hosts place prompts) or to read them",
+        )
+        self.held_parts = self.gauge(
+            "savoryfork_held_parts", "Prompt parts that engines are known to hold, by service"
+        )
         self.connections = self.gauge(
             "savoryfork_target_connections", "Connections to targets since the start, by use"
         )
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -71,10 +71,14 @@
 
 
 class ServiceInfo(NamedTuple):
-    """A service, with the limits of its targets if it runs stages."""
+    """A service, with the limits of its targets if it runs stages.
+
+    `cache_tokens` is the number of prompt tokens that an engine has memory for, 0 if not known.
+    """
 
     name: str
     batch: BatchLimits | None = None
+    cache_tokens: float = 0.0
 
 
 class Workspace(NamedTuple):
--- a/savoryfork/forward/run.py
+++ b/savoryfork/forward/run.py
@@ -119,7 +119,8 @@
     written on the prompt; `cancelled` once this host has closed the connection because targets
     crash on it. `silence` is the last decision on a silent target, None while it is not.
     `expected_ms` is the time to the first event that an engine of ordinary speed would take, 0 if
-    nothing was expected.
+    nothing was expected. `uncached_tokens` is how much of the prompt the engine is expected to
+    read, `held_tokens` how much of it this host knows to be cached there.
     """
 
     def __init__(self, target: Target) -> None:
@@ -132,6 +133,8 @@
         self.events = 0
         self.silence: Decision | None = None
         self.expected_ms = 0.0
+        self.uncached_tokens = 0.0
+        self.held_tokens = 0.0
 
     def progress(self) -> Progress:
         """Returns how far the answer has come."""
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from savoryfork.forward import placement
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.health import HealthTracker
 from savoryfork.forward.model import Target
-from savoryfork.forward.placement import EngineLoad, Preferences
+from savoryfork.forward.placement import EngineLoad, KnownCache, Preferences
+from savoryfork.forward.prefixes import PrefixTable
 from savoryfork.forward.run import Run
 from savoryfork.forward.speeds import REQUEST_SMOOTHING, Slowdowns, SpeedEstimator
 from savoryfork.util import logs
@@ -35,6 +36,7 @@
         self.speeds: dict[str, SpeedEstimator] = {}
         # By service, and whether the requests have prompts: their times are not comparable.
         self.slowdowns: dict[tuple[str, bool], Slowdowns] = {}
+        self.prefixes: dict[str, PrefixTable] = {}
         self.outstanding: dict[str, int] = {}
         self.pending_prefill: dict[str, float] = {}
 
@@ -64,8 +66,28 @@
             self.speed(run.service).speed(),
             self.preferences,
             self.slowdowns_of(run, targets),
+            self.known_caches(run, targets, loads),
         )
 
+    def known_caches(
+        self, run: Run, targets: Sequence[Target], loads: Mapping[str, EngineLoad]
+    ) -> dict[str, KnownCache]:
+        """Returns what is known of the engines' caches with regard to a request."""
+        prompt = run.request.prompt
+        if prompt is None:
+            return {}
+        return self.prefix_table(run.service).known(targets, prompt, loads, self.follower.now())
+
+    def prefix_table(self, service: str) -> PrefixTable:
+        """Returns what is known of the caches of a service's engines."""
+        return self.prefixes.setdefault(service, PrefixTable(self.cache_tokens(service)))
+
+    def cache_tokens(self, service: str) -> float:
+        """Returns the tokens that an engine of a service holds; 0 if not known."""
+        catalog = self.follower.catalog
+        info = catalog.services.get(service) if catalog is not None else None
+        return info.cache_tokens if info is not None else 0.0
+
     def load(self, target: Target) -> EngineLoad:
         """Returns the outstanding work of all hosts on an engine."""
         shared = self.follower.load_tree.others(target.name)
@@ -107,15 +129,46 @@
         The time to its first event is predicted from the load before it. An engine without a free
         slot lets requests wait, so that their times do not show its speed.
         """
+        prompt = run.request.prompt
+        if prompt is None:
+            self.add_outstanding(target, 1)
+            return lambda: None
         assert run.attempt is not None
         load = self.load(target)
-        if run.request.prompt is not None and load.requests < target.slots:
+        table = self.prefix_table(run.service)
+        found = table.known([target], prompt, {target.name: load}, self.follower.now())
+        known = found.get(target.name, placement.UNKNOWN_CACHE)
+        engines = self.registry.usable(run.service)
+        on_preferred = placement.preferred_engine(engines, prompt) == target.name
+        uncached = placement.uncached_tokens(prompt, on_preferred, known)
+        run.attempt.uncached_tokens = uncached
+        run.attempt.held_tokens = known.held_tokens
+        if load.requests < target.slots:
             speed = self.speed(run.service).speed()
             run.attempt.expected_ms = placement.expected_first_event_ms(
-                run.request.prompt, speed, load
+                prompt, speed, load, uncached
             )
         self.add_outstanding(target, 1)
-        return self.add_pending_prefill(run, target)
+        return self.add_pending_prefill(target, uncached)
+
+    def record_sent(self, run: Run) -> None:
+        """Records that a prompt has been sent to an engine, which keeps its parts."""
+        attempt, prompt = run.attempt, run.request.prompt
+        if attempt is None or prompt is None:
+            return
+        cached = max(0.0, prompt.input_tokens - attempt.uncached_tokens)
+        table = self.prefix_table(run.service)
+        table.record(attempt.target, prompt, self.follower.now(), cached)
+        tokens = self.follower.metrics.prompt_tokens
+        held = min(cached, attempt.held_tokens)
+        tokens.add({"service": run.service, "expected": "held"}, held)
+        tokens.add({"service": run.service, "expected": "usual"}, cached - held)
+        tokens.add({"service": run.service, "expected": "read"}, attempt.uncached_tokens)
+
+    def record_refusal(self, run: Run) -> None:
+        """Records that an engine has not run the request that was sent to it."""
+        if run.attempt is not None and run.request.prompt is not None:
+            self.prefix_table(run.service).forget(run.attempt.target, run.request.prompt)
 
     def record_first_event(self, run: Run) -> None:
         """Records the time to the first event of an engine's answer."""
@@ -157,6 +210,12 @@
             if not targets:
                 del self.slowdowns[service, prompts]
                 self.speeds.pop(service, None)
+        hosts = len(self.follower.members.alive(now))
+        for service, table in list(self.prefixes.items()):
+            table.cache_tokens = self.cache_tokens(service)
+            table.retain(self.registry.usable(service), hosts, now)
+            if not self.registry.of_service(service):
+                del self.prefixes[service]
 
     def slowdown_bounds(self) -> Iterator[tuple[str, float, float]]:
         """Returns the lowest and the highest slowdown of the targets of each service."""
@@ -221,12 +280,8 @@
         else:
             self.outstanding.pop(target.name, None)
 
-    def add_pending_prefill(self, run: Run, target: Target) -> Callable[[], None]:
-        """Counts the prompt's uncached tokens as pending until the returned function is called."""
-        prompt = run.request.prompt
-        if prompt is None:
-            return lambda: None
-        tokens = placement.uncached_tokens(prompt, on_preferred=True)
+    def add_pending_prefill(self, target: Target, tokens: float) -> Callable[[], None]:
+        """Counts uncached tokens of a prompt as pending until the returned function is called."""
         self.pending_prefill[target.name] = self.pending_prefill.get(target.name, 0.0) + tokens
         pending = [tokens]
 
--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -166,13 +166,29 @@
         try:
             row = read_row(name, raw)
             found = text(row["name"], "name", MAX_TEXT)
-            yield ServiceInfo(found, parse_batch_limits(row.get("pieces")))
+            cache_tokens = read_cache_tokens(row.get("engine"), found)
+            yield ServiceInfo(found, parse_batch_limits(row.get("pieces")), cache_tokens)
         except MALFORMED as error:
             log_row("service_unreadable", found, error)
             if found:
                 yield ServiceInfo(found)
 
 
+def read_cache_tokens(engine: Any, name: str) -> float:
+    """Returns the tokens that an engine of a service holds; logs a malformed value, returns 0.
+
+    >>> read_cache_tokens({"slots": 24, "kv_capacity": 304_898}, "engine")
+    304898.0
+    """
+    if engine is None:
+        return 0.0
+    try:
+        return amount(engine, "kv_capacity")
+    except MALFORMED as error:
+        log_row("engine_unreadable", name, error)
+        return 0.0
+
+
 def read_keys(value: msgspec.Raw | None) -> Iterator[tuple[str, Workspace]]:
     """Decodes the keys of tenants; a malformed row, or a malformed key in one, gives none.
 
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -316,6 +316,9 @@
         ):
             assert line in text
         assert 'savoryfork_held_results{service="cave"}' in text
+        assert 'savoryfork_target_slowdown{bound="most",service="engine"}' in text
+        assert 'savoryfork_prompt_tokens_total{expected="read",service="engine"}' in text
+        assert 'savoryfork_held_parts{service="engine"} 2' in text
         assert 'savoryfork_store_reads_total{register="targets",result="answered"}' in text
         calls = next(x for x in text.splitlines() if x.startswith("savoryfork_store_calls"))
         assert float(calls.split()[-1]) > 0
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -53,6 +53,17 @@
         batch = catalog().services["c"].batch
         assert batch.room_bytes == 22_000_000 and batch.keep_ms == 4_000
 
+    def test_memory_of_engines(self):
+        services = [{"name": "e", "engine": {"slots": 24, "kv_capacity": 304_898}}, SERVICE]
+        decoded = catalog(services=services).services
+        assert decoded["e"].cache_tokens == 304_898 and decoded["c"].cache_tokens == 0
+
+    @pytest.mark.parametrize("engine", [5, [], {"kv_capacity": -1}, {"kv_capacity": "x"}])
+    def test_malformed_memory_of_engines_is_not_known(self, engine):
+        """Guards against a service that is lost with its engine's memory."""
+        found = catalog(services=[{**SERVICE, "engine": engine}]).services["c"]
+        assert found.cache_tokens == 0 and found.batch is not None
+
     def test_table_of_routes_by_name(self):
         table = {"r": {k: v for k, v in ROUTE.items() if k != "name"}}
         assert catalog(routes=table).routes["a.example"][0].name == "r"
