--- a/bench/coordinator.py
+++ b/bench/coordinator.py
@@ -13,6 +13,7 @@
 import itertools
 import json
 import logging
+import math
 import os
 import random
 import selectors
@@ -54,6 +55,7 @@
 DURATION_S = 12.0
 REVIEW_PERIOD_MS = 100.0
 SEED = 1
+TRIES = 4
 ZONES = 3
 
 # The stage services of a cell of wrekin (docs/design/hard-load.md), half of the deployment's.
@@ -177,6 +179,14 @@
         return False
 
 
+def least_cpu_ms(action: Callable[[], Any], rounds: int) -> float:
+    """Returns the processor time of one round, the least of some tries.
+
+    Other processes on the machine only lengthen it, by up to a factor of two.
+    """
+    return min(cpu_ms(action, rounds) for _ in range(TRIES))
+
+
 def build(clock: Clock) -> Coordinator:
     """Builds a coordinator with the targets of one cell."""
     registry = Registry(lambda key, value: None)
@@ -257,12 +267,16 @@
 
 
 def measure_requests(load: float) -> dict[str, Any]:
-    """Measures the time of a staged request without logs, and its decisions in a second run."""
-    requests: list[int] = []
+    """Measures the time of a staged request without logs, and its decisions in a further run."""
     root = logging.getLogger()
     root.handlers, level = [logging.NullHandler()], root.level
     root.setLevel(logging.WARNING)
-    spent_ms = run_virtual(lambda clock: play(build(clock), load, requests))
+    spent_ms = math.inf
+    for _ in range(TRIES):
+        requests: list[int] = []
+        spent_ms = min(
+            spent_ms, run_virtual(lambda clock, r=requests: play(build(clock), load, r))  # type: ignore
+        )
     root.setLevel(logging.INFO)
     handlers = []
 
@@ -297,7 +311,7 @@
         codec.decode(sent[0], WorkRequest)
         codec.encode(reply, WorkReply)
 
-    print_row("coding of work and reply", {"results": 16}, cpu_ms(code, 2_000), "ms")
+    print_row("coding of work and reply", {"results": 16}, least_cpu_ms(code, 2_000), "ms")
 
 
 def measure_log() -> None:
@@ -321,7 +335,7 @@
             failure=None,
         )
 
-    print_row("log line", {"fields": 8}, cpu_ms(line, 2_000), "ms")
+    print_row("log line", {"fields": 8}, least_cpu_ms(line, 2_000), "ms")
 
 
 async def measure_idle(clock: Clock) -> None:
@@ -351,7 +365,7 @@
             codec.decode(codec.encode(request, SyncRequest), SyncRequest)
             codec.decode(codec.encode(reply, SyncReply), SyncReply)
 
-        print_row("coding of a long poll, both ends", name, cpu_ms(code, 1_000), "ms")
+        print_row("coding of a long poll, both ends", name, least_cpu_ms(code, 1_000), "ms")
 
 
 def main() -> None:
--- a/savoryfork/util/logs.py
+++ b/savoryfork/util/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import os
 import re
@@ -9,6 +10,73 @@
 from typing import Any
 
 from logfmter import Logfmter
+from logfmter.formatter import RESERVED
+
+# Strings without any character that is quoted or escaped, and those that only need quotes.
+PLAIN_VALUE = re.compile(r'[^\x00-\x20"=\x7f]*')
+QUOTED_VALUE = re.compile(r'[^\x00-\x1f"\\\x7f]*')
+RESERVED_ATTRIBUTES = frozenset(RESERVED)
+
+# Distinct keys whose normalized form is kept; the project's own are some hundred.
+MAX_KNOWN_KEYS = 1_024
+
+
+class LineFormatter(Logfmter):
+    """Formats the same lines as `Logfmter` in a third of the time.
+
+    A staged request writes five lines at its coordinator, which took a quarter of its processor
+    time: `Logfmter` makes 33 replacements in each value and normalizes every attribute of a record.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.second = -1
+        self.second_text = ""
+
+    @classmethod
+    def format_string(cls, value: str) -> str:
+        """Returns a value with any quoting it needs; most values need none."""
+        if PLAIN_VALUE.fullmatch(value):
+            return value
+        return f'"{value}"' if QUOTED_VALUE.fullmatch(value) else super().format_string(value)
+
+    @classmethod
+    def format_value(cls, value: Any) -> str:
+        """Returns a value as text; most are strings and whole numbers."""
+        if type(value) is str:
+            return cls.format_string(value)
+        return str(value) if type(value) is int else super().format_value(value)
+
+    @classmethod
+    @functools.lru_cache(MAX_KNOWN_KEYS)
+    def normalize_key(cls, key: str) -> str:
+        """Returns a key without characters that are not allowed in keys."""
+        return super().normalize_key(key)
+
+    @classmethod
+    def get_extra(cls, record: logging.LogRecord) -> dict[str, Any]:
+        """Returns the attributes of a record that logging has not set itself."""
+        extra: dict[str, Any] = {}
+        for key, value in record.__dict__.items():
+            if key not in RESERVED_ATTRIBUTES:
+                normalized = cls.normalize_key(key)
+                if normalized in RESERVED_ATTRIBUTES:
+                    continue
+                if isinstance(value, dict):
+                    extra.update(cls.flatten_dict(value, normalized))
+                else:
+                    extra[normalized] = value
+        return extra
+
+    def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:
+        """Returns the time of a record; the part down to seconds is made once for each second."""
+        if datefmt is not None:
+            return super().formatTime(record, datefmt)
+        second = int(record.created)
+        if second != self.second:
+            self.second = second
+            self.second_text = super().formatTime(record)[: -len(",000")]
+        return f"{self.second_text},{int(record.msecs):03d}"
 
 
 def setup(host: str, level: str = "INFO") -> None:
@@ -19,7 +87,7 @@
 def configure(handler: logging.Handler, host: str, level: str) -> None:
     """Installs a handler as the only one of the root logger and adds the host name to each line."""
     handler.setFormatter(
-        Logfmter(
+        LineFormatter(
             keys=["at", "time", "host", "logger"],
             mapping={"at": "levelname", "time": "asctime", "logger": "name"},
         )
--- a/tests/util/test_logs.py
+++ b/tests/util/test_logs.py
@@ -6,6 +6,7 @@
 import os
 
 import pytest
+from logfmter import Logfmter
 
 from savoryfork.util import logs
 
@@ -43,6 +44,48 @@
         assert "event=run_failed" in line and "ValueError: broken" in line
 
 
+OPTIONS = {
+    "keys": ["at", "time", "host", "logger"],
+    "mapping": {"at": "levelname", "time": "asctime", "logger": "name"},
+}
+
+
+class TestFormatter:
+    """Guards against lines that differ from those of the library, which the soak checks parse."""
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            {"event": "e", "text": "plain", "empty": "", "none": None, "yes": True, "ms": 1.5},
+            {"a b": "x y", "": "=", 'q"': 'say "x"', "back": "a\\b", "both": 'a\\b "c"'},
+            {
+                "line": "a\nb\tc\r",
+                "control": "\x00\x1f\x7f",
+                "wide": "\u00e9\u2028",
+                "list": [1, 2],
+            },
+            {"nested": {"x": {"y": 1}, "z": "a=b"}, "name": "shadows", "levelname": "own"},
+            "text with spaces",
+            "",
+        ],
+    )
+    def test_equals_the_library(self, message: object) -> None:
+        record = logging.LogRecord("x.y", logging.INFO, "f", 1, message, (), None)
+        record.host = "h 1"
+        record.extra = {"deep": {"er": 1}}
+        expected = Logfmter(**OPTIONS).format(record)
+        del record.asctime
+        assert logs.LineFormatter(**OPTIONS).format(record) == expected
+
+    @pytest.mark.parametrize("created", [10.0, 11.9996, 1_700_000_000.999, 1_700_000_000.0004])
+    def test_time_equals_that_of_the_library(self, created: float) -> None:
+        """Guards against the time of an earlier second, or milliseconds of 1000."""
+        formatter = logs.LineFormatter()
+        for at in (created - 0.5, created, created + 0.5):
+            record = logging.makeLogRecord({"created": at, "msecs": (at - int(at)) * 1000})
+            assert formatter.formatTime(record) == logging.Formatter().formatTime(record)
+
+
 class TestBoundedHandler:
     """Guards against logging that blocks requests because of a slow or closed reader."""
 
