Predict queues from running sums instead of walks over all active work

Each admission walked over all active work and all arrivals of a second twice, and each review once for each request that had not started. forward/backlog.py keeps the unfinished pieces by service, priority and lateness, updated where work is admitted, becomes late, gets a result or ends. A test compares the sums with the walks over random changes.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -5,10 +5,10 @@
 import asyncio
 import logging
 import math
-from collections import deque
 from typing import NamedTuple
 
 from savoryfork.forward import planning
+from savoryfork.forward.backlog import Arrivals, Backlog
 from savoryfork.forward.batching import call_ms
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.messages import WorkReply, WorkRequest
@@ -51,13 +51,6 @@
     return round(duration_ms) if math.isfinite(duration_ms) else None
 
 
-class Arrival(NamedTuple):
-    """Accepted work and its admission time."""
-
-    at: float
-    work: Work
-
-
 class StartedQueue(NamedTuple):
     """A service's queue without the pieces ahead, as of `at`; `started` pieces are in calls.
 
@@ -90,7 +83,8 @@
         self.pools = pools
         self.metrics = metrics
         self.active: dict[int, Work] = {}
-        self.arrivals: deque[Arrival] = deque()
+        self.backlog = Backlog()
+        self.arrivals = Arrivals(ARRIVAL_WINDOW_MS)
         self.delays = Window(DELAY_SAMPLES)
         self.outlooks: dict[tuple[str, Cell], Outlook] = {}
         self.started_queues: dict[tuple[str, Cell], StartedQueue] = {}
@@ -150,7 +144,7 @@
             retry_ms = planning.retry_ms(late_at, now)
             raise StageError(StageFailure.OVERLOADED, work.nonempty_stages()[0], retry_ms)
         work.late = decision is AdmissionDecision.LATE
-        self.arrivals.append(Arrival(now, work))
+        self.arrivals.add(work, now)
 
     async def refuse_unreachable_work(self) -> None:
         """Refuses unstarted work that is no longer expected to finish within its deadline.
@@ -159,12 +153,11 @@
         yet, so its caller can retry elsewhere or later.
         """
         now = self.pools.now()
-        while self.arrivals and self.arrivals[0].at < now - ARRIVAL_WINDOW_MS:
-            self.arrivals.popleft()
+        self.arrivals.expire(now)
         for work in list(self.active.values()):
             if work.started or now <= work.aim_at - self.min_duration_ms(work):
                 continue
-            work.late = True
+            self.mark_late(work)
             end = self.expected_finish_at(work, now, late=True)
             if not planning.can_finish_late(end, work.deadline_at, now):
                 work.retry_ms = planning.retry_ms(end, now)
@@ -192,48 +185,22 @@
         queues = self.queues(work, now, late)
         return planning.expected_finish_at(work.plans, work.pieces, queues, now)
 
-    def precedes(self, other: Work, work: Work, late: bool) -> bool:
-        """Whether the pieces of `other` run before those of `work`."""
-        if other is work or other.cell != work.cell:
-            return False
-        if not other.late or other.results:
-            return late or other.priority <= work.priority
-        return late and (other.priority, other.aim_at) <= (work.priority, work.aim_at)
-
-    def arrival_rates(self, work: Work, now: float, late: bool) -> dict[str, float]:
-        """Returns the arrival rate of work that will run first, by service, in pieces per ms.
-
-        All work that can be on time runs before late work, whatever its priority.
-        """
-        rates: dict[str, float] = {}
-        for arrival in self.arrivals:
-            if arrival.at < now - ARRIVAL_WINDOW_MS or arrival.work is work:
-                continue
-            if arrival.work.cell != work.cell:
-                continue
-            if arrival.work.priority < work.priority or (late and not arrival.work.late):
-                for stage in arrival.work.nonempty_stages():
-                    service = arrival.work.plans[stage].service
-                    pieces = arrival.work.pieces[stage] / ARRIVAL_WINDOW_MS
-                    rates[service] = rates.get(service, 0.0) + pieces
-        return rates
+    def mark_late(self, work: Work) -> None:
+        """Counts work as late from now on."""
+        if not work.late:
+            work.late = True
+            self.backlog.update(work)
+            self.arrivals.update(work)
 
     def queues(self, work: Work, now: float, late: bool) -> dict[str, ServiceQueue]:
         """Returns the queues that the work would join, by service, with the work ahead of it."""
-        arrival_rates = self.arrival_rates(work, now, late)
-        pieces_ahead: dict[str, float] = {}
-        for other in self.active.values():
-            if not self.precedes(other, work, late):
-                continue
-            for stage in other.nonempty_stages():
-                if stage not in other.results:
-                    service = other.plans[stage].service
-                    pieces_ahead[service] = pieces_ahead.get(service, 0.0) + other.pieces[stage]
+        arrival_rates = self.arrivals.rates_ahead(work, now, late)
+        pieces_ahead = self.backlog.pieces_ahead(work, late)
         by_service = {}
         for stage in work.nonempty_stages():
             service = work.plans[stage].service
             if service not in by_service:
-                queue = self.queue(service, work.cell, pieces_ahead.get(service, 0.0), now)
+                queue = self.queue(service, work.cell, pieces_ahead.get(service, 0), now)
                 by_service[service] = queue._replace(arrival_rate=arrival_rates.get(service, 0.0))
         return by_service
 
@@ -272,6 +239,7 @@
         fails or its caller leaves, all results are freed.
         """
         self.active[id(work)] = work
+        self.backlog.update(work)
         tasks: dict[int, asyncio.Task[None]] = {}
         for stage in sorted(work.nonempty_stages()):
             tasks[stage] = asyncio.create_task(self.run_stage(work, stage, tasks))
@@ -283,6 +251,7 @@
                 self.delays.add(self.pools.now() - work.predicted_end_at)
         finally:
             del self.active[id(work)]
+            self.backlog.remove(work)
             for task in tasks.values():
                 task.cancel()
             keep = set(work.final_stages()) if done else set()
@@ -306,6 +275,8 @@
         failure = await self.pools.run(work, stage, work.aim_at - self.downstream_ms(work, stage))
         if failure is not None:
             raise StageError(failure, stage, work.retry_ms)
+        if id(work) in self.active:
+            self.backlog.update(work)
         for dependency in work.dependencies(stage):
             if all(later in work.results for later in work.dependents(dependency)):
                 self.free_results(work, dependency)
