Count a pool's pieces and a target's results as they change

Each look at a queue summed over all tasks and over all results that targets keep, built the status of every target with its free space, sorted the targets of the service for the cell, and made a new TargetState and Health for each that it then dropped. Pools count their pieces, targets the bytes they hold, and the cell's part of the targets is kept until the registry changes. The fakes of test_coordinator follow the narrower interface; no check in it changed.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -216,19 +216,16 @@
         pool = self.pools.pool(service, cell)
         if pool is None:
             return StartedQueue(now, GONE_QUEUE, 0)
-        targets = [self.pools.target_status(pool, t, now) for t in self.pools.usable(pool, now)]
-        started = sum(
-            task.pieces - len(task.waiting) - len(task.results) for task in pool.tasks.values()
-        )
-        slowdowns = sorted(target.slowdown for target in targets) or [1.0]
+        targets = self.pools.usable(pool, now)
+        slowdowns = sorted(self.pools.slowdown(pool, target) for target in targets) or [1.0]
         queue = ServiceQueue(
             pool.limits,
             len(targets),
-            min((target.free_at for target in targets), default=now),
+            min((self.pools.free_at(pool, target, now) for target in targets), default=now),
             0.0,
             slowdowns[len(slowdowns) // 2],
         )
-        return StartedQueue(now, queue, started)
+        return StartedQueue(now, queue, pool.started_count())
 
     # Stage execution.
 
--- a/savoryfork/forward/health.py
+++ b/savoryfork/forward/health.py
@@ -38,6 +38,8 @@
 
         Returns all targets if none qualify, so that false ejections can't stop a service.
         """
+        if not self.by_incarnation:
+            return list(targets)
         found = [t for t in targets if not (h := self.get(t)).ejected or now >= h.probe_ms]
         return found or list(targets)
 
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict, deque
 from collections.abc import Sequence
 
+from savoryfork.forward import cells
 from savoryfork.forward.batching import Task
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.cells import Cell
@@ -17,11 +19,20 @@
 MAX_RETURNED_HANDLES = 1_024
 
 
+class PieceCounts:
+    """The pieces of all tasks of a pool: all, those that wait and those with a result."""
+
+    def __init__(self) -> None:
+        self.pieces = 0
+        self.waiting = 0
+        self.done = 0
+
+
 class StageTask:
     """One stage of a request: its waiting pieces, and its results so far.
 
     `due_at` is when it must finish for the request to be on time. `calls` counts the open calls
-    with each piece, `attempts` all that may have run it.
+    with each piece, `attempts` all that may have run it. `counts` are those of its pool.
     """
 
     def __init__(self, number: int, work: Work, stage: int, due_at: float) -> None:
@@ -43,10 +54,34 @@
         self.attempts = [0] * self.pieces
         self.calls = [0] * self.pieces
         self.results: dict[int, StageResult] = {}
+        self.counts = PieceCounts()
         self.future: asyncio.Future[StageFailure | None] = (
             asyncio.get_running_loop().create_future()
         )
 
+    def count(self, counts: PieceCounts) -> None:
+        """Counts the pieces in a pool from now on, and no longer in the one before."""
+        for known, sign in ((self.counts, -1), (counts, 1)):
+            known.pieces += sign * self.pieces
+            known.waiting += sign * len(self.waiting)
+            known.done += sign * len(self.results)
+        self.counts = counts
+
+    def take_piece(self) -> int:
+        """Removes and returns the first waiting piece."""
+        self.counts.waiting -= 1
+        return self.waiting.popleft()
+
+    def put_back(self, number: int) -> None:
+        """Lets a piece wait again, before all others."""
+        self.counts.waiting += 1
+        self.waiting.appendleft(number)
+
+    def add_result(self, number: int, result: StageResult) -> None:
+        """Stores the result of a piece that has none."""
+        self.counts.done += 1
+        self.results[number] = result
+
     def to_batching_task(self, isolated: bool) -> Task:
         """Returns the task as input for the scheduler."""
         return Task(
@@ -76,7 +111,8 @@
     """The coordinator's view of one target.
 
     `calls` counts the calls in progress. `held` maps the handle of each result that the target
-    keeps to its size and expiry time. `returned` are the handles that it returned last.
+    keeps to its size and expiry time; `held_bytes` is the sum of the sizes, and none expires before
+    `none_expires_before`. `returned` are the handles that it returned last.
     `no_room_since` is the first of its answers in a row that it has no space for a result.
     """
 
@@ -88,6 +124,8 @@
         self.slowdown = 1.0
         self.stuck = False
         self.held: dict[str, tuple[int, float]] = {}
+        self.held_bytes = 0
+        self.none_expires_before = math.inf
         self.returned: OrderedDict[str, None] = OrderedDict()
         self.reserved_bytes = 0.0
 
@@ -107,11 +145,37 @@
             self.returned.popitem(last=False)
         return True
 
+    def hold(self, handle: str, size: int, expires_at: float) -> None:
+        """Records a result that the target keeps."""
+        self.release(handle)
+        self.held[handle] = (size, expires_at)
+        self.held_bytes += size
+        self.none_expires_before = min(self.none_expires_before, expires_at)
+
+    def release(self, handle: str) -> bool:
+        """Removes a result; returns False if the target did not keep it."""
+        known = self.held.pop(handle, None)
+        if known is None:
+            return False
+        self.held_bytes -= known[0]
+        return True
+
     def free_result_bytes(self, limits: BatchLimits, now: float) -> float:
-        """Returns the bytes neither held by results nor reserved; drops expired results."""
-        for handle in [h for h, (_, expires_at) in self.held.items() if expires_at <= now]:
-            del self.held[handle]
-        return limits.room_bytes - self.reserved_bytes - sum(size for size, _ in self.held.values())
+        """Returns the bytes neither held by results nor reserved; drops expired results.
+
+        >>> limits, state = BatchLimits(1, 8, 150.0, 1.0, 100.0, 4_000.0), TargetState()
+        >>> state.hold("h1", 30, 1_000.0)
+        >>> state.hold("h2", 20, 2_000.0)
+        >>> [state.free_result_bytes(limits, now) for now in (0.0, 1_000.0, 2_000.0)]
+        [50.0, 80.0, 100.0]
+        """
+        if self.none_expires_before <= now:
+            for handle in [h for h, (_, expires_at) in self.held.items() if expires_at <= now]:
+                self.release(handle)
+            self.none_expires_before = min(
+                (expires_at for _, expires_at in self.held.values()), default=math.inf
+            )
+        return limits.room_bytes - self.reserved_bytes - self.held_bytes
 
 
 class Pool:
@@ -123,12 +187,39 @@
         self.limits = limits
         self.budget = budget
         self.tasks: dict[int, StageTask] = {}
+        self.counts = PieceCounts()
         self.targets: dict[tuple[str, int], TargetState] = {}
         self.retry_handle: asyncio.TimerHandle | None = None
+        self.registered: list[Target] = []
+        self.own_targets: list[Target] = []
+
+    def add(self, task: StageTask) -> None:
+        """Adds a task, whose pieces wait for targets."""
+        self.tasks[task.number] = task
+        task.count(self.counts)
+
+    def remove(self, task: StageTask) -> None:
+        """Removes a task that has ended."""
+        if self.tasks.pop(task.number, None) is not None:
+            task.count(PieceCounts())
+
+    def targets_of_cell(self, registered: list[Target]) -> list[Target]:
+        """Returns the targets that the pool's cell uses of a service's list in the registry.
+
+        The registry makes a new list for each change, so the part of the last one is kept.
+        """
+        if registered is not self.registered:
+            self.registered = registered
+            self.own_targets = cells.targets_of(registered, self.cell)
+        return self.own_targets
 
     def state(self, target: Target) -> TargetState:
         """Returns the state of a target's incarnation."""
-        return self.targets.setdefault((target.address, target.start_unix_ms), TargetState())
+        key = (target.address, target.start_unix_ms)
+        state = self.targets.get(key)
+        if state is None:
+            state = self.targets[key] = TargetState()
+        return state
 
     def is_idle(self, target: Target, now: float) -> bool:
         """Whether a target can get a call now."""
@@ -137,7 +228,11 @@
 
     def waiting_count(self) -> int:
         """Returns the number of pieces that wait for a target."""
-        return sum(len(task.waiting) for task in self.tasks.values())
+        return self.counts.waiting
+
+    def started_count(self) -> int:
+        """Returns the number of pieces in calls, without those that wait again or have a result."""
+        return self.counts.pieces - self.counts.waiting - self.counts.done
 
     def mark_freed(self, address: str, handles: Sequence[str]) -> bool:
         """Removes freed results, whichever incarnation of the target produced them.
@@ -147,7 +242,7 @@
         freed = 0
         for (target_address, _), state in self.targets.items():
             if target_address == address:
-                freed += sum(state.held.pop(handle, None) is not None for handle in handles)
+                freed += sum(state.release(handle) for handle in handles)
         return freed > 0
 
     def remove_departed_targets(self, known: Sequence[Target]) -> None:
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -8,7 +8,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Sequence
 
-from savoryfork.forward import batching, cells
+from savoryfork.forward import batching
 from savoryfork.forward.batching import Allocation
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.cells import Cell
@@ -159,7 +159,7 @@
         if pool is None or not self.registry.usable(service):
             return StageFailure.NO_TARGETS
         task = StageTask(next(self.task_numbers), work, stage, due_at)
-        pool.tasks[task.number] = task
+        pool.add(task)
         for _ in range(task.pieces):
             pool.budget.record_request(now)
         self.dispatch(pool)
@@ -172,7 +172,7 @@
         except TimeoutError:
             pass  # the failure is LATE
         finally:
-            pool.tasks.pop(task.number, None)
+            pool.remove(task)
             if not done:
                 self.free(service, list(task.results.values()))
         if done:
@@ -196,7 +196,7 @@
     def dispatch(self, pool: Pool) -> None:
         """Starts the calls that the scheduler assigns to idle targets."""
         now = self.now()
-        if not any(task.waiting for task in pool.tasks.values()):
+        if not pool.waiting_count():
             return
         if self.limits(pool.service) is None or self.registry.all_leaving(pool.service):
             self.refuse_waiting(pool)
@@ -209,7 +209,7 @@
             statuses = [self.target_status(pool, target, now) for target in targets.values()]
             for name, allocations in batching.assign(tasks, statuses, pool.limits, now).items():
                 self.start_call(pool, targets[name], allocations, now)
-        if any(task.waiting for task in pool.tasks.values()):
+        if pool.waiting_count():
             # The end of a call dispatches again; this covers result space that becomes free and
             # targets that return.
             self.schedule_dispatch(pool, DISPATCH_RETRY_MS)
@@ -242,6 +242,8 @@
 
     def refuse_quarantined_work(self, pool: Pool) -> None:
         """Fails the tasks of requests on which targets crash."""
+        if not self.crashes.quarantine.requests:
+            return
         for task in pool.tasks.values():
             if task.waiting and self.crashes.is_quarantined(task.work.fingerprint):
                 task.finish(StageFailure.QUARANTINED)
@@ -272,13 +274,13 @@
 
         Those that push back are returned only if all do; their status says until when.
         """
-        targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
+        targets = pool.targets_of_cell(self.registry.usable(pool.service))
         targets = self.registry.push_backs.unblocked(targets, now) or targets
         available = self.health.usable(targets, now)
         return [target for target in available if not pool.state(target).stuck] or available
 
-    def target_status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
-        """Returns the status of a target for the scheduler."""
+    def free_at(self, pool: Pool, target: Target, now: float) -> float:
+        """Returns when a target is expected to take a call; a time that has passed if it does."""
         state = pool.state(target)
         push_backs = self.registry.push_backs
         free_at = max(state.blocked_until, push_backs.blocked_until(target))
@@ -288,9 +290,20 @@
             free_at = (
                 max(free_at, state.expected_end_at + overdue, now + MIN_REMAINING_MS) + overdue
             )
-        free_result_bytes = state.free_result_bytes(pool.limits, now)
+        return free_at
+
+    def slowdown(self, pool: Pool, target: Target) -> float:
+        """Returns the ratio of observed to declared call duration of a target."""
+        return max(0.5, pool.state(target).slowdown)
+
+    def target_status(self, pool: Pool, target: Target, now: float) -> batching.TargetStatus:
+        """Returns the status of a target for the scheduler."""
         return batching.TargetStatus(
-            target.name, target.zone, free_at, free_result_bytes, max(0.5, state.slowdown)
+            target.name,
+            target.zone,
+            self.free_at(pool, target, now),
+            pool.state(target).free_result_bytes(pool.limits, now),
+            self.slowdown(pool, target),
         )
 
     def free_result_share(self, service: str, cell: Cell) -> float:
@@ -327,7 +340,7 @@
             task = pool.tasks[allocation.task]
             task.work.started = True
             for _ in range(allocation.pieces):
-                number = task.waiting.popleft()
+                number = task.take_piece()
                 task.attempts[number] += 1
                 task.calls[number] += 1
                 batch.append((task, number))
@@ -512,13 +525,13 @@
             if not task.calls[number]:
                 task.finish(StageFailure.FAILED)
             return
-        task.waiting.appendleft(number)
+        task.put_back(number)
 
     def return_piece(self, task: StageTask, number: int) -> None:
         """Queues a piece again that its target did not run, unless a repeat is queued or done."""
         task.attempts[number] -= 1
         if number not in task.waiting and number not in task.results:
-            task.waiting.appendleft(number)
+            task.put_back(number)
 
     def record_call_failure(
         self, pool: Pool, target: Target, error: TargetError, now: float
@@ -591,12 +604,12 @@
             return
         state.no_room_since = None
         size = task.plan.result_bytes
-        state.held[result] = (size, now + pool.limits.keep_ms)
+        state.hold(result, size, now + pool.limits.keep_ms)
         stage_result = StageResult(result, target.address, target.zone)
         if not self.is_open(pool, task) or number in task.results:
             self.free(pool.service, [stage_result])
             return
-        task.results[number] = stage_result
+        task.add_result(number, stage_result)
         if len(task.results) == task.pieces:
             task.finish(None)
 
--- a/savoryfork/forward/pushback.py
+++ b/savoryfork/forward/pushback.py
@@ -111,11 +111,15 @@
 
     def blocked_until(self, target: Target) -> float:
         """Returns when a target's time ends; 0 if it does not push back."""
+        if not self.entries:
+            return 0.0
         known = self.entries.get(incarnation_of(target))
         return known.until if known is not None else 0.0
 
     def allowed(self, target: Target) -> float:
         """Returns how many requests a target may have in flight from this host after its time."""
+        if not self.entries:
+            return float("inf")
         known = self.entries.get(incarnation_of(target))
         return known.allowed if known is not None else float("inf")
 
--- a/tests/forward/test_coordinator.py
+++ b/tests/forward/test_coordinator.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from savoryfork.forward.batching import TargetStatus
 from savoryfork.forward.cells import UNDIVIDED, Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.messages import StageResult, WorkRequest
@@ -28,6 +27,9 @@
     def waiting_count(self) -> int:
         return 0
 
+    def started_count(self) -> int:
+        return 0
+
 
 class FakePools:
     """Four idle targets; stages finish once `release` is set."""
@@ -50,8 +52,11 @@
     def usable(self, *_: object) -> list[int]:
         return [0, 1, 2, 3]
 
-    def target_status(self, pool: FakePool, target: int, now: float) -> TargetStatus:
-        return TargetStatus(str(target), "z", now, 1e9, 1.0)
+    def free_at(self, pool: FakePool, target: int, now: float) -> float:
+        return now
+
+    def slowdown(self, pool: FakePool, target: int) -> float:
+        return 1.0
 
     def limits(self, service: str) -> BatchLimits:
         return LIMITS
@@ -163,7 +168,7 @@
 
     async def test_request_for_a_cell_without_targets_is_refused(self, coordinator):
         """Guards against an internal error when the targets of a service are in other cells."""
-        coordinator.pools.target_status = None  # not called without targets
+        coordinator.pools.free_at = None  # not called without targets
         coordinator.pools.usable = lambda *arguments: [] if len(arguments) == 2 else [0]
         assert (await coordinator.handle(request(1))).failure == "overloaded"
 
