Ping a coordinator only if it has sent no answer for the interval

Each entry host with calls in progress pinged each coordinator four times a second, 0.15 ms of processor time at each end (0.29 ms for both, grpclib on loopback, a trial): 0.04 of a core at the coordinator of 62 hosts. An answer to any call shows the same. A ping is sent once 250 ms have passed since the last answer, so a frozen coordinator is found as late as before at most.

--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -18,7 +18,8 @@
 
 log = logging.getLogger(__name__)
 
-# Interval and timeout of pings to a coordinator with calls in progress.
+# Interval and timeout of pings to a coordinator with calls in progress. Any answer counts as one:
+# pings of 62 hosts took 0.04 of a core at a coordinator (0.15 ms each, four a second and host).
 PING_INTERVAL_MS = 250.0
 PING_TIMEOUT_MS = 500.0
 
@@ -53,6 +54,7 @@
         self.background = background
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.watchers: dict[str, asyncio.Task[None]] = {}
+        self.answered_at: dict[str, float] = {}
         self.pending_frees: dict[tuple[str, str], list[StageResult]] = {}
 
     def now(self) -> float:
@@ -131,25 +133,33 @@
             await asyncio.wait([task])
             if task.cancelled():
                 raise PeerUnavailable(f"{coordinator_address}: silent")
-            return task.result()
+            reply: WorkReply = task.result()
+            self.answered_at[coordinator_address] = self.now()
+            return reply
         finally:
             calls.discard(task)
             task.cancel()
 
     async def watch(self, coordinator_address: str) -> None:
-        """Pings a host and cancels the calls to it if it does not answer; ends without calls."""
+        """Pings a host that has sent no answer for PING_INTERVAL_MS, and cancels the calls to it if
+        it does not answer; ends without calls."""
+        checked_at = self.now()
         try:
             while self.calls.get(coordinator_address):
-                await asyncio.sleep(PING_INTERVAL_MS / 1000)
-                if not self.calls.get(coordinator_address):
-                    return
+                heard_at = max(checked_at, self.answered_at.get(coordinator_address, 0.0))
+                wait_ms = heard_at + PING_INTERVAL_MS - self.now()
+                if wait_ms > 0:
+                    await asyncio.sleep(wait_ms / 1000)
+                    continue
                 try:
                     await self.follower.ping(coordinator_address, PING_TIMEOUT_MS)
                 except PeerUnavailable:
                     for task in list(self.calls.get(coordinator_address, ())):
                         task.cancel()
+                checked_at = self.now()
         finally:
             self.watchers.pop(coordinator_address, None)
+            self.answered_at.pop(coordinator_address, None)
 
     # Freeing results.
 
