Divide stage work by the strength of the coordinators

One coordinator for 30 hosts, whatever their processors, left one of 0.12 of a core with the stage work of 17 such hosts. The number of cells now depends on what the weakest coordinator carries at the cost of a request, and on the targets of the smallest stage service, which is never exceeded.

--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -91,6 +91,13 @@
         self.stage_work = self.counter(
             "savoryfork_stage_work_total", "Requests with stage work by the decision on them"
         )
+        self.active_work = self.gauge(
+            "savoryfork_active_work", "Requests whose stages this host coordinates now"
+        )
+        self.cells = self.gauge("savoryfork_cells", "Cells into which stage work is divided")
+        self.coordinated_cell = self.gauge(
+            "savoryfork_coordinated_cell", "Number of the cell that this host coordinates, or -1"
+        )
         self.stage_calls = self.counter(
             "savoryfork_stage_calls_total", "Calls to stage targets by service and result"
         )
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import logging
-from typing import Any
+from collections import Counter
+from typing import Any, NamedTuple
 
 from savoryfork.forward import cells
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.follower import Follower
+from savoryfork.forward.members import View
 from savoryfork.forward.messages import FreeRequest, StageResult, WorkReply, WorkRequest
+from savoryfork.forward.model import Catalog
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.peers import PeerClient, PeerUnavailable
 from savoryfork.util import logs
@@ -37,6 +40,20 @@
 FREE_DELAY_MS = 10.0
 
 
+class Division(NamedTuple):
+    """The coordinators of all cells by number, and what they were derived from.
+
+    `view`, `registered` and `catalog` are replaced with each change, so that their identity shows
+    whether the division is still the current one.
+    """
+
+    coordinators: list[str]
+    targets: int
+    view: View
+    registered: object
+    catalog: Catalog | None
+
+
 class Stages:
     """Runs stages on behalf of this host's callers."""
 
@@ -55,6 +72,7 @@
         self.calls: dict[str, set[asyncio.Task[Any]]] = {}
         self.watchers: dict[str, asyncio.Task[None]] = {}
         self.answered_at: dict[str, float] = {}
+        self.known_division: Division | None = None
         self.pending_frees: dict[tuple[str, str], list[StageResult]] = {}
 
     def now(self) -> float:
@@ -110,9 +128,63 @@
 
     def coordinator_for(self, request_id: str, now: float) -> tuple[Cell, str]:
         """Returns the cell of a request and the address of the coordinator of that cell."""
-        members = self.follower.members
-        cell = cells.cell_of(request_id, cells.cell_count(len(members.alive(now))))
-        return cell, members.shared_owners(COORDINATOR_DUTY, cell.cells, now)[cell.number]
+        coordinators = self.division(now).coordinators
+        cell = cells.cell_of(request_id, len(coordinators))
+        return cell, coordinators[cell.number]
+
+    def division(self, now: float) -> Division:
+        """Returns the division of the stage work by the hosts and targets known now."""
+        members, registry = self.follower.members, self.follower.registry
+        catalog, view = self.follower.catalog, members.view(now)
+        known = self.known_division
+        if (
+            known is not None
+            and known.view is view
+            and known.registered is registry.by_service
+            and known.catalog is catalog
+        ):
+            return known
+        targets = self.smallest_service()
+        strengths = [member.strength for member in view.alive.values()]
+        count = cells.cell_count(strengths, targets)
+        coordinators = members.shared_owners(COORDINATOR_DUTY, count, now)
+        if known is None or len(known.coordinators) != count:
+            logs.event(
+                log,
+                "cells_changed",
+                cells=count,
+                hosts=len(strengths),
+                weakest=round(min(strengths), 3),
+                strongest=round(max(strengths), 3),
+                targets=targets,
+            )
+        found = Division(coordinators, targets, view, registry.by_service, catalog)
+        self.known_division = found
+        return found
+
+    def smallest_service(self) -> int:
+        """Returns the number of registered targets of the stage service that has the fewest.
+
+        Targets that are leaving or evacuated count, so that a restart of each in turn does not
+        change the division. Services without targets do not count: they run nothing.
+        """
+        catalog = self.follower.catalog
+        registered = Counter(t.service for t in self.follower.registry.targets.values())
+        services = catalog.services.values() if catalog is not None else ()
+        return min(
+            (
+                registered[info.name]
+                for info in services
+                if info.batch is not None and registered[info.name]
+            ),
+            default=0,
+        )
+
+    def coordinated_cell(self, now: float) -> int:
+        """Returns the number of the cell that this host coordinates; -1 if there is none."""
+        coordinators = self.division(now).coordinators
+        local = self.follower.members.local.address
+        return coordinators.index(local) if local in coordinators else -1
 
     # Calls to coordinators.
 
