Compare targets of stage work in fewer steps

Most targets are busy when a task is placed, and most tasks read nothing and write to no zone in particular; their comparison took the same steps as all others. A dispatch without an idle target built what only an idle one needs.

--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -96,6 +96,8 @@
 
 def cross_zone_bytes(task: Task, zone: str) -> float:
     """Returns the bytes that cross zones if a target in `zone` runs all pieces of a task."""
+    if not task.input_bytes and task.zone in (None, zone):
+        return 0.0
     read = sum(size for input_zone, size in task.input_bytes.items() if input_zone != zone)
     written = task.result_bytes if task.zone is not None and task.zone != zone else 0
     return task.pieces * (read + written)
@@ -113,6 +115,7 @@
         self.closed = False
         self.free_result_bytes = target.free_result_bytes
         self.queued = 0.0
+        self.full_call_ms = call_ms(limits, limits.batch)
 
     def max_pieces(self, task: Task, pieces: int) -> int:
         """Returns how many of the pieces fit the batch limit and the free result space.
@@ -142,15 +145,14 @@
     def expected_finish_at(self, task: Task, pieces: int, now: float) -> float:
         """Returns when this target is expected to finish the pieces."""
         call_pieces = min(pieces, self.limits.batch)
-        if self.pieces_to_start(task, pieces):
+        if self.idle and self.pieces_to_start(task, pieces):
             return now + call_ms(self.limits, self.filled + call_pieces) * self.target.slowdown
         start = max(now, self.target.free_at)
         if self.idle:
             start = now + (
                 call_ms(self.limits, self.filled) if self.filled else RESULT_SPACE_WAIT_MS
             )
-        full_call_ms = call_ms(self.limits, self.limits.batch)
-        wait = self.queued / self.limits.batch * full_call_ms
+        wait = self.queued / self.limits.batch * self.full_call_ms
         return start + (wait + call_ms(self.limits, call_pieces)) * self.target.slowdown
 
     def cost(self, task: Task, pieces: int, now: float) -> float:
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -202,11 +202,13 @@
             self.refuse_waiting(pool)
             return
         self.refuse_quarantined_work(pool)
-        targets = {t.name: t for t in self.usable(pool, now)}
-        self.refuse_pushed_back_work(pool, list(targets.values()), now)
-        if any(pool.is_idle(target, now) for target in targets.values()):
+        usable = self.usable(pool, now)
+        if self.registry.push_backs.entries:
+            self.refuse_pushed_back_work(pool, usable, now)
+        if any(pool.is_idle(target, now) for target in usable):
+            targets = {target.name: target for target in usable}
             tasks = self.sendable_tasks(pool)
-            statuses = [self.target_status(pool, target, now) for target in targets.values()]
+            statuses = [self.target_status(pool, target, now) for target in usable]
             for name, allocations in batching.assign(tasks, statuses, pool.limits, now).items():
                 self.start_call(pool, targets[name], allocations, now)
         if pool.waiting_count():
