Let workspaces beyond their share stand back in a shortage of stage work

Admission took stage work in the order of its arrival, so a workspace that flooded got most of the capacity. The workspace now travels in WorkRequest; the coordinator keeps two decaying sums for each of up to 2,800, and while requests find too little capacity, work of a workspace with over twice its usual rate (or an equal part, if more) waits behind other work of its priority and is admitted on what all others leave.

order_key and precedes compare the share after the priority; the place of late work is as before, and without a shortage nothing changes.

--- a/savoryfork/forward/backlog.py
+++ b/savoryfork/forward/backlog.py
@@ -24,20 +24,16 @@
 # Later ones count as equal, so that one without end has a rank.
 MAX_DUE_MS = 1e12
 
-# A priority and the number of a step of due times, or of objectives; lower goes first.
-Rank = tuple[int, int]
+# The urgency of work, and the number of a step of due times, or of objectives; lower goes first.
+Rank = tuple[tuple[int, bool], int]
 
 # Pieces by service, for each rank.
 Sums = dict[Rank, dict[str, int]]
 
 
-def rank_of(priority: int, due_ms: float) -> Rank:
-    """Returns the rank of work by when it is due.
-
-    >>> rank_of(1, 1_020.0) < rank_of(1, 1_515.0) < rank_of(2, 0.0)
-    True
-    """
-    return priority, int(max(-MAX_DUE_MS, min(MAX_DUE_MS, due_ms)) // DUE_STEP_MS)
+def rank_of(work: Work, due_ms: float) -> Rank:
+    """Returns the rank of work by its urgency and by when it is due."""
+    return work.urgency(), int(max(-MAX_DUE_MS, min(MAX_DUE_MS, due_ms)) // DUE_STEP_MS)
 
 
 class Unfinished(NamedTuple):
@@ -66,7 +62,7 @@
         if stage not in work.results:
             service = work.plans[stage].service
             pieces[service] = pieces.get(service, 0) + work.pieces[stage]
-    rank = rank_of(work.priority, work.aim_at)
+    rank = rank_of(work, work.aim_at)
     return Unfinished(work.cell, rank, work.late and not work.results, pieces)
 
 
@@ -74,10 +70,11 @@
     """Adds pieces to the sums of a rank, or takes them away if `sign` is -1.
 
     >>> sums = {}
-    >>> add_pieces(sums, (1, 0), {"a": 3}, 1)
-    >>> add_pieces(sums, (1, 0), {"a": 2}, -1)
+    >>> rank = ((1, False), 20)
+    >>> add_pieces(sums, rank, {"a": 3}, 1)
+    >>> add_pieces(sums, rank, {"a": 2}, -1)
     >>> sums
-    {(1, 0): {'a': 1}}
+    {((1, False), 20): {'a': 1}}
     """
     by_service = sums.setdefault(rank, {})
     for service, count in pieces.items():
@@ -130,7 +127,7 @@
         priority, or of the same one that is due later.
         """
         ahead: dict[str, int] = {}
-        rank = rank_of(work.priority, work.aim_at)
+        rank = rank_of(work, work.aim_at)
         for other_rank, by_service in self.sums.get(work.cell, {}).items():
             if late or other_rank <= rank:
                 for service, count in by_service.items():
@@ -173,7 +170,7 @@
     def add(self, work: Work, now: float) -> None:
         """Counts work that was accepted now."""
         self.recent.append(Arrival(now, work))
-        rank = rank_of(work.priority, work.aim_at - now)
+        rank = rank_of(work, work.aim_at - now)
         self.counted[id(work)] = (rank, work.late)
         self.count(work, rank, work.late, 1)
 
@@ -200,7 +197,7 @@
         urgent work does, and work of the same priority with a shorter objective.
         """
         self.expire(now)
-        rank = rank_of(work.priority, work.aim_at - now)
+        rank = rank_of(work, work.aim_at - now)
         ahead: dict[str, int] = {}
         for is_late in (False, True):
             for other_rank, by_service in self.sums.get((work.cell, is_late), {}).items():
--- a/savoryfork/forward/batching.py
+++ b/savoryfork/forward/batching.py
@@ -53,6 +53,7 @@
     zone: str | None
     input_bytes: Mapping[str, float]
     isolated: bool = False
+    over_share: bool = False
 
 
 class TargetStatus(NamedTuple):
@@ -82,6 +83,7 @@
 
     late: bool
     priority: int
+    over_share: bool
     due_at: float
     id: int
 
@@ -94,7 +96,9 @@
 def order_key(task: Task, limits: BatchLimits, now: float) -> OrderKey:
     """Returns a sort key: work that can be on time or has results first, then by urgency."""
     late = task.late or now + call_ms(limits, min(task.pieces, limits.batch)) > task.due_at
-    return OrderKey(late and not task.has_results, task.priority, task.due_at, task.id)
+    return OrderKey(
+        late and not task.has_results, task.priority, task.over_share, task.due_at, task.id
+    )
 
 
 def cross_zone_bytes(task: Task, zone: str) -> float:
--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -16,6 +16,7 @@
 from savoryfork.forward.model import BatchLimits
 from savoryfork.forward.planning import AdmissionDecision, ServiceQueue
 from savoryfork.forward.pools import Pools
+from savoryfork.forward.shares import Shares, capacity_share
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.util import logs
 from savoryfork.util.window import Window
@@ -86,13 +87,24 @@
         self.backlog = Backlog()
         self.arrivals = Arrivals(ARRIVAL_WINDOW_MS)
         self.delays = Window(DELAY_SAMPLES)
+        self.shares = Shares()
         self.outlooks: dict[tuple[str, Cell], Outlook] = {}
         self.started_queues: dict[tuple[str, Cell], StartedQueue] = {}
 
     async def handle(self, request: WorkRequest) -> WorkReply:
         """Runs the stages of a request for another host or for this one."""
         now = self.pools.now()
-        work = Work(
+        work = self.work_of(request, now)
+        try:
+            self.admit(work, now)
+            await self.run(work)
+        except StageError as error:
+            return WorkReply({}, error.failure.value, error.stage, error.retry_ms)
+        return WorkReply({stage: work.results[stage] for stage in work.final_stages()})
+
+    def work_of(self, request: WorkRequest, now: float) -> Work:
+        """Returns the work that a message asks for."""
+        return Work(
             request.request_id,
             request.plans,
             request.pieces,
@@ -103,13 +115,8 @@
             request.zone,
             request.cell,
             request.fingerprint,
+            request.workspace,
         )
-        try:
-            self.admit(work, now)
-            await self.run(work)
-        except StageError as error:
-            return WorkReply({}, error.failure.value, error.stage, error.retry_ms)
-        return WorkReply({stage: work.results[stage] for stage in work.final_stages()})
 
     # Admission.
 
@@ -120,10 +127,18 @@
             pool = self.pools.pool(service, work.cell)
             if pool is None or not self.pools.registry.usable(service):
                 raise StageError(StageFailure.NO_TARGETS, stage, 0.0)
-        on_time_at = self.expected_finish_at(work, now, late=False)
+        work.over_share = self.shares.is_over(work.workspace, now)
+        on_time_queues = self.queues(work, now, late=False)
+        work.capacity_ms = capacity_share(work.plans, work.pieces, on_time_queues)
+        on_time_at = planning.expected_finish_at(work.plans, work.pieces, on_time_queues, now)
         late_at = self.expected_finish_at(work, now, late=True)
         margin_ms = self.delays.quantile(DELAY_QUANTILE)
         due_at = work.aim_at - margin_ms
+        if on_time_at > due_at >= now + self.min_duration_ms(work):
+            self.shares.record_shortage(now)
+        if work.over_share:
+            # It gets what all others leave, whatever their priority.
+            on_time_at = max(on_time_at, late_at)
         decision = planning.decide_admission(on_time_at, late_at, due_at, work.deadline_at, now)
         work.predicted_end_at = on_time_at
         logs.event(
@@ -131,6 +146,8 @@
             "work_" + decision.value,
             request=work.request_id,
             priority=work.priority,
+            workspace=work.workspace or None,
+            over_share=work.over_share or None,
             pieces=",".join(map(str, work.pieces)),
             expected_ms=rounded_ms(on_time_at - now),
             margin_ms=round(margin_ms),
@@ -140,11 +157,14 @@
             active=len(self.active),
         )
         self.metrics.stage_work.inc({"decision": decision.value})
+        if work.over_share:
+            self.metrics.over_share_work.inc({"decision": decision.value})
         if decision is AdmissionDecision.REFUSED:
             retry_ms = planning.retry_ms(late_at, now)
             raise StageError(StageFailure.OVERLOADED, work.nonempty_stages()[0], retry_ms)
         work.late = decision is AdmissionDecision.LATE
         self.arrivals.add(work, now)
+        self.shares.record(work.workspace, work.capacity_ms, now)
 
     async def refuse_unreachable_work(self) -> None:
         """Refuses unstarted work that is no longer expected to finish within its deadline.
@@ -170,6 +190,7 @@
                     left_ms=round(work.deadline_at - now),
                 )
                 self.metrics.stage_work.inc({"decision": "given_up"})
+                self.shares.record(work.workspace, -work.capacity_ms, now)
                 self.pools.refuse(work)
 
     def min_duration_ms(self, work: Work) -> float:
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -179,6 +179,7 @@
             run.aim_at - self.selector.expected_first_event_ms(run, engine),
             engine.zone if engine is not None else None,
             fingerprint=run.fingerprint(),
+            workspace=run.workspace.name if run.workspace is not None else "",
         )
         try:
             await self.stages.run(work)
--- a/savoryfork/forward/messages.py
+++ b/savoryfork/forward/messages.py
@@ -91,7 +91,8 @@
     Times are relative to the time of sending; by `aim_ms` the stages must have ended for the
     request to meet its latency objective. `zone` is where the results are needed, `cell` the
     partition of the targets to use. `fingerprint` names the request in crash reports, 0 if the
-    sender computes none.
+    sender computes none. `workspace` is the name of the caller's workspace, empty for a caller
+    without a key.
     """
 
     request_id: str
@@ -104,6 +105,7 @@
     zone: str | None
     cell: Cell = UNDIVIDED
     fingerprint: int = 0
+    workspace: str = ""
 
 
 class StageResult(NamedTuple):
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -110,6 +110,10 @@
         self.coordinated_cell = self.gauge(
             "savoryfork_coordinated_cell", "Number of the cell that this host coordinates, or -1"
         )
+        self.over_share_work = self.counter(
+            "savoryfork_over_share_work_total",
+            "Requests with stage work of workspaces over their share in a shortage, by decision",
+        )
         self.stage_calls = self.counter(
             "savoryfork_stage_calls_total", "Calls to stage targets by service and result"
         )
--- a/savoryfork/forward/pool.py
+++ b/savoryfork/forward/pool.py
@@ -100,6 +100,7 @@
             self.zone,
             self.input_bytes,
             isolated,
+            self.work.over_share,
         )
 
     def isolation_key(self) -> int | str:
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -101,6 +101,7 @@
                 work.zone,
                 cell,
                 work.fingerprint,
+                work.workspace,
             )
             if coordinator_address == self.follower.members.local.address:
                 reply = await self.coordinator.handle(request)
--- a/savoryfork/forward/work.py
+++ b/savoryfork/forward/work.py
@@ -40,7 +40,9 @@
     True if the request is not expected to be on time, `started` once a call was made for it. `cell`
     selects the targets that may be used. `freed` are the stages whose results have been freed.
     `fingerprint` is the hash by which the request is quarantined, 0 if its host sends none.
-    `isolated` is True once a target has crashed in a call with its pieces.
+    `isolated` is True once a target has crashed in a call with its pieces. `workspace` is the name
+    of the caller's workspace, `over_share` True if that had exceeded its share on admission,
+    `capacity_ms` what the work takes of all capacity (see `shares`).
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         zone: str | None,
         cell: Cell = UNDIVIDED,
         fingerprint: int = 0,
+        workspace: str = "",
     ) -> None:
         self.request_id = request_id
         self.plans = tuple(plans)
@@ -72,6 +75,9 @@
         self.zone = zone
         self.cell = cell
         self.fingerprint = fingerprint
+        self.workspace = workspace
+        self.over_share = False
+        self.capacity_ms = 0.0
         self.isolated = False
         self.coordinator_address = ""
         self.late = False
@@ -81,6 +87,10 @@
         self.results: dict[int, list[StageResult]] = {}
         self.freed: set[int] = set()
 
+    def urgency(self) -> tuple[int, bool]:
+        """Returns the order of urgency: by priority, then work of workspaces within their share."""
+        return self.priority, self.over_share
+
     def nonempty_stages(self) -> list[int]:
         """Returns the stages that have pieces."""
         return self.stages
--- a/tests/forward/test_backlog.py
+++ b/tests/forward/test_backlog.py
@@ -20,7 +20,9 @@
     pieces = [rng.randrange(4) for _ in PLANS]
     cell = Cell(rng.randrange(2), 2)
     aim_at = rng.choice([100.0, 200.0, rng.uniform(0.0, 300.0)])
-    return Work(str(number), PLANS, pieces, "k", rng.randrange(3), 9e3, aim_at, None, cell)
+    work = Work(str(number), PLANS, pieces, "k", rng.randrange(3), 9e3, aim_at, None, cell)
+    work.over_share = rng.random() < 0.2
+    return work
 
 
 def walk_ahead(active: list[Work], work: Work, late: bool) -> dict[str, int]:
@@ -30,8 +32,8 @@
         if other is work or other.cell != work.cell:
             continue
         if not other.late or other.results:
-            rank = rank_of(work.priority, work.aim_at)
-            precedes = late or rank_of(other.priority, other.aim_at) <= rank
+            rank = rank_of(work, work.aim_at)
+            precedes = late or rank_of(other, other.aim_at) <= rank
         else:
             precedes = late and (other.priority, other.aim_at) <= (work.priority, work.aim_at)
         for stage in other.nonempty_stages():
@@ -49,8 +51,8 @@
     for at, other in accepted:
         if at < now - WINDOW_MS or other is work or other.cell != work.cell:
             continue
-        rank = rank_of(work.priority, work.aim_at - now)
-        if rank_of(other.priority, other.aim_at - at) < rank or (late and not other.late):
+        rank = rank_of(work, work.aim_at - now)
+        if rank_of(other, other.aim_at - at) < rank or (late and not other.late):
             for stage in other.nonempty_stages():
                 service = other.plans[stage].service
                 rates[service] = rates.get(service, 0.0) + other.pieces[stage] / WINDOW_MS
--- a/tests/forward/test_messages.py
+++ b/tests/forward/test_messages.py
@@ -48,6 +48,13 @@
 def test_work_of_a_host_that_sends_no_fingerprint_is_decoded():
     """Guards against refusing stage work while hosts of two versions run side by side."""
     request = WorkRequest("r", (), (), "k", 1, 2_000.0, 1_000.0, None)
+    data = PLAIN + msgspec.msgpack.encode(tuple(request)[:-2])
+    assert MessageCodec().decode(data, WorkRequest) == request
+
+
+def test_work_of_a_host_that_sends_no_workspace_is_decoded():
+    """Guards against refusing stage work while hosts of two versions run side by side."""
+    request = WorkRequest("r", (), (), "k", 1, 2_000.0, 1_000.0, None, fingerprint=7)
     data = PLAIN + msgspec.msgpack.encode(tuple(request)[:-1])
     assert MessageCodec().decode(data, WorkRequest) == request
 
