Spread the Retry-After of refused stage work

Requests that were refused in one moment were told the same time, and came back as a second burst. The predicted end of the shortage is lengthened by up to a quarter by a hash of the request's id, within the bounds of 0.3 to 2.5 s.

--- a/savoryfork/forward/coordinator.py
+++ b/savoryfork/forward/coordinator.py
@@ -160,7 +160,7 @@
         if work.over_share:
             self.metrics.over_share_work.inc({"decision": decision.value})
         if decision is AdmissionDecision.REFUSED:
-            retry_ms = planning.retry_ms(late_at, now)
+            retry_ms = planning.refusal_retry_ms(late_at, work.request_id, now)
             raise StageError(StageFailure.OVERLOADED, work.nonempty_stages()[0], retry_ms)
         work.late = decision is AdmissionDecision.LATE
         self.arrivals.add(work, now)
@@ -180,7 +180,7 @@
             self.mark_late(work)
             end = self.expected_finish_at(work, now, late=True)
             if not planning.can_finish_late(end, work.deadline_at, now):
-                work.retry_ms = planning.retry_ms(end, now)
+                work.retry_ms = planning.refusal_retry_ms(end, work.request_id, now)
                 logs.event(
                     log,
                     "work_given_up",
--- a/savoryfork/forward/planning.py
+++ b/savoryfork/forward/planning.py
@@ -14,6 +14,7 @@
 
 from savoryfork.forward.batching import call_ms
 from savoryfork.forward.model import BatchLimits, StagePlan
+from savoryfork.util import rendezvous
 
 # Fraction of the remaining time within which a late request must be expected to finish, since
 # more urgent work that arrives later goes first.
@@ -23,6 +24,9 @@
 MIN_RETRY_MS = 300.0
 MAX_RETRY_MS = 2_500.0
 
+# Share by which the retry-after of a refused request is lengthened at most.
+RETRY_SPREAD = 0.25
+
 
 # Minimum fraction of a service's throughput that work gets despite more urgent arrivals.
 MIN_RATE_FRACTION = 0.25
@@ -146,3 +150,20 @@
 def retry_ms(late_at: float, now: float) -> float:
     """Returns the retry-after of a refused request: the time until the current work is done."""
     return min(MAX_RETRY_MS, max(MIN_RETRY_MS, late_at - now))
+
+
+def refusal_retry_ms(end_at: float, request_id: str, now: float) -> float:
+    """Returns the retry-after of a refused request: the time until the shortage ends.
+
+    `end_at` is when the request would finish behind all other work, at the present arrival rate.
+    Requests are told times that differ by up to `RETRY_SPREAD`, so that those refused in one moment
+    do not return in one moment.
+
+    >>> 1_000.0 <= refusal_retry_ms(1_000.0, "a", 0.0) <= 1_250.0
+    True
+    >>> 2_000.0 <= refusal_retry_ms(9_000.0, "a", 0.0) <= MAX_RETRY_MS
+    True
+    """
+    wait_ms = min(MAX_RETRY_MS / (1.0 + RETRY_SPREAD), retry_ms(end_at, now))
+    share = rendezvous.score("shortage", request_id) % 1_000 / 1_000
+    return wait_ms * (1.0 + RETRY_SPREAD * share)
--- a/tests/forward/test_planning.py
+++ b/tests/forward/test_planning.py
@@ -63,3 +63,19 @@
         assert planning.retry_ms(900.0, 0.0) == 900.0
         assert planning.retry_ms(10.0, 0.0) == planning.MIN_RETRY_MS
         assert planning.retry_ms(1e9, 0.0) == planning.MAX_RETRY_MS
+
+
+class TestRetryAfter:
+    def test_requests_refused_together_return_apart(self):
+        """Guards against a second burst of all the requests that were refused in one moment."""
+        times = [planning.refusal_retry_ms(1_600.0, f"r{n}", 0.0) for n in range(400)]
+        assert min(times) >= 1_600.0 and max(times) <= 2_000.0
+        by_part = [sum(low <= t < low + 100.0 for t in times) for low in range(1_600, 2_000, 100)]
+        assert min(by_part) > 60
+
+    def test_time_stays_within_its_bounds(self):
+        """Guards against a caller that is sent away for longer than a burst lasts."""
+        for end in (0.0, 100.0, 2_400.0, 90_000.0, float("inf")):
+            for number in range(50):
+                retry_ms = planning.refusal_retry_ms(end, f"r{number}", 0.0)
+                assert planning.MIN_RETRY_MS <= retry_ms <= planning.MAX_RETRY_MS
