Add a preview of where a request would go

savoryfork preview asks a host, on the address of its metrics, for the route, the coordinator and the ranked targets of a request with the reason for each that is left out. It uses the decisions of the request itself and changes nothing; a test compares it with where the request then goes.

--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -12,12 +12,13 @@
 from types import FrameType
 
 import aiomisc
+import msgspec
 import uvloop
 from aiohttp import web
 
 from savoryfork import defaults
 from savoryfork.errors import UserError
-from savoryfork.forward import callers
+from savoryfork.forward import callers, preview
 from savoryfork.forward.budget import RetryBudget
 from savoryfork.forward.connection import Connections
 from savoryfork.forward.coordinator import Coordinator
@@ -42,6 +43,7 @@
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import BatchLimits
 from savoryfork.forward.pools import Pools
+from savoryfork.forward.preview import PreviewRequest
 from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.settings import ForwardSettings
 from savoryfork.forward.signals import TargetSignals
@@ -55,6 +57,7 @@
 from savoryfork.util.signals import STOP_SIGNALS
 from savoryfork.util.supervise import keep_running
 from savoryfork.util.timer import TimerService, suspend_aware_clock
+from savoryfork.util.untrusted import UndecodableError, decode_json
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +69,9 @@
 EXIT_RESERVE_MS = 700.0
 FINAL_ANSWERS_MS = 250.0
 
+# A request's head, as JSON.
+MAX_PREVIEW_BYTES = 65_536
+
 MEMBERS_PERIOD_MS = 1_000.0
 HOUSEKEEPING_PERIOD_MS = 500.0
 UNREACHABLE_CHECK_PERIOD_MS = 100.0
@@ -276,8 +282,22 @@
             return web.Response(status=404)
         return web.Response(status=200 if reason is None else 503, text=reason or "ready")
 
+    async def handle_preview(self, request: web.BaseRequest) -> web.Response:
+        """Tells where a request would go now; see `preview`."""
+        body = await request.content.read(MAX_PREVIEW_BYTES)
+        try:
+            asked = decode_json(body, PreviewRequest)
+        except UndecodableError as error:
+            return web.Response(status=400, text=str(error))
+        headers = [(name.encode(), value.encode()) for name, value in asked.headers]
+        decoded = self.wire.decode_request(asked.method, asked.path, headers)
+        found = preview.preview(self.forwarder, decoded)
+        return web.Response(body=msgspec.json.encode(found), content_type="application/json")
+
     async def handle_metrics(self, request: web.BaseRequest) -> web.Response:
-        """Returns the metrics in exposition format."""
+        """Returns the metrics in exposition format, or a preview of a request."""
+        if request.path == preview.PATH:
+            return await self.handle_preview(request)
         metrics = self.metrics
         metrics.connections.set({"use": "opened"}, self.connections.opened)
         metrics.connections.set({"use": "reused"}, self.connections.reused)
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -230,13 +230,16 @@
         targets = self.candidates(run)
         if not targets:
             return None
-        if run.request.prompt is not None:
-            costs = self.engine_costs(run, targets, self.input_bytes(run))
-        else:
-            slowdowns = self.slowdowns_of(run, targets)
-            costs = placement.load_costs(targets, self.outstanding, self.zone, run.id, slowdowns)
+        costs = self.costs(run, targets)
         return min(targets, key=lambda target: costs[target.name])
 
+    def costs(self, run: Run, targets: Sequence[Target]) -> dict[str, float]:
+        """Returns the cost of running the request on each of the targets."""
+        if run.request.prompt is not None:
+            return self.engine_costs(run, targets, self.input_bytes(run))
+        slowdowns = self.slowdowns_of(run, targets)
+        return placement.load_costs(targets, self.outstanding, self.zone, run.id, slowdowns)
+
     def likely_engine(self, run: Run) -> Target | None:
         """Returns the engine that the request will probably be sent to."""
         targets = self.candidates(run)
