Bound the requests of all hosts to a cold target

A target that returns is idle, so every host preferred it at once, and it crashes well above `cold_per_s`: `warmup_left_ms` was dropped when its entry was read, and nothing bounded the requests.

Each host computes the same few senders of a cold target from the membership without its own suspicions, and keeps an interval between its requests; the senders of one view get half of the bound. Requests, moves, stage calls and calls that free results are counted by the check before each send. Entries propagate only the change between cold and warm; `Cold-Ms` of answers and refused connections count as well.

--- a/savoryfork/forward/connection.py
+++ b/savoryfork/forward/connection.py
@@ -63,6 +63,10 @@
 CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
+# Reason of a call to a port at which nothing listens, as that of a process that has ended.
+REFUSED = f"connect: {ConnectionRefusedError.__name__}"
+
+
 class TargetError(Exception):
     """A call without a complete response. `sent` is False if no byte of it was written.
 
--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -146,6 +146,7 @@
         self.lost_peers: set[str] = set()
         self.confirming: set[str] = set()
         self.joined = asyncio.Event()
+        self.joined_at = math.inf
         # Called after changes of the crash reports.
         self.on_crash_reports: Callable[[], None] = lambda: None
 
@@ -399,6 +400,7 @@
             if joined.issuperset(self.members.seeds):
                 break
             await asyncio.sleep(JOIN_RETRY_MS / 1000)
+        self.joined_at = self.now()
         self.joined.set()
         logs.event(log, "joined", members=len(self.members.alive(self.now())))
 
@@ -640,6 +642,8 @@
             self.on_crash_reports()
         for target, change in self.registry.expire(self.now()):
             logs.event(log, "target_" + change, target=target.name, reason="lapsed")
+        for target in self.registry.warmups.expire(self.registry.targets, self.now()):
+            logs.event(log, "target_warm", target=target.name, service=target.service)
         for entry in self.targets_table.pop_new_held():
             known = self.targets_table.entries.get(entry.key)
             logs.event(
--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -60,6 +60,9 @@
 # Minimum remaining time for which an attempt is started.
 MIN_ATTEMPT_MS = 20.0
 
+# Reason of an attempt that was not sent since this host may not send to its cold target now.
+COLD = "cold"
+
 # Outcomes of an offer without a complete answer by the deadline: the target was too slow, or the
 # caller did not read the answer.
 TIMEOUT = "timeout"
@@ -145,9 +148,10 @@
 
     def silent_targets(self, run: Run) -> list[Target]:
         """Returns the targets that a request left while silent and that may get it again."""
-        push_backs = self.registry.push_backs
+        now = self.now()
         current = [target for target in run.silent_targets if self.registry.is_current(target)]
-        return push_backs.unblocked(current, self.now())
+        unblocked = self.registry.push_backs.unblocked(current, now)
+        return list(self.registry.warmups.open_targets(unblocked, now))
 
     def choose_target(self, run: Run) -> Target | None:
         """Returns the target of the next attempt, or None if there is none.
@@ -216,11 +220,18 @@
         targets = self.registry.usable(run.service)
         push_backs = self.registry.push_backs
         now = self.now()
-        if targets and not push_backs.open_targets(targets, self.selector.outstanding, now):
+        open_targets = push_backs.open_targets(targets, self.selector.outstanding, now)
+        if targets and not open_targets:
             run.retry_ms = push_backs.caller_retry_ms(targets, run.id, now)
             return ServiceError(
                 ErrorKind.OVERLOADED, "all targets push back requests of this host; try again later"
             )
+        warmups = self.registry.warmups
+        if open_targets and not warmups.open_targets(open_targets, now):
+            run.retry_ms = warmups.caller_retry_ms(open_targets, run.id, now)
+            return ServiceError(
+                ErrorKind.OVERLOADED, "all targets of this host are warming up; try again later"
+            )
         return ServiceError(
             ErrorKind.NO_TARGETS, "no target available for the request; try again later"
         )
@@ -278,6 +289,14 @@
             raise TargetError("left", sent=False)
         if self.registry.push_backs.is_blocked(target, self.now()):
             raise TargetError("pushed back", sent=False)
+        # The last check, as it counts the request as sent.
+        warmups = self.registry.warmups
+        if not (
+            warmups.try_send(target, self.now())
+            if sending
+            else warmups.open_targets([target], self.now())
+        ):
+            raise TargetError(COLD, sent=False)
 
     def send(self, run: Run, target: Target, connection: Connection) -> None:
         """Writes the request."""
@@ -420,7 +439,8 @@
         Silence was charged when it was noticed.
         """
         run.offers.append(Offer(target.name, error.reason))
-        if error.reason not in ("left", "pushed back", relay.SILENT):
+        if error.reason not in ("left", "pushed back", COLD, relay.SILENT):
+            self.signals.observe_failure(target, error)
             peers = self.registry.usable(run.service)
             weight = CERTAIN_FAULT if error.certain else LIKELY_FAULT
             self.health.record_failure(target, peers, weight, error.reason, self.now())
@@ -458,6 +478,10 @@
             run.offers.append(Offer(target.name, "cancelled"))
             run.possible_executions += 1
             raise self.crashes.refusal(run, Verdict.REFUSED) from error
+        if error.reason == COLD:
+            # Another request was sent there first. This one was not offered to the target.
+            run.tried_targets.discard(target.name)
+            return False
         self.record_attempt_failure(run, target, error)
         if broken_off and await self.crashes.record_loss(run):
             raise ServiceError(
--- a/savoryfork/forward/freeing.py
+++ b/savoryfork/forward/freeing.py
@@ -63,14 +63,16 @@
         self.pending.setdefault(key, []).append(result.handle)
 
     def flush(self, key: tuple[str, str]) -> None:
-        """Sends the collected results of one target, once it does not push back."""
+        """Sends the collected results of one target, once it takes requests of this host."""
         service, address = key
         target = self.registry.at_address(service, address)
         if target is not None and target.zone in self.registry.evacuated:
             self.pending.pop(key)  # the results expire; nothing may reach an evacuated zone
             return
         if target is not None:
-            wait_ms = self.registry.push_backs.blocked_until(target) - self.clock.monotonic_ms()
+            now = self.clock.monotonic_ms()
+            push_back_until = self.registry.push_backs.blocked_until(target)
+            wait_ms = max(push_back_until, self.registry.warmups.open_at(target, now)) - now
             if wait_ms > MAX_FREE_WAIT_MS:
                 count = len(self.pending.pop(key))
                 logs.event(log, "free_failed", address=address, count=count, error="pushed back")
@@ -101,6 +103,9 @@
         connection = await self.connections.open(address, self.clock.monotonic_ms())
         reusable = False
         try:
+            now = self.clock.monotonic_ms()
+            if target is not None and not self.registry.warmups.try_send(target, now):
+                raise TargetError("cold", sent=False)
             connection.send(
                 *self.wire.free_call(address, handles, target.name if target is not None else None)
             )
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -40,13 +40,14 @@
     MessageHandler,
 )
 from savoryfork.forward.metrics import ForwardMetrics
-from savoryfork.forward.model import BatchLimits
+from savoryfork.forward.model import BatchLimits, ServiceInfo
 from savoryfork.forward.pools import Pools
 from savoryfork.forward.selection import TargetSelector
 from savoryfork.forward.settings import ForwardSettings
 from savoryfork.forward.signals import TargetSignals
-from savoryfork.forward.stages import Stages
+from savoryfork.forward.stages import Stages, coordinators
 from savoryfork.forward.topics import Store, Topic
+from savoryfork.forward.warmup import Senders
 from savoryfork.forward.wire import Wire
 from savoryfork.peers import PeerClient, PeerServer
 from savoryfork.settings import split_address
@@ -163,6 +164,11 @@
             self.metrics,
             self.background,
         )
+        warmups = self.follower.registry.warmups
+        warmups.info = self.service_info
+        warmups.interval_ms = Senders(
+            self.members, coordinators, lambda: self.follower.joined_at, config.cold_bound()
+        ).interval_ms
         self.health = HealthTracker()
         self.connections = Connections(limits)
         self.signals = TargetSignals(self.follower, self.connections)
@@ -207,10 +213,14 @@
 
     def batch_limits(self, service: str) -> BatchLimits | None:
         """Returns the batch limits of a stage service; None for other services."""
-        catalog = self.follower.catalog
-        info = catalog.services.get(service) if catalog is not None else None
+        info = self.service_info(service)
         return info.batch if info is not None else None
 
+    def service_info(self, service: str) -> ServiceInfo | None:
+        """Returns a service of the configuration; None if it has none of that name."""
+        catalog = self.follower.catalog
+        return catalog.services.get(service) if catalog is not None else None
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
         config = self.settings
@@ -289,6 +299,10 @@
             metrics.push_backs.set({"service": service}, count)
         metrics.pushed_back_targets.set({}, push_backs.blocked_count(self.follower.now()))
         metrics.evacuated_zones.set({}, len(self.follower.registry.evacuated))
+        warmups = self.follower.registry.warmups
+        metrics.cold_targets.set({}, warmups.cold_count(self.follower.now()))
+        metrics.cold_requests.set({"decision": "sent"}, warmups.sent)
+        metrics.cold_requests.set({"decision": "held"}, warmups.held)
         metrics.inflight.set({}, self.entry.inflight)
         memory = self.entry.budget
         metrics.held_bytes.set({}, memory.held_bytes)
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -94,6 +94,7 @@
         self.cached_owners: dict[str, list[str]] = {}
         self.cached_readers: list[str] | None = None
         self.cached_digest: int | None = None
+        self.cached_unsuspected: Members | None = None
 
     # Changes.
 
@@ -252,6 +253,19 @@
             self.cached_view = cached
         return cached
 
+    def unsuspected(self) -> Members:
+        """Returns this membership without suspicions: all hosts but those marked as failed.
+
+        Hosts with the same entries agree on it, also while calls between some of them fail.
+        """
+        cached = self.cached_unsuspected
+        if cached is None or cached.revision != self.revision:
+            cached = Members(self.local, ())
+            cached.known = dict(self.known)
+            cached.revision = self.revision
+            self.cached_unsuspected = cached
+        return cached
+
     def alive(self, now: float) -> list[Member]:
         """Returns the live hosts, the local host first."""
         return list(self.view(now).alive.values())
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -47,6 +47,13 @@
         self.pushed_back_targets = self.gauge(
             "savoryfork_pushed_back_targets", "Targets that push back on this host now"
         )
+        self.cold_targets = self.gauge(
+            "savoryfork_cold_targets", "Targets that this host takes for cold now"
+        )
+        self.cold_requests = self.gauge(
+            "savoryfork_cold_requests",
+            "Requests of this host for cold targets since the start, sent or held, by decision",
+        )
         self.held_bytes = self.gauge(
             "savoryfork_held_bytes", "Bytes that callers' requests and answers take now"
         )
--- a/savoryfork/forward/pools.py
+++ b/savoryfork/forward/pools.py
@@ -270,10 +270,12 @@
     def usable(self, pool: Pool, now: float) -> list[Target]:
         """Returns the healthy targets of a pool; those with a stuck call only if all have one.
 
-        Those that push back are returned only if all do; their status says until when.
+        Those that push back, and cold ones to which other hosts send, are returned only if all are
+        like that; their status says until when.
         """
         targets = cells.targets_of(self.registry.usable(pool.service), pool.cell)
         targets = self.registry.push_backs.unblocked(targets, now) or targets
+        targets = list(self.registry.warmups.assigned(targets, now)) or targets
         available = self.health.usable(targets, now)
         return [target for target in available if not pool.state(target).stuck] or available
 
@@ -281,7 +283,11 @@
         """Returns the status of a target for the scheduler."""
         state = pool.state(target)
         push_backs = self.registry.push_backs
-        free_at = max(state.blocked_until, push_backs.blocked_until(target))
+        free_at = max(
+            state.blocked_until,
+            push_backs.blocked_until(target),
+            self.registry.warmups.open_at(target, now),
+        )
         if state.calls >= min(pool.limits.slots, push_backs.allowed(target)):
             # An overdue call is expected to take as long again as it is overdue.
             overdue = max(0.0, now - state.expected_end_at)
@@ -438,6 +444,8 @@
             if any(self.crashes.is_quarantined(task.work.fingerprint) for task, _ in batch):
                 raise TargetError("quarantined", sent=False)
             now = self.now()
+            if not self.registry.warmups.try_send(target, now):
+                raise TargetError("cold", sent=False)
             pieces = [self.make_piece(task, number, now) for task, number in batch]
             connection.send(*self.wire.pieces_call(target, pieces))
             head = await connection.read_head()
@@ -524,7 +532,9 @@
         self, pool: Pool, target: Target, error: TargetError, now: float
     ) -> None:
         """Charges a failed call to the health of its target."""
-        if error.reason not in ("full", "wrong target", "left", "pushed back", "quarantined"):
+        unsent = ("full", "wrong target", "left", "pushed back", "cold", "quarantined")
+        if error.reason not in unsent:
+            self.signals.observe_failure(target, error)
             weight = LIKELY_FAULT if error.sent else CERTAIN_FAULT
             peers = self.registry.usable(pool.service)
             self.health.record_failure(target, peers, weight, error.reason, now)
--- a/savoryfork/forward/registry.py
+++ b/savoryfork/forward/registry.py
@@ -8,6 +8,7 @@
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.model import Target
 from savoryfork.forward.pushback import PushBacks
+from savoryfork.forward.warmup import Warmups
 
 # Targets re-register within about 2 s of the store's return if their entries lapsed in an outage.
 LAPSE_GRACE_MS = 2_300.0
@@ -27,7 +28,8 @@
 
     A target at whose address another incarnation answered is excluded until its entry changes, and
     one that is leaving by any source for good; see `departures`. `push_backs` are those that want
-    no requests for a time. Targets in the `evacuated` zones get nothing until these are taken back.
+    no requests for a time, `warmups` those that take few. Targets in the `evacuated` zones get
+    nothing until these are taken back.
     """
 
     def __init__(self, decode: Decoder) -> None:
@@ -37,6 +39,7 @@
         self.misdirected: dict[str, Target] = {}
         self.departures = Departures()
         self.push_backs = PushBacks()
+        self.warmups = Warmups()
         self.evacuated: frozenset[str] = frozenset()
         self.lapsed: dict[str, float] = {}
         self.store_returned_at = 0.0
@@ -80,6 +83,8 @@
                 changes.append((target, "reborn"))
             elif known.leaving != target.leaving:
                 changes.append((target, "leaving" if target.leaving else "ready"))
+            if warmup := self.warmups.record_entry(known, target, now):
+                changes.append((target, warmup))
         changes += self.drop(dropped, now, restored)
         self.reindex()
         return changes
@@ -121,9 +126,7 @@
     def reindex(self) -> None:
         """Rebuilds the lists of usable targets by service."""
         self.misdirected = {
-            name: target
-            for name, target in self.misdirected.items()
-            if self.targets.get(name) == target
+            name: target for name, target in self.misdirected.items() if self.is_unchanged(target)
         }
         self.by_service = {}
         for target in sorted(self.targets.values()):
@@ -166,10 +169,15 @@
 
     def mark_misdirected(self, target: Target) -> None:
         """Records that another incarnation answered at a target's address."""
-        if self.targets.get(target.name) == target:
+        if self.is_unchanged(target):
             self.misdirected[target.name] = target
             self.reindex()
 
+    def is_unchanged(self, target: Target) -> bool:
+        """Returns whether a target's entry is as it was, but for a change of cold or warm."""
+        known = self.targets.get(target.name)
+        return known is not None and known._replace(cold=target.cold) == target
+
     def of_service(self, service: str) -> list[Target]:
         """Returns all targets of a service, including those that are leaving."""
         return [target for target in self.targets.values() if target.service == service]
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -37,11 +37,13 @@
     def candidates(self, run: Run) -> list[Target]:
         """Returns the healthy targets that the request has not been offered to yet.
 
-        Those that push back are left out also if no others remain.
+        Those that push back, and cold ones to which this host may not send now, are left out also
+        if no others remain.
         """
         now = self.follower.now()
         usable = [t for t in self.registry.usable(run.service) if t.name not in run.tried_targets]
-        found = self.registry.push_backs.open_targets(usable, self.outstanding, now)
+        willing = self.registry.push_backs.open_targets(usable, self.outstanding, now)
+        found = self.registry.warmups.open_targets(willing, now)
         return self.health.usable(found, now) if found else []
 
     def engine_costs(
@@ -55,7 +57,7 @@
                 shared.prompt_tokens + self.pending_prefill.get(target.name, 0.0),
                 shared.requests + self.outstanding.get(target.name, 0),
             )
-        return placement.engine_costs(
+        costs = placement.engine_costs(
             targets,
             run.request.prompt,
             loads,
@@ -64,6 +66,7 @@
             self.speed(run.service).speed(),
             self.preferences,
         )
+        return self.registry.warmups.add_cold_costs(costs, targets, self.follower.now())
 
     def speed(self, service: str) -> SpeedEstimator:
         """Returns the estimator of the speed of a service's engines."""
@@ -84,6 +87,7 @@
             costs = self.engine_costs(run, targets, self.input_bytes(run))
         else:
             costs = placement.load_costs(targets, self.outstanding, self.zone, run.id)
+            costs = self.registry.warmups.add_cold_costs(costs, targets, self.follower.now())
         return min(targets, key=lambda target: costs[target.name])
 
     def preferred_zone(self, run: Run) -> str | None:
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -8,6 +8,7 @@
 from savoryfork import settings
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.forward.placement import Preferences
+from savoryfork.forward.warmup import ColdBound
 from savoryfork.settings import ADDRESS_SCHEMA
 
 # A request with three stages costs its coordinator some 10 KB of pieces, handles and answers, and
@@ -48,6 +49,8 @@
         "retry_ratio": {"type": "number", "minimum": 0},
         "retry_window_s": POSITIVE,
         "retry_reserve": {"type": "number", "minimum": 0},
+        "cold_overage": {"type": ["number", "null"], "minimum": 0},
+        "cold_slack": {"type": ["number", "null"], "minimum": 0},
         "processor_share": POSITIVE,
         "processor_speed": POSITIVE,
         "link_mbps": POSITIVE,
@@ -71,8 +74,11 @@
     are served on the first. `seed_peers` may be out of date. `stop_grace_s` is the time from
     SIGTERM to SIGKILL, `key_revocation_ms` the time within which a revoked key must stop working.
     Retries of a service's requests are limited, over all hosts together, to `retry_ratio` of its
-    other requests plus `retry_reserve` in each `retry_window_s`. The host has `processor_share` of
-    a core that is `processor_speed` times as fast as an ordinary one, and a link of `link_mbps`.
+    other requests plus `retry_reserve` in each `retry_window_s`. A cold target may get
+    `cold_overage` times its service's `cold_per_s` plus `cold_slack` requests in any second from
+    all hosts together; see `warmup.ColdBound`, whose defaults hold for what is absent or null.
+    The host has `processor_share` of a core that is `processor_speed` times as fast as an ordinary
+    one, and a link of `link_mbps`.
     `memory_mb` is the host's memory, of which `memory.budget_bytes` is for callers, and
     `max_descriptors` the number of descriptors that its process may open. The other `max_` fields
     bound what the host reads of one caller's body, one target's answer, one event of a stream and
@@ -105,8 +111,15 @@
     max_store_bytes: int = DEFAULT_LIMITS.store_bytes
     cross_zone_ms_per_mb: float = Preferences().cross_zone_ms_per_mb
     repeated_ms_per_1000_tokens: float = Preferences().repeated_ms_per_1000_tokens
+    cold_overage: float | None = None
+    cold_slack: float | None = None
     log_level: str = "INFO"
 
+    def cold_bound(self) -> ColdBound:
+        """Returns the bound of requests to cold targets."""
+        bounds = {"overage": self.cold_overage, "slack": self.cold_slack}
+        return ColdBound(**{name: value for name, value in bounds.items() if value is not None})
+
     def preferences(self) -> Preferences:
         """Returns what placement weighs against latency."""
         return Preferences(self.cross_zone_ms_per_mb, self.repeated_ms_per_1000_tokens)
--- a/savoryfork/forward/signals.py
+++ b/savoryfork/forward/signals.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from savoryfork.forward.connection import Connections
+from savoryfork.forward.connection import REFUSED, Connections, TargetError
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.model import AnswerHead, Target
 from savoryfork.util import logs
@@ -31,6 +31,10 @@
             self.connections.close_idle_to(target.address)
         push_backs = self.follower.registry.push_backs
         now = self.follower.now()
+        if not answer.wrong_target and self.follower.registry.warmups.record_answer(
+            target, answer.cold_ms, now
+        ):
+            self.log_cold(target, "answer", now)
         if answer.push_back_s is not None:
             if push_backs.record(target, answer.push_back_s, now):
                 logs.event(
@@ -46,3 +50,21 @@
                 )
         elif not answer.not_run and not answer.wrong_target:
             push_backs.record_accepted(target, now)
+
+    def observe_failure(self, target: Target, error: TargetError) -> None:
+        """Applies a failed call: a target that refuses connections may come back cold."""
+        now = self.follower.now()
+        if error.reason == REFUSED and self.follower.registry.warmups.record_refused(target, now):
+            self.log_cold(target, "refused", now)
+
+    def log_cold(self, target: Target, source: str, now: float) -> None:
+        """Logs that a target is taken for cold."""
+        logs.event(
+            log,
+            "target_cold",
+            target=target.name,
+            service=target.service,
+            address=target.address,
+            source=source,
+            for_ms=round(self.follower.registry.warmups.cold_until(target) - now),
+        )
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -10,6 +10,7 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.follower import Follower
+from savoryfork.forward.members import Members
 from savoryfork.forward.messages import FreeRequest, StageResult, WorkReply, WorkRequest
 from savoryfork.forward.work import StageError, StageFailure, Work
 from savoryfork.peers import PeerClient, PeerUnavailable
@@ -36,6 +37,12 @@
 FREE_DELAY_MS = 10.0
 
 
+def coordinators(members: Members, now: float) -> list[str]:
+    """Returns the addresses of the coordinators of all cells, in the order of the cells."""
+    count = cells.cell_count(len(members.alive(now)))
+    return members.shared_owners(COORDINATOR_DUTY, count, now)
+
+
 class Stages:
     """Runs stages on behalf of this host's callers."""
 
@@ -109,8 +116,9 @@
     def coordinator_for(self, request_id: str, now: float) -> tuple[Cell, str]:
         """Returns the cell of a request and the address of the coordinator of that cell."""
         members = self.follower.members
-        cell = cells.cell_of(request_id, cells.cell_count(len(members.alive(now))))
-        return cell, members.shared_owners(COORDINATOR_DUTY, cell.cells, now)[cell.number]
+        owners = coordinators(members, now)
+        cell = cells.cell_of(request_id, len(owners))
+        return cell, owners[cell.number]
 
     # Calls to coordinators.
 
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -206,8 +206,8 @@
     """Decodes the head of a target's answer.
 
     A 421 is written by another incarnation than the expected one, so it does not say that that one
-    is leaving. Only a 503 pushes back: other refusals concern one request. A date is not read, as
-    the platform's times are seconds and the time of day differs between machines.
+    is leaving or cold. Only a 503 pushes back: other refusals concern one request. A date is not
+    read, as the platform's times are seconds and the time of day differs between machines.
     """
     dropped = hop_by_hop_names(headers)
     retry_after_s = parse_non_negative(first_value(headers, b"retry-after"))
@@ -224,6 +224,7 @@
         idle_s=parse_non_negative(timeout.strip().removeprefix("timeout=")),
         push_back_s=retry_after_s if status == 503 and retry_after_s else None,
         leaving=status != 421 and first_value(headers, b"server-leaving") == LEAVING,
+        cold_ms=parse_non_negative(first_value(headers, b"cold-ms")) if status != 421 else None,
     )
 
 
--- a/savoryfork/platform/records.py
+++ b/savoryfork/platform/records.py
@@ -65,6 +65,10 @@
 # The end of the year 2999 in Unix milliseconds.
 MAX_BORN_MS = 32_503_680_000_000
 
+# What a target's remaining warm-up time is replaced by where it is above 0, or malformed.
+COLD = 1
+MALFORMED_WARMUP = -1
+
 # What a malformed row raises: UndecodableError is a ValueError, the others come from a value that
 # has another type than expected.
 MALFORMED = (LookupError, TypeError, ValueError, AttributeError, OverflowError)
@@ -163,14 +167,28 @@
     """Decodes the rows of services; one with malformed limits can run no stages."""
     for name, raw in optional_rows("services", value):
         found = name
+        warmup = (0.0, 0.0)
         try:
             row = read_row(name, raw)
             found = text(row["name"], "name", MAX_TEXT)
-            yield ServiceInfo(found, parse_batch_limits(row.get("pieces")))
+            warmup = read_warmup(row, found)
+            yield ServiceInfo(found, parse_batch_limits(row.get("pieces")), *warmup)
         except MALFORMED as error:
             log_row("service_unreadable", found, error)
             if found:
-                yield ServiceInfo(found)
+                yield ServiceInfo(found, None, *warmup)
+
+
+def read_warmup(row: dict[str, Any], name: str) -> tuple[float, float]:
+    """Returns a service's warm-up in ms and its requests a second to a cold target.
+
+    Logs malformed values and returns 0 for both, so that there is no bound.
+    """
+    try:
+        return amount(row, "warmup_s") * 1000, amount(row, "cold_per_s")
+    except UndecodableError as error:
+        log_row("warmup_unreadable", name, error)
+        return 0.0, 0.0
 
 
 def read_keys(value: msgspec.Raw | None) -> Iterator[tuple[str, Workspace]]:
@@ -346,9 +364,35 @@
         whole(row.get("born", 0), "born", 0, MAX_BORN_MS),
         whole(row["slots"], "slots", 1, MAX_SLOTS),
         state == "draining",
+        read_cold(name, row.get("warmup_left_ms")),
     )
 
 
+def read_cold(name: str, left_ms: Any) -> bool:
+    """Returns whether a target's entry says that it is cold; a malformed value is logged."""
+    mark = warmup_mark(left_ms)
+    if mark == MALFORMED_WARMUP:
+        error = "warmup_left_ms is no number from 0"
+        logs.event(log, "target_warmup_ignored", logging.WARNING, target=name[:100], error=error)
+    return mark == COLD
+
+
+def warmup_mark(left_ms: Any) -> int:
+    """Returns what is known to all hosts of a target's remaining warm-up time.
+
+    It changes only between cold and warm, not with each heartbeat: 0 if the target is warm, COLD,
+    or MALFORMED_WARMUP, which counts as warm. Marks stay what they are.
+
+    >>> [warmup_mark(left_ms) for left_ms in (None, 0, 0.5, 2_900, -5, "9", True)]
+    [0, 0, 1, 1, -1, -1, -1]
+    """
+    if left_ms is None:
+        return 0
+    if isinstance(left_ms, bool) or not isinstance(left_ms, int | float) or left_ms < 0:
+        return MALFORMED_WARMUP
+    return COLD if left_ms > 0 else 0
+
+
 def decode_evacuation(key: str) -> str | None:
     """Returns the zone that the operator's entry of a key evacuates; None for other entries.
 
--- a/savoryfork/platform/store.py
+++ b/savoryfork/platform/store.py
@@ -13,7 +13,7 @@
 from savoryfork.forward.knowledge import UNKNOWN_REVISION, Entry, Revision
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.forward.topics import CONFIGURATION_KEY, StoreRead, Topic
-from savoryfork.platform.records import MAX_TARGET_BYTES, decode_evacuation
+from savoryfork.platform.records import MAX_TARGET_BYTES, decode_evacuation, warmup_mark
 from savoryfork.util.topic import LogUnavailable, OffsetExpired
 from savoryfork.util.untrusted import UndecodableError, decode_json, split_json, whole
 
@@ -27,7 +27,8 @@
 READ_TIMEOUT_MS = 600.0
 MAX_READ_KB = 1024
 
-# Fields of a target's entry that change with every heartbeat and are not used here.
+# Fields of a target's entry that change with every heartbeat. Of the second one, a mark is kept
+# that changes only between cold and warm; see `warmup_mark`.
 VOLATILE_FIELDS = ("sequence", "warmup_left_ms")
 
 # The header of every answer by which the store tells its era, 0 if it has none.
@@ -149,6 +150,8 @@
     Entry(offset=0, key='t', value=b'{"born":3}', era=0, revision=(3, 9))
     >>> normalize_target(Entry(0, "t", b'[1]')).value, normalize_target(Entry(0, "t", b"")).value
     (b'[1]', b'')
+    >>> normalize_target(Entry(0, "t", b'{"warmup_left_ms":2900}')).value
+    b'{"warmup_left_ms":1}'
     """
     if not 0 < len(entry.value) <= MAX_TARGET_BYTES:
         return entry
@@ -156,7 +159,10 @@
         row = decode_json(entry.value)
         if not isinstance(row, dict):
             return entry
-        value = msgspec.json.encode({k: v for k, v in row.items() if k not in VOLATILE_FIELDS})
+        kept = {k: v for k, v in row.items() if k not in VOLATILE_FIELDS}
+        if mark := warmup_mark(row.get("warmup_left_ms")):
+            kept["warmup_left_ms"] = mark
+        value = msgspec.json.encode(kept)
     except (ValueError, OverflowError, RecursionError):
         return entry
     try:
