--- a/savoryfork/forward/preview.py
+++ b/savoryfork/forward/preview.py
@@ -85,6 +85,9 @@
         return f"it pushes back for {push_backs.blocked_until(target) - now:.0f} ms"
     if not push_backs.is_open(target, forwarder.selector.outstanding.get(target.name, 0), now):
         return "it has pushed back and gets one request at a time"
+    open_at = registry.warmups.open_at(target, now)
+    if open_at > now:
+        return f"it is cold, and this host may send to it in {open_at - now:.0f} ms"
     health = forwarder.health.get(target)
     if health.ejected and now < health.probe_ms:
         return f"it is ejected, next probe in {health.probe_ms - now:.0f} ms"
--- a/savoryfork/forward/selection.py
+++ b/savoryfork/forward/selection.py
@@ -45,11 +45,13 @@
     def candidates(self, run: Run) -> list[Target]:
         """Returns the healthy targets that the request has not been offered to yet.
 
-        Those that push back are left out also if no others remain.
+        Those that push back, and cold ones to which this host may not send now, are left out also
+        if no others remain.
         """
         now = self.follower.now()
         usable = [t for t in self.registry.usable(run.service) if t.name not in run.tried_targets]
-        found = self.registry.push_backs.open_targets(usable, self.outstanding, now)
+        willing = self.registry.push_backs.open_targets(usable, self.outstanding, now)
+        found = self.registry.warmups.open_targets(willing, now)
         return self.health.usable(found, now) if found else []
 
     def engine_costs(
@@ -57,7 +59,7 @@
     ) -> dict[str, float]:
         """Returns the estimated cost of a generation on each engine."""
         loads = {target.name: self.load(target) for target in targets}
-        return placement.engine_costs(
+        costs = placement.engine_costs(
             targets,
             run.request.prompt,
             loads,
@@ -68,6 +70,7 @@
             self.slowdowns_of(run, targets),
             self.known_caches(run, targets, loads),
         )
+        return self.registry.warmups.add_cold_costs(costs, targets, self.follower.now())
 
     def known_caches(
         self, run: Run, targets: Sequence[Target], loads: Mapping[str, EngineLoad]
@@ -213,7 +216,10 @@
         hosts = len(self.follower.members.alive(now))
         for service, table in list(self.prefixes.items()):
             table.cache_tokens = self.cache_tokens(service)
-            table.retain(self.registry.usable(service), hosts, now)
+            # A cold engine holds nothing, also if it has become cold without a restart.
+            engines = self.registry.usable(service)
+            warm = [t for t in engines if not self.registry.warmups.is_cold(t, now)]
+            table.retain(warm, hosts, now)
             if not self.registry.of_service(service):
                 del self.prefixes[service]
 
@@ -238,7 +244,8 @@
         if run.request.prompt is not None:
             return self.engine_costs(run, targets, self.input_bytes(run))
         slowdowns = self.slowdowns_of(run, targets)
-        return placement.load_costs(targets, self.outstanding, self.zone, run.id, slowdowns)
+        costs = placement.load_costs(targets, self.outstanding, self.zone, run.id, slowdowns)
+        return self.registry.warmups.add_cold_costs(costs, targets, self.follower.now())
 
     def likely_engine(self, run: Run) -> Target | None:
         """Returns the engine that the request will probably be sent to."""
--- a/savoryfork/forward/stages.py
+++ b/savoryfork/forward/stages.py
@@ -11,7 +11,7 @@
 from savoryfork.forward.cells import Cell
 from savoryfork.forward.coordinator import Coordinator
 from savoryfork.forward.follower import Follower
-from savoryfork.forward.members import View
+from savoryfork.forward.members import Members, View
 from savoryfork.forward.messages import FreeRequest, StageResult, WorkReply, WorkRequest
 from savoryfork.forward.model import Catalog
 from savoryfork.forward.work import StageError, StageFailure, Work
@@ -54,6 +54,15 @@
     catalog: Catalog | None
 
 
+def coordinators(members: Members, targets: int, now: float) -> list[str]:
+    """Returns the addresses of the coordinators of all cells, in the order of the cells.
+
+    `targets` is the number of targets of the smallest stage service.
+    """
+    strengths = [member.strength for member in members.alive(now)]
+    return members.shared_owners(COORDINATOR_DUTY, cells.cell_count(strengths, targets), now)
+
+
 class Stages:
     """Runs stages on behalf of this host's callers."""
 
@@ -129,9 +138,9 @@
 
     def coordinator_for(self, request_id: str, now: float) -> tuple[Cell, str]:
         """Returns the cell of a request and the address of the coordinator of that cell."""
-        coordinators = self.division(now).coordinators
-        cell = cells.cell_of(request_id, len(coordinators))
-        return cell, coordinators[cell.number]
+        owners = self.division(now).coordinators
+        cell = cells.cell_of(request_id, len(owners))
+        return cell, owners[cell.number]
 
     def division(self, now: float) -> Division:
         """Returns the division of the stage work by the hosts and targets known now."""
@@ -146,20 +155,19 @@
         ):
             return known
         targets = self.smallest_service()
-        strengths = [member.strength for member in view.alive.values()]
-        count = cells.cell_count(strengths, targets)
-        coordinators = members.shared_owners(COORDINATOR_DUTY, count, now)
-        if known is None or len(known.coordinators) != count:
+        owners = coordinators(members, targets, now)
+        if known is None or len(known.coordinators) != len(owners):
+            strengths = [member.strength for member in view.alive.values()]
             logs.event(
                 log,
                 "cells_changed",
-                cells=count,
+                cells=len(owners),
                 hosts=len(strengths),
                 weakest=round(min(strengths), 3),
                 strongest=round(max(strengths), 3),
                 targets=targets,
             )
-        found = Division(coordinators, targets, view, registry.by_service, catalog)
+        found = Division(owners, targets, view, registry.by_service, catalog)
         self.known_division = found
         return found
 
@@ -183,9 +191,9 @@
 
     def coordinated_cell(self, now: float) -> int:
         """Returns the number of the cell that this host coordinates; -1 if there is none."""
-        coordinators = self.division(now).coordinators
+        owners = self.division(now).coordinators
         local = self.follower.members.local.address
-        return coordinators.index(local) if local in coordinators else -1
+        return owners.index(local) if local in owners else -1
 
     # Calls to coordinators.
 
