Use the usual terms for callers' memory and connections

Reservations replace holdings, and connections are called so. The times of connections come from the host's suspend-aware clock: a machine that had been suspended would have closed each unfinished head at once. An evicted request's connection is aborted, as one whose caller does not read never flushes.

--- a/savoryfork/forward/callers.py
+++ b/savoryfork/forward/callers.py
@@ -10,8 +10,8 @@
 import logging
 import resource
 import socket
-from collections.abc import Iterable
-from typing import Any, Protocol
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol, TypeVar
 
 from aiohttp import web
 
@@ -45,7 +45,7 @@
 GRACE_MS = 1_000.0
 
 
-class Line(Protocol):
+class ConnectionState(Protocol):
     """The state of a caller's connection that decides whether it is closed.
 
     `busy` is True while a request is in progress. `waiting_since` is when the present head began,
@@ -83,45 +83,65 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
-def overdue(lines: Iterable[Line], limits: CallerLimits, now: float) -> list[Line]:
+State = TypeVar("State", bound=ConnectionState)
+
+
+def wait_limit_ms(state: ConnectionState, limits: CallerLimits) -> float:
+    """Returns for how long a connection may wait for a request; 0 for any time."""
+    if state.in_head:
+        return limits.header_ms
+    return 0.0 if state.used else limits.idle_ms
+
+
+def overdue(states: Iterable[State], limits: CallerLimits, now: float) -> list[State]:
     """Returns the connections whose head takes too long, or that never sent anything."""
     found = []
-    for line in lines:
-        if line.busy:
-            continue
-        limit_ms = limits.header_ms if line.in_head else 0.0 if line.used else limits.idle_ms
-        if limit_ms and now - line.waiting_since > limit_ms + GRACE_MS:
-            found.append(line)
+    for state in states:
+        limit_ms = 0.0 if state.busy else wait_limit_ms(state, limits)
+        if limit_ms and now - state.waiting_since > limit_ms + GRACE_MS:
+            found.append(state)
     return found
 
 
-def least_useful(lines: Iterable[Line]) -> Line | None:
+def least_useful(states: Sequence[State]) -> State | None:
     """Returns the connection to close for a new one; None if all have a request in progress.
 
     Those that never had a request go first, then those that wait longest.
     """
-    waiting = [line for line in lines if not line.busy]
-    return min(waiting, key=lambda line: (line.used, line.waiting_since), default=None)
+    waiting = [state for state in states if not state.busy]
+    return min(waiting, key=lambda state: (state.used, state.waiting_since), default=None)
 
 
 class CallerConnection(web.RequestHandler):
-    """A connection of a caller; implements `Line`."""
+    """A connection of a caller; implements `ConnectionState`."""
 
-    __slots__ = ("busy", "in_head", "used", "waiting_since")
+    __slots__ = ("busy", "in_head", "now", "used", "waiting_since")
 
-    def __init__(self, manager: web.Server, loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        now: Callable[[], float],
+        loop: asyncio.AbstractEventLoop,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(manager, loop=loop, **kwargs)
+        self.now = now
         self.busy = False
         self.in_head = False
         self.used = False
-        self.waiting_since = loop.time() * 1000
+        self.waiting_since = now()
 
     def data_received(self, data: bytes) -> None:
         if not self.busy and not self.in_head:
             self.in_head = True
-            self.waiting_since = self._loop.time() * 1000
+            self.waiting_since = self.now()
         super().data_received(data)
 
+    def abort(self) -> None:
+        """Closes the connection and drops what its caller has not read."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def begin_request(self) -> None:
         """Records that a request is in progress."""
         self.busy = self.used = True
@@ -130,56 +150,60 @@
     def end_request(self) -> None:
         """Records that the request has ended."""
         self.busy = False
-        self.waiting_since = self._loop.time() * 1000
+        self.waiting_since = self.now()
 
 
 class CallerServer(web.Server):
     """An HTTP server that keeps at most `most` connections; `refused` and `closed` count the rest.
 
-    A connection beyond that takes the place of the least useful one.
+    A connection beyond that takes the place of the least useful one. `now` returns the time in ms.
     """
 
-    def __init__(self, handler: Any, most: int, **kwargs: Any) -> None:
+    def __init__(self, handler: Any, most: int, now: Callable[[], float], **kwargs: Any) -> None:
         super().__init__(handler, **kwargs)
         self.most = most
+        self.now = now
         self.refused = 0
         self.closed = 0
 
     def __call__(self) -> web.RequestHandler:
-        return CallerConnection(self, self._loop, **self._kwargs)
+        return CallerConnection(self, self.now, self._loop, **self._kwargs)
 
-    def lines(self) -> list[CallerConnection]:
+    def open_connections(self) -> list[CallerConnection]:
         """Returns the connections that are not being closed."""
         return [
-            line
-            for line in self.connections
-            if isinstance(line, CallerConnection)
-            and line.transport is not None
-            and not line.transport.is_closing()
+            connection
+            for connection in self.connections
+            if isinstance(connection, CallerConnection)
+            and connection.transport is not None
+            and not connection.transport.is_closing()
         ]
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         """Takes a new connection in, and closes another one if there are too many."""
-        if len(self.connections) >= self.most and len(lines := self.lines()) >= self.most:
-            worst = least_useful(lines)
-            if worst is None:
-                self.refused += 1
-                transport.abort()
-            else:
-                self.drop(worst)
+        if len(self.connections) >= self.most:
+            self.make_room(transport)
         super().connection_made(handler, transport)
 
-    def drop(self, line: Any) -> None:
-        """Closes a connection without a request in progress."""
-        self.closed += 1
-        if line.transport is not None:
-            line.transport.abort()
-
-    def close_overdue(self, limits: CallerLimits, now: float) -> int:
+    def make_room(self, transport: asyncio.Transport) -> None:
+        """Closes the least useful connection, or the new one if all others are in use."""
+        connections = self.open_connections()
+        if len(connections) < self.most:
+            return
+        worst = least_useful(connections)
+        if worst is None:
+            self.refused += 1
+            transport.abort()
+        else:
+            self.closed += 1
+            worst.abort()
+
+    def close_overdue(self, limits: CallerLimits) -> int:
         """Closes the connections whose time is over; returns their number."""
-        found = overdue(self.lines(), limits, now)
-        for line in found:
-            self.drop(line)
+        found = overdue(self.open_connections(), limits, self.now())
+        self.closed += len(found)
+        for connection in found:
+            connection.abort()
         return len(found)
 
 
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -20,8 +20,8 @@
     BODY_FACTOR,
     REQUEST_BYTES,
     SMALL_BYTES,
-    Holding,
     MemoryBudget,
+    Reservation,
 )
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.model import CallerLimits, Headers
@@ -119,11 +119,11 @@
         self,
         request: web.BaseRequest,
         close_connection: bool,
-        hold_answer: Callable[[int], None],
+        reserve_answer: Callable[[int], None],
     ) -> None:
         self.request = request
         self.close_connection = close_connection
-        self.hold_answer = hold_answer
+        self.reserve_answer = reserve_answer
         self.response: web.StreamResponse | None = None
 
     def add_headers(self, response: web.StreamResponse, headers: Headers) -> None:
@@ -135,7 +135,7 @@
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete answer."""
-        self.hold_answer(len(body))
+        self.reserve_answer(len(body))
         response = web.Response(status=status, body=body)
         self.add_headers(response, headers)
         self.response = response
@@ -203,6 +203,7 @@
         self.web_server = CallerServer(
             self.handle,
             self.most_connections,
+            self.forwarder.now,
             handler_cancellation=True,
             auto_decompress=False,
             keepalive_timeout=KEEP_ALIVE_S,
@@ -256,7 +257,7 @@
         """Closes connections whose callers take too long for a head, or send nothing."""
         if self.web_server is None:
             return
-        count = self.web_server.close_overdue(self.caller_limits(), self.forwarder.now())
+        count = self.web_server.close_overdue(self.caller_limits())
         if count:
             logs.event(log, "overdue_connections_closed", count=count)
 
@@ -264,53 +265,55 @@
         """Serves one request and counts it as in flight until its answer ends."""
         self.inflight += 1
         self.idle.clear()
-        line = request.protocol
-        assert isinstance(line, CallerConnection)
-        line.begin_request()
-        holding = self.budget.open(line.force_close, self.forwarder.now())
+        connection = request.protocol
+        assert isinstance(connection, CallerConnection)
+        connection.begin_request()
+        reservation = self.budget.open(connection.abort, self.forwarder.now())
         try:
-            return await self.serve(request, holding)
+            return await self.serve(request, reservation)
         finally:
-            self.budget.close(holding)
-            line.end_request()
+            self.budget.close(reservation)
+            connection.end_request()
             self.inflight -= 1
             if not self.inflight:
                 self.idle.set()
 
-    def reserve(self, holding: Holding, size: int) -> None:
+    def reserve(self, reservation: Reservation, size: int) -> None:
         """Takes room for what a caller sends; raises ServiceError if there is none."""
-        if not self.budget.grow(holding, size, self.forwarder.now()):
+        if not self.budget.grow(reservation, size, self.forwarder.now()):
             raise ServiceError(
                 ErrorKind.OVERLOADED, "this host has no memory for the request; try again later"
             )
 
-    def hold_answer(self, holding: Holding, size: int) -> None:
+    def reserve_answer(self, reservation: Reservation, size: int) -> None:
         """Counts an answer that its caller is to read; it is kept even if there is no room."""
         now = self.forwarder.now()
-        holding.may_end = True
-        self.budget.make_room(holding, size, now)
-        self.budget.add(holding, size, now)
+        reservation.evictable = True
+        self.budget.make_room(reservation, size, now)
+        self.budget.add(reservation, size, now)
 
     async def read_request_body(
-        self, request: web.BaseRequest, allowed_ms: float | None, holding: Holding
+        self, request: web.BaseRequest, allowed_ms: float | None, reservation: Reservation
     ) -> bytes:
         """Reads the body of a request within the limits of time, size and memory."""
-        holding.small = 0 <= (request.content_length or -1) <= SMALL_BYTES
+        reservation.small = 0 <= (request.content_length or -1) <= SMALL_BYTES
 
         def reserve(size: int) -> None:
-            self.reserve(holding, BODY_FACTOR * max(size, MIN_PART_BYTES))
+            self.reserve(reservation, BODY_FACTOR * max(size, MIN_PART_BYTES))
 
         body_ms = self.limits.request_body_ms
         if allowed_ms is not None:
             body_ms = min(body_ms, allowed_ms)
         return await read_body(request.content, self.max_body_bytes(), body_ms, reserve)
 
-    async def serve(self, request: web.BaseRequest, holding: Holding) -> web.StreamResponse:
+    async def serve(self, request: web.BaseRequest, reservation: Reservation) -> web.StreamResponse:
         """Reads and forwards a request, and answers errors itself."""
         received_at = self.forwarder.now()
         headers = [(bytes(name), bytes(value)) for name, value in request.raw_headers]
         decoded = self.wire.decode_request(request.method, request.raw_path, headers)
-        reply = CallerResponse(request, self.stopping, functools.partial(self.hold_answer, holding))
+        reply = CallerResponse(
+            request, self.stopping, functools.partial(self.reserve_answer, reservation)
+        )
         run = Run(decoded, None, reply, received_at)
         error: ServiceError | None = None
         abandoned = False
@@ -318,10 +321,12 @@
         try:
             async with bound:
                 self.bounds.add(bound)
-                self.reserve(holding, REQUEST_BYTES)
+                self.reserve(reservation, REQUEST_BYTES)
                 if request.body_exists:
-                    run.body = await self.read_request_body(request, decoded.allowed_ms, holding)
-                holding.may_end = False  # it no longer waits for its caller
+                    run.body = await self.read_request_body(
+                        request, decoded.allowed_ms, reservation
+                    )
+                reservation.evictable = False  # it no longer waits for its caller
                 await self.forwarder.forward(run)
         except ServiceError as failure:
             error = failure
--- a/savoryfork/forward/freeing.py
+++ b/savoryfork/forward/freeing.py
@@ -67,7 +67,9 @@
         service, address = key
         target = self.registry.at_address(service, address)
         if target is not None and target.zone in self.registry.evacuated:
-            self.pending.pop(key)  # the results expire; nothing may reach an evacuated zone
+            # Nothing may reach an evacuated zone; the results expire.
+            count = len(self.pending.pop(key))
+            logs.event(log, "free_failed", address=address, count=count, error="evacuated")
             return
         if target is not None:
             now = self.clock.monotonic_ms()
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -333,8 +333,8 @@
         metrics.cold_requests.set({"decision": "held"}, warmups.held)
         metrics.inflight.set({}, self.entry.inflight)
         memory = self.entry.budget
-        metrics.held_bytes.set({}, memory.held_bytes)
-        metrics.memory_decisions.set({"decision": "ended"}, memory.usage.ended)
+        metrics.reserved_bytes.set({}, memory.reserved_bytes)
+        metrics.memory_decisions.set({"decision": "evicted"}, memory.usage.evicted)
         metrics.memory_decisions.set({"decision": "refused"}, memory.usage.refused)
         if self.entry.web_server is not None:
             server = self.entry.web_server
--- a/savoryfork/forward/memory.py
+++ b/savoryfork/forward/memory.py
@@ -1,4 +1,4 @@
-"""Bounds the memory that all callers together make a host hold.
+"""Bounds the memory that all callers together take of a host.
 
 The load pattern: many callers that the operators don't control send bodies of legal size at the
 same time, most of them stop just short of the end and stay open, or they don't read their answers.
@@ -32,104 +32,106 @@
 SMALL_BYTES = 131_072
 SMALL_SHARE = 0.25
 
-# A holding without progress for this long is given up first when memory is short. Callers send a
+# A request without progress for this long is evicted first when memory is short. Callers send a
 # body without pauses; a lost packet is sent again after 0.2 s or more.
 STALLED_MS = 1_000.0
 
 
-class Holding:
-    """What one request makes the host hold: `size` bytes, last changed at `progress_at`.
+class Reservation:
+    """The memory of one request: `size` bytes, last changed at `progress_at`.
 
-    `end` ends the request. `may_end` is False while the request is in the hands of a target, when
-    it does not depend on its caller. A `small` one, whose body has a length of up to SMALL_BYTES,
-    may use the whole budget.
+    `evict` ends the request. `evictable` is False while a target runs the request, when its
+    progress does not depend on its caller. A `small` one, whose body has a length of up to
+    SMALL_BYTES, may use the whole budget.
     """
 
-    def __init__(self, end: Callable[[], None], now: float) -> None:
-        self.end = end
+    def __init__(self, evict: Callable[[], None], now: float) -> None:
+        self.evict = evict
         self.size = 0
         self.progress_at = now
-        self.may_end = True
+        self.evictable = True
         self.small = True
 
 
 class Usage(NamedTuple):
-    """What a budget has done since the start: holdings ended, and requests for more refused."""
+    """What a budget has done since the start: requests evicted, and requests for more refused."""
 
-    ended: int
+    evicted: int
     refused: int
 
 
 class MemoryBudget:
     """The budget of one host; sizes are in bytes.
 
-    If it is used up, the holdings that stalled longest are ended; if none has stalled, the request
+    If it is used up, the requests that stalled longest are evicted; if none has stalled, the one
     that asks for more is refused.
 
     >>> budget = MemoryBudget(4_000_000)
-    >>> ended = []
-    >>> first = budget.open(lambda: ended.append("first"), now=0.0)
+    >>> evicted = []
+    >>> first = budget.open(lambda: evicted.append("first"), now=0.0)
     >>> budget.grow(first, 2_900_000, now=0.0)
     True
-    >>> second = budget.open(lambda: ended.append("second"), now=100.0)
+    >>> second = budget.open(lambda: evicted.append("second"), now=100.0)
     >>> budget.grow(second, 2_900_000, now=100.0), budget.grow(second, 2_000, now=100.0)
     (False, True)
-    >>> budget.grow(second, 2_900_000, now=1_200.0), ended
+    >>> budget.grow(second, 2_900_000, now=1_200.0), evicted
     (True, ['first'])
     """
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
-        self.held_bytes = 0
-        self.holdings: dict[int, Holding] = {}
+        self.reserved_bytes = 0
+        self.reservations: dict[int, Reservation] = {}
         self.usage = Usage(0, 0)
 
-    def open(self, end: Callable[[], None], now: float) -> Holding:
-        """Returns a new holding for a request; `end` must end the request and close the holding."""
-        holding = Holding(end, now)
-        self.holdings[id(holding)] = holding
-        return holding
+    def open(self, evict: Callable[[], None], now: float) -> Reservation:
+        """Returns a new reservation for a request, which `evict` must end."""
+        reservation = Reservation(evict, now)
+        self.reservations[id(reservation)] = reservation
+        return reservation
 
-    def grow(self, holding: Holding, size: int, now: float) -> bool:
-        """Adds bytes to a holding; returns False if there is no room for them."""
-        if not self.make_room(holding, size, now):
+    def grow(self, reservation: Reservation, size: int, now: float) -> bool:
+        """Adds bytes to a reservation; returns False if there is no room for them."""
+        if not self.make_room(reservation, size, now):
             self.usage = self.usage._replace(refused=self.usage.refused + 1)
             return False
-        self.add(holding, size, now)
+        self.add(reservation, size, now)
         return True
 
-    def add(self, holding: Holding, size: int, now: float) -> None:
-        """Adds bytes that are held already, as those of an answer."""
-        if id(holding) in self.holdings:
-            holding.size += size
-            self.held_bytes += size
-        holding.progress_at = now
-
-    def close(self, holding: Holding) -> None:
-        """Gives back what a holding has; further calls change nothing."""
-        if self.holdings.pop(id(holding), None) is not None:
-            self.held_bytes -= holding.size
-            holding.size = 0
-
-    def room(self, holding: Holding) -> int:
-        """Returns the bytes left for a holding."""
-        share = 1.0 if holding.small else 1.0 - SMALL_SHARE
-        return int(share * self.limit_bytes) - self.held_bytes
-
-    def make_room(self, holding: Holding, size: int, now: float) -> bool:
-        """Ends stalled holdings, longest first, until there is room; returns False without any."""
-        if size <= self.room(holding):
+    def add(self, reservation: Reservation, size: int, now: float) -> None:
+        """Adds bytes that are in memory already, as those of an answer."""
+        if id(reservation) in self.reservations:
+            reservation.size += size
+            self.reserved_bytes += size
+        reservation.progress_at = now
+
+    def close(self, reservation: Reservation) -> None:
+        """Gives back what a reservation has; further calls change nothing."""
+        if self.reservations.pop(id(reservation), None) is not None:
+            self.reserved_bytes -= reservation.size
+            reservation.size = 0
+
+    def room(self, reservation: Reservation) -> int:
+        """Returns the bytes left for a reservation."""
+        share = 1.0 if reservation.small else 1.0 - SMALL_SHARE
+        return int(share * self.limit_bytes) - self.reserved_bytes
+
+    def make_room(self, reservation: Reservation, size: int, now: float) -> bool:
+        """Evicts stalled requests, longest first, until there is room; returns whether there is."""
+        if size <= self.room(reservation):
             return True
         stalled = [
             other
-            for other in self.holdings.values()
-            if other is not holding and other.may_end and now - other.progress_at >= STALLED_MS
+            for other in self.reservations.values()
+            if other is not reservation
+            and other.evictable
+            and now - other.progress_at >= STALLED_MS
         ]
         for other in sorted(stalled, key=lambda other: other.progress_at):
             self.close(other)
-            self.usage = self.usage._replace(ended=self.usage.ended + 1)
-            other.end()
-            if size <= self.room(holding):
+            self.usage = self.usage._replace(evicted=self.usage.evicted + 1)
+            other.evict()
+            if size <= self.room(reservation):
                 return True
         return False
 
--- a/savoryfork/forward/metrics.py
+++ b/savoryfork/forward/metrics.py
@@ -54,12 +54,12 @@
             "savoryfork_cold_requests",
             "Requests of this host for cold targets since the start, sent or held, by decision",
         )
-        self.held_bytes = self.gauge(
-            "savoryfork_held_bytes", "Bytes that callers' requests and answers take now"
+        self.reserved_bytes = self.gauge(
+            "savoryfork_reserved_bytes", "Bytes that callers' requests and answers take now"
         )
         self.memory_decisions = self.gauge(
             "savoryfork_memory_decisions",
-            "Requests since the start that were ended or refused for lack of memory, by decision",
+            "Requests since the start that were evicted or refused for lack of memory, by decision",
         )
         self.caller_connections = self.gauge(
             "savoryfork_caller_connections", "Open connections of callers"
--- a/tests/forward/test_memory.py
+++ b/tests/forward/test_memory.py
@@ -14,8 +14,8 @@
 LIMITS = CallerLimits(16_384, 4_194_304, 3_000.0, 15_000.0)
 
 
-class Line(NamedTuple):
-    """A connection; implements `callers.Line`."""
+class State(NamedTuple):
+    """A connection; implements `callers.ConnectionState`."""
 
     busy: bool
     in_head: bool
@@ -30,23 +30,23 @@
         """Returns the callers that were ended, and those that were refused."""
         ended: list[int] = []
         refused: list[int] = []
-        holdings = []
+        reservations = []
         for number in range(150):
-            holding = budget.open(lambda number=number: ended.append(number), 0.0)
-            holding.small = False
-            holdings.append(holding)
+            reservation = budget.open(lambda number=number: ended.append(number), 0.0)
+            reservation.small = False
+            reservations.append(reservation)
         for part in range(100):
-            for number, holding in enumerate(holdings):
-                if number not in refused and not budget.grow(holding, 10_000, float(part)):
+            for number, reservation in enumerate(reservations):
+                if number not in refused and not budget.grow(reservation, 10_000, float(part)):
                     refused.append(number)
-                    budget.close(holding)
+                    budget.close(reservation)
         return ended, refused
 
     def test_sum_of_all_stays_within_the_budget(self):
         """Guards against a host that is ended for its memory."""
         budget = MemoryBudget(40 * MB)
         ended, refused = self.play(budget)
-        assert budget.held_bytes <= 40 * MB and not ended and 100 < len(refused) < 150
+        assert budget.reserved_bytes <= 40 * MB and not ended and 100 < len(refused) < 150
 
     def test_small_request_is_served_beside_them(self):
         """Guards against ordinary callers that are refused until the crowd has gone."""
@@ -72,32 +72,32 @@
         ended: list[str] = []
         running = budget.open(lambda: ended.append("running"), 0.0)
         assert budget.grow(running, 2 * MB, 0.0)
-        running.may_end = False
+        running.evictable = False
         other = budget.open(lambda: None, 9_000.0)
         assert not budget.grow(other, 3 * MB, 9_000.0) and not ended
         budget.close(running)
         budget.close(running)
-        assert budget.grow(other, 3 * MB, 9_000.0) and budget.held_bytes == 3 * MB
+        assert budget.grow(other, 3 * MB, 9_000.0) and budget.reserved_bytes == 3 * MB
 
 
 class TestConnections:
     def test_unfinished_heads_and_silent_callers_are_closed_in_time(self):
         """Guards against connections that hold descriptors without a request."""
-        in_head = Line(False, True, False, 0.0)
-        silent = Line(False, False, False, 0.0)
-        kept_alive = Line(False, False, True, 0.0)
-        busy = Line(True, False, True, 0.0)
-        lines = [in_head, silent, kept_alive, busy]
-        assert callers.overdue(lines, LIMITS, 3_500.0) == []
-        assert callers.overdue(lines, LIMITS, 4_500.0) == [in_head]
-        assert callers.overdue(lines, LIMITS, 90_000.0) == [in_head, silent]
-        assert callers.overdue(lines, CallerLimits(), 90_000.0) == []
+        in_head = State(False, True, False, 0.0)
+        silent = State(False, False, False, 0.0)
+        kept_alive = State(False, False, True, 0.0)
+        busy = State(True, False, True, 0.0)
+        states = [in_head, silent, kept_alive, busy]
+        assert callers.overdue(states, LIMITS, 3_500.0) == []
+        assert callers.overdue(states, LIMITS, 4_500.0) == [in_head]
+        assert callers.overdue(states, LIMITS, 90_000.0) == [in_head, silent]
+        assert callers.overdue(states, CallerLimits(), 90_000.0) == []
 
     def test_connections_without_a_request_make_room_first(self):
         """Guards against a crowd whose connections keep ordinary callers out."""
-        busy = Line(True, False, True, 0.0)
-        kept_alive = Line(False, False, True, 10.0)
-        silent = Line(False, False, False, 50.0)
+        busy = State(True, False, True, 0.0)
+        kept_alive = State(False, False, True, 10.0)
+        silent = State(False, False, False, 50.0)
         assert callers.least_useful([busy, kept_alive, silent]) is silent
         assert callers.least_useful([busy, kept_alive]) is kept_alive
         assert callers.least_useful([busy]) is None
