--- a/savoryfork/forward/planning.py
+++ b/savoryfork/forward/planning.py
@@ -161,9 +161,9 @@
 
     >>> 1_000.0 <= refusal_retry_ms(1_000.0, "a", 0.0) <= 1_250.0
     True
-    >>> 2_000.0 <= refusal_retry_ms(9_000.0, "a", 0.0) <= MAX_RETRY_MS
+    >>> MAX_RETRY_MS <= refusal_retry_ms(9_000.0, "a", 0.0) <= 1.25 * MAX_RETRY_MS
     True
     """
-    wait_ms = min(MAX_RETRY_MS / (1.0 + RETRY_SPREAD), retry_ms(end_at, now))
+    wait_ms = retry_ms(end_at, now)
     share = rendezvous.score("shortage", request_id) % 1_000 / 1_000
     return wait_ms * (1.0 + RETRY_SPREAD * share)
