Take optional settings from the platform's tables

The template named limits.memory_mb and limits.max_fds, so that a platform whose document lacks them could not fill it in: the cases in review/ ended with KeyError, and no host would have started.

--- a/savoryfork/platform/program.py
+++ b/savoryfork/platform/program.py
@@ -9,6 +9,7 @@
 
 from savoryfork.errors import UserError
 from savoryfork.forward import host, settings
+from savoryfork.platform import fields
 from savoryfork.platform.store import PlatformStore
 from savoryfork.platform.wire import PlatformWire
 
@@ -41,7 +42,7 @@
         )
         return 2
     try:
-        config = settings.load(path)
+        config = fields.load(path)
     except UserError as error:
         print(error, file=sys.stderr)
         return 2
@@ -50,7 +51,7 @@
             config,
             PlatformWire(),
             PlatformStore,
-            lambda: settings.load(path),
+            lambda: fields.load(path),
             lambda: settings.version(path),
         )
     return 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,8 @@
 
 from savoryfork.errors import UserError
 from savoryfork.forward import settings
+from savoryfork.forward.warmup import ColdBound
+from savoryfork.platform import fields
 from tests.odd import NASTY_JSON
 
 ROOT = Path(__file__).parents[2]
@@ -26,13 +28,7 @@
     "internal_ports": [7740, 7755],
     "seed_nodes": ["10.1.0.41:8628"],
     "platform": {"address": "10.200.1.7:8624"},
-    "limits": {
-        "memory_mb": 300,
-        "max_fds": 4_100,
-        "cpu_share": 0.5,
-        "cpu_cores": 3,
-        "link_mbps": 10.0,
-    },
+    "limits": {"cpu_share": 0.5, "cpu_cores": 3, "link_mbps": 10.0},
     "bounds": {
         "grace_s": 8,
         "revoke_ms": 5000,
@@ -66,6 +62,26 @@
         assert config.capacity_cores() == 0.5
         assert config._replace(link_mbps=1000.0).capacity_cores() == 1.5
 
+    def test_platform_may_lack_optional_fields(self):
+        """Guards against a template that can't be filled in, or a host that does not start."""
+        document = fields.add_optional(filled_template())
+        config = settings.parse(document)
+        assert config.memory_mb is None and config.max_descriptors is None
+        assert config.cold_bound() == ColdBound()
+
+    def test_optional_fields_are_taken_from_the_tables(self, tmp_path):
+        """Guards against a host that does not know the memory of its machine."""
+        document = filled_template()
+        document["limits"] |= {"memory_mb": 160, "max_fds": 1_638}
+        document["bounds"] |= {"cold_overage": 2.0, "cold_slack": 0}
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(document))
+        config = fields.load(str(path))
+        assert (config.memory_mb, config.max_descriptors) == (160, 1_638)
+        assert config.cold_bound() == ColdBound(2.0, 0)
+        path.write_text(json.dumps({**document, "memory_mb": 100}))
+        assert fields.load(str(path)).memory_mb == 100
+
     def test_no_seeds_are_allowed(self):
         assert settings.parse({**filled_template(), "seed_peers": None}).seed_peers == ()
 
