Bound the bytes of a request head

The HTTP library bounds each header (32 KB) and their number, which had been raised to 4,096 so that legal heads of short headers pass: a head could take 134 MB. A connection is closed after 256 KB without a request; the rest of a refused body is not counted, so that the refusal arrives.

--- a/savoryfork/forward/callers.py
+++ b/savoryfork/forward/callers.py
@@ -41,6 +41,10 @@
 # 250 KB without this bound, before it can stop to read.
 RECEIVE_BUFFER_BYTES = 32_768
 
+# What a head may have, with the part of a body that arrives before the request begins. The largest
+# head on the users' sheets has 16 KB, and the connection stops reading after 128 KB of a body.
+MAX_HEAD_BYTES = 262_144
+
 # Time beyond the operators' limits after which a connection is closed, as callers may use theirs.
 GRACE_MS = 1_000.0
 
@@ -115,7 +119,7 @@
 class CallerConnection(web.RequestHandler):
     """A connection of a caller; implements `ConnectionState`."""
 
-    __slots__ = ("busy", "in_head", "now", "used", "waiting_since")
+    __slots__ = ("busy", "draining", "head_bytes", "in_head", "now", "used", "waiting_since")
 
     def __init__(
         self,
@@ -127,14 +131,24 @@
         super().__init__(manager, loop=loop, **kwargs)
         self.now = now
         self.busy = False
+        self.draining = False
         self.in_head = False
+        self.head_bytes = 0
         self.used = False
         self.waiting_since = now()
 
     def data_received(self, data: bytes) -> None:
-        if not self.busy and not self.in_head:
-            self.in_head = True
-            self.waiting_since = self.now()
+        if not self.busy and not self.draining:
+            if not self.in_head:
+                self.in_head = True
+                self.head_bytes = 0
+                self.waiting_since = self.now()
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                # The parser bounds each header and their number, but not their sum.
+                logs.event(log, "head_too_large", bytes=self.head_bytes)
+                self.abort()
+                return
         super().data_received(data)
 
     def abort(self) -> None:
@@ -147,9 +161,10 @@
         self.busy = self.used = True
         self.in_head = False
 
-    def end_request(self) -> None:
-        """Records that the request has ended."""
+    def end_request(self, body_read: bool) -> None:
+        """Records that the request has ended; the rest of a body that was not read is discarded."""
         self.busy = False
+        self.draining = not body_read
         self.waiting_since = self.now()
 
 
--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -273,7 +273,7 @@
             return await self.serve(request, reservation)
         finally:
             self.budget.close(reservation)
-            connection.end_request()
+            connection.end_request(request.content.at_eof())
             self.inflight -= 1
             if not self.inflight:
                 self.idle.set()
--- a/tests/forward/test_limits.py
+++ b/tests/forward/test_limits.py
@@ -270,6 +270,32 @@
             assert body["error"]["kind"] == "body_too_large" and body["error"]["ran"] == "no"
             assert not any(replica.received for replica in deployment.replicas["plain"])
 
+    async def test_head_without_end_closes_the_connection(self):
+        """Guards against a head of thousands of large headers, which the parser keeps."""
+        async with Deployment() as deployment:
+            ip, port = deployment.hosts[0].settings.caller_address.rsplit(":", 1)
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            writer.write(b"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n")
+            sent = 0
+            async with asyncio.timeout(5.0):
+                with contextlib.suppress(ConnectionError):
+                    while sent < 8_000_000:
+                        writer.write(b"X-%d: " % sent + b"h" * 20_000 + b"\r\n")
+                        await writer.drain()
+                        sent += 20_000
+                        await asyncio.sleep(0)
+                with contextlib.suppress(ConnectionError):
+                    assert await reader.read() == b""
+            assert sent < 8_000_000
+            writer.close()
+
+    async def test_refusal_reaches_a_caller_that_still_sends(self):
+        """Guards against a refusal whose connection is reset as the rest of a body arrives."""
+        async with Deployment() as deployment:
+            body = b"b" * 3_000_000  # above the default limit
+            status, found, _ = await deployment.call("/book/1", content=body)
+            assert status == 413 and b"body_too_large" in found
+
     async def test_bodies_of_tiny_chunks_leave_time_for_others(self):
         """Guards against callers whose bodies keep the host's loop: no other request was served."""
         async with Deployment() as deployment:
