--- a/review/parts_2/bed.py
+++ b/review/parts_2/bed.py
@@ -210,7 +210,7 @@
         if path == "/api/log-newest":
             newest = {key: (n, value) for n, (key, value) in enumerate(records)}
             entries = [
-                {"key": k.decode(), "value": base64.b64encode(v).decode(), "offset": n}
+                {"key": k.decode("utf-8", "replace"), "value": base64.b64encode(v).decode(), "offset": n}
                 for k, (n, v) in newest.items()
                 if v
             ]
