--- a/review/parts_2/bed.py
+++ b/review/parts_2/bed.py
@@ -272,9 +272,20 @@
         self.settings = folder / f"host-{number}.json"
         self.settings.write_text(fill((ROOT / deploy["template"]).read_text(), fields))
         self.log = folder / f"host-{number}.log"
+        self.log_start = 0
+        self.starts = 0
         self.process: asyncio.subprocess.Process | None = None
 
+    def mark_log(self) -> None:
+        """Lets `has_logged` read only what the host logs from now on."""
+        self.log_start = self.log.stat().st_size
+
+    def has_logged(self, text: str) -> bool:
+        """Returns whether the host has logged a text since the last mark."""
+        return text.encode() in self.log.read_bytes()[self.log_start :]
+
     async def start(self) -> None:
+        self.starts += 1
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command,
@@ -320,6 +331,7 @@
         self.store = Store()
         self.hosts: list[Host] = []
         self.servers: list[HttpServer] = []
+        self.stale_seeds = 0  # seeds in the settings at which nothing listens
 
     async def __aenter__(self) -> Bed:
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -330,6 +342,7 @@
     async def start_hosts(self) -> None:
         """Starts the hosts and waits until all are ready."""
         peers = [self.ports.address() for _ in range(self.host_count)]
+        stale = [self.ports.address() for _ in range(self.stale_seeds)]
         zones = {f"z{n}": "r" for n in range(self.host_count)}
         for number, peer in enumerate(peers):
             fields = {
@@ -337,7 +350,7 @@
                 "ip": "127.0.0.1", "zone": f"z{number}", "region": "r", "zones": zones,
                 "listen_addrs": {"front": self.ports.address(), "ready_addr": self.ports.address(),
                                  "control_plane": peer},
-                "internal_ports": [self.ports.draw(), 65535], "seed_nodes": peers[:3],
+                "internal_ports": [self.ports.draw(), 65535], "seed_nodes": [*stale, *peers][:3],
                 "limits": LIMITS, "bounds": BOUNDS, "platform": {"address": self.store_address},
             }  # fmt: skip
             self.hosts.append(Host(number, fields, Path(self.folder.name)))
