--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Two machines are stopped and started in turn while one seed of the settings is stale."""
+"""Three machines are stopped and started in turn while one seed of the settings is stale."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from bed import BOUNDS, Bed, Host, Record, run, trouble  # noqa: E402
 from moved_route import MovedRoute, config, reader_order  # noqa: E402
 
-HOSTS = 9
+HOSTS, STOPPED = 9, 3
 
-# roll_term: x = 1.0 machines at a time, gap_s = 1.3.
-GAP_S = 1.3
+# roll_term of the standard day trouble-3: gap_s = 1.0, with x = 1 machine at a time.
+GAP_S = 1.0
 # "A process that exits or is killed is restarted after a short delay".
 RESTART_S = 0.3
 # config_storm of the standard day trouble-1: for_s = 2.0, gap_s = 0.08.
@@ -33,7 +33,8 @@
         await route.start_replicas()
         await bed.start_hosts()
         await asyncio.sleep(BOUNDS["contact_ms"] / 1000 + 1.0)
-        first, second, *others = reader_order(bed.hosts)
+        order = reader_order(bed.hosts)
+        stopped, others = order[:STOPPED][::-1], order[STOPPED:]
 
         async def restart(host: Host) -> None:
             record.add(f"host {host.number} gets SIGTERM")
@@ -45,20 +46,26 @@
             await host.start()
             record.add(f"host {host.number} is started again")
 
+        async def restart_all() -> None:
+            restarts = []
+            for host in stopped:
+                restarts.append(asyncio.create_task(restart(host)))
+                await asyncio.sleep(GAP_S)
+            await asyncio.gather(*restarts)
+
         async def watch() -> None:
-            while not second.has_logged("event=started"):
+            while not stopped[0].has_logged("event=started"):
                 await asyncio.sleep(0.005)
-            record.add(f"host {second.number} is back")
+            record.add(f"host {stopped[0].number} is back")
 
-        restarts = [asyncio.create_task(restart(second))]
-        await asyncio.sleep(GAP_S)
-        restarts.append(asyncio.create_task(restart(first)))
-        await restarts[0]
+        restarts = asyncio.create_task(restart_all())
+        while stopped[0].starts < 2:
+            await asyncio.sleep(0.005)
         until = loop.time() + STORM_S + WATCH_S
         await asyncio.gather(
             route.write_versions(STORM_S, STORM_GAP_S),
             watch(),
-            *restarts,
+            restarts,
             *(route.probe(host, until) for host in others),
         )
     return route.result()
