--- a/review/parts_2/bed.py
+++ b/review/parts_2/bed.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import re
@@ -37,6 +38,15 @@
                  "idle_timeout_ms": 15000}  # fmt: skip
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent() -> None:
+    """Makes the kernel end this child when the script that started it is gone."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def trouble() -> bool:
     """Returns whether the disruption is played; TROUBLE=0 leaves it out."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -210,9 +220,9 @@
         if path == "/api/log-newest":
             newest = {key: (n, value) for n, (key, value) in enumerate(records)}
             entries = [
-                {"key": k.decode("utf-8", "replace"), "value": base64.b64encode(v).decode(), "offset": n}
-                for k, (n, v) in newest.items()
-                if v
+                {"key": key.decode(), "value": base64.b64encode(value).decode(), "offset": n}
+                for key, (n, value) in newest.items()
+                if value
             ]
             found = {"entries": entries, "has_more": False, "end": len(records)}
             return self.json(found)
@@ -300,6 +310,7 @@
                 },
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
             )
 
     def send(self, number: int) -> None:
@@ -371,10 +382,6 @@
             await host.end()
         for server in [*self.servers, self.store.server]:
             server.abort()
-        if keep := os.environ.get("KEEP_LOGS"):
-            for host in self.hosts:
-                Path(keep).mkdir(parents=True, exist_ok=True)
-                (Path(keep) / host.log.name).write_bytes(host.log.read_bytes())
         self.folder.cleanup()
 
     async def serve(self, handle: Handler) -> HttpServer:
--- a/review/parts_2/moved_route.py
+++ b/review/parts_2/moved_route.py
@@ -1,4 +1,4 @@
-"""A route that each version moves to another service, and clients that show which service runs it."""
+"""A route that each version moves to another service, and clients that show who runs it."""
 
 from __future__ import annotations
 
