--- a/review/parts_2/late_bytes.py
+++ b/review/parts_2/late_bytes.py
@@ -13,7 +13,7 @@
 # The doses of the site's `garble`, how = "extra late": share 0.6 of the replicas (two of four
 # here), x 0.03 of their answers, for 5 s.
 REPLICAS, FAULTY = 4, 2
-EVERY = 33
+EVERY = 34  # one in 33 would be just over 0.03
 TROUBLE_FROM_S, TROUBLE_S, LENGTH_S = 2.0, 5.0, 9.0
 
 
