Give each host a deadline for its copy of a topic

Cause: a host waited for each lost host in the order of the readers, 750 ms each, until its copy was 2,650 ms old (3,450 at the third level). That limit came from the length of the chain, not from the bound. For targets it was 1,600 ms, but 2,000 at the second level.

Ruled out: the store and its client (hosts that read it were in time), and that only the number of lost hosts matters (two, then two more, do the same).

Change: a host reads the store itself at 0.75 of the bound, which comes with the settings. Delays after failed reads end at the deadline. A host that joins takes the age of the copy that it gets.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -1,8 +1,8 @@
 """Follows the topics of the store, directly or through another host, and maintains membership.
 
-One host, the reader, reads the store for all; the others long-poll it or a host in between. A host
-whose copy is stale reads the store itself, so the loss of a host or of its path to the store delays
-updates but stops them nowhere.
+One host, the reader, reads the store for all; the others long-poll it or a host in between. Each
+host has a deadline of its own for the age of its copy (`deadlines`), at which it reads the store
+itself, so the loss of other hosts delays a change by no more than that.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Sequence
 
 from savoryfork.forward.crashnews import CrashNewsExchange, NewsEntry
+from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.departures import (
     DepartureExchange,
     Incarnation,
@@ -49,11 +50,17 @@
 
 log = logging.getLogger(__name__)
 
-# Long poll of the configuration. Each answer confirms it as of the poll's start, so the last
-# confirmation before an outage is up to two polls old. Keyed requests must be served for 0.6 of
-# `key_revocation_ms` (5 s on the sheets) after the store is lost, so two polls must fit between
-# that and the share for which a confirmation is trusted.
-CONFIG_WAIT_MS = 750.0
+# Long poll of the configuration. Each answer confirms it as of the poll's start, so the reader's
+# copy is up to two polls old, and the others' little older, as confirmations are passed on at once.
+# Shorter than SYNC_WAIT_MS: a sync then ends with the next confirmation, and none is made for it.
+CONFIG_WAIT_MS = 350.0
+
+# Long poll of the crash reports, which have the longest deadline.
+CRASHES_WAIT_MS = 750.0
+
+# A host wakes the syncs that wait for it when its copy is confirmed as of a time this much later.
+# Random exchanges, which bring slightly later confirmations, wake none.
+CONFIRMATION_STEP_MS = 100.0
 
 # Pause between reads of the targets topic. A leaving target must get no new work after 2 s.
 TARGETS_PERIOD_MS = 450.0
@@ -94,34 +101,26 @@
 FAILED_PROBE_SHARE = 0.3
 
 
-def stale_ms(topic: Topic, level: int) -> float:
-    """Returns the age at which a host at a level of the tree reads the store itself.
+def first_retry_ms(topic: Topic) -> float:
+    """Returns the delay after the first failed read."""
+    return CRASHES_RETRY_MS if topic is Topic.CRASHES else READ_RETRY_MS
 
-    Changes are passed on at once, but a confirmation waits for a long poll at each level. Below
-    this age, the hosts of the lowest level would all read the store while nothing is wrong; one
-    more long poll may fail and be repeated with another host.
-
-    >>> [stale_ms(Topic.TARGETS, level) for level in (1, 3)], stale_ms(Topic.CONFIGURATION, 3)
-    ([1600.0, 2400.0], 3450.0)
-    """
-    reader_age_ms = TARGETS_PERIOD_MS if topic is Topic.TARGETS else 2 * CONFIG_WAIT_MS
-    return reader_age_ms + level * SYNC_WAIT_MS + SYNC_WAIT_MS + SYNC_TIMEOUT_MARGIN_MS
 
-
-def retry_ms(topic: Topic, failures: int, alone: bool) -> float:
+def retry_ms(topic: Topic, failures: int, alone: bool, deadline_ms: float) -> float:
     """Returns the delay after a number of failed reads in a row.
 
     `alone` is True for the reader, and for a host that hears of the store's return from nobody.
+    The others may lose those that they would hear it from, so no delay exceeds the deadline.
 
-    >>> [retry_ms(Topic.TARGETS, failures, alone=False) for failures in (1, 2, 3, 4, 90)]
+    >>> [retry_ms(Topic.TARGETS, failures, False, 3000.0) for failures in (1, 2, 3, 4, 90)]
     [350.0, 700.0, 1400.0, 2800.0, 2800.0]
-    >>> retry_ms(Topic.TARGETS, 90, alone=True)
-    350.0
+    >>> retry_ms(Topic.TARGETS, 90, False, 1500.0), retry_ms(Topic.TARGETS, 90, True, 1500.0)
+    (1500.0, 350.0)
     """
-    first_ms = CRASHES_RETRY_MS if topic is Topic.CRASHES else READ_RETRY_MS
+    first_ms = first_retry_ms(topic)
     if alone:
         return first_ms
-    return float(min(MAX_RETRY_MS, first_ms * 2 ** min(failures - 1, 8)))
+    return float(min(MAX_RETRY_MS, deadline_ms, first_ms * 2 ** min(failures - 1, 8)))
 
 
 class Follower:
@@ -138,6 +137,7 @@
         loads: Callable[[], dict[str, tuple[float, float]]],
         metrics: ForwardMetrics,
         background: BackgroundTasks,
+        bounds: ChangeBounds,
     ) -> None:
         self.store = store
         self.reader = TopicReader(store, self.now)
@@ -148,6 +148,7 @@
         self.rng = rng
         self.metrics = metrics
         self.background = background
+        self.bounds = bounds
         self.targets_table = SequencedTable()
         self.tables: dict[Topic, TopicTable] = {
             Topic.CONFIGURATION: TopicTable(frozenset({CONFIGURATION_KEY}), keeps_missing=True),
@@ -186,34 +187,47 @@
     # Reading the store.
 
     async def run(self, topic: Topic) -> None:
-        """Reads one topic whenever this host is the reader or its copy is stale."""
-        wait_ms = 0.0 if topic is Topic.TARGETS else CONFIG_WAIT_MS
+        """Reads one topic whenever this host is the reader or its copy has reached its deadline."""
+        waits_ms = {Topic.CONFIGURATION: CONFIG_WAIT_MS, Topic.CRASHES: CRASHES_WAIT_MS}
         # Before it has joined, every host takes itself for the reader.
         await self.joined.wait()
         joined_at = self.now()
         failures = 0
         while True:
             now = self.now()
-            level = self.members.level(now)
-            reader = level == 0
-            # A host that has just joined gets its first entries from its upstream host, too.
-            age_ms = min(self.tables[topic].age_ms(now), now - joined_at)
-            if not reader and age_ms < stale_ms(topic, level):
+            upstream = self.members.upstream(now)
+            deadline_ms = self.bounds.deadline_ms(topic)
+            age_ms = self.copy_age_ms(topic, joined_at, now)
+            if upstream is not None and age_ms < deadline_ms:
                 failures = 0
                 await asyncio.sleep(DUTY_CHECK_MS / 1000)
                 continue
-            if not await self.read(topic, wait_ms if reader else 0.0):
+            if upstream is not None and not failures:
+                logs.event(
+                    log,
+                    "copy_overdue",
+                    topic=topic.value,
+                    age_ms=round(age_ms),
+                    upstream=upstream,
+                )
+            wait_ms = waits_ms.get(topic, 0.0) if upstream is None else 0.0
+            if not await self.read(topic, wait_ms):
                 failures += 1
-                alone = reader or self.now() - self.members.contact_at > CONTACT_MS
-                await self.wait_for_retry(topic, retry_ms(topic, failures, alone))
+                alone = upstream is None or self.now() - self.members.contact_at > CONTACT_MS
+                await self.wait_for_retry(topic, retry_ms(topic, failures, alone, deadline_ms))
                 continue
             failures = 0
             if topic is Topic.TARGETS:
                 await asyncio.sleep(TARGETS_PERIOD_MS / 1000)
 
+    def copy_age_ms(self, topic: Topic, joined_at: float, now: float) -> float:
+        """Returns the age of a topic's copy, or the time since joining if there is none yet."""
+        age_ms = self.tables[topic].age_ms(now)
+        return age_ms if math.isfinite(age_ms) else now - joined_at
+
     async def wait_for_retry(self, topic: Topic, delay_ms: float) -> None:
         """Waits after a failed read, until this host becomes the reader at the latest."""
-        first_ms = retry_ms(topic, 1, alone=True)
+        first_ms = first_retry_ms(topic)
         await asyncio.sleep(first_ms / 1000)
         for _ in range(int((delay_ms - first_ms) / DUTY_CHECK_MS)):
             if self.members.level(self.now()) == 0:
@@ -235,9 +249,10 @@
         back = table.age_ms(now) > OUTAGE_MS and table.confirmed_at > 0
         if back and topic is not Topic.CRASHES:
             self.registry.record_store_return(now)
-        trusted_age_ms = table.trusted_age_ms(now)
+        confirmed_at, trusted_age_ms = table.confirmed_at, table.trusted_age_ms(now)
         if table.next_offset >= end:
             table.confirm_read(started)
+        self.propagate_confirmation(topic, confirmed_at)
         self.propagate_trust(table, trusted_age_ms)
         self.record_store_result(topic, True, "")
         self.apply_entries(topic, changes, "store", now - started)
@@ -413,6 +428,16 @@
                 age_ms=round(age_ms),
             )
 
+    def propagate_confirmation(self, topic: Topic, former_at: float) -> None:
+        """Wakes the waiting syncs if the configuration is confirmed as of a later time.
+
+        A confirmation thus takes no longer than a change to reach the lowest hosts of the tree. The
+        syncs carry those of the other topics along.
+        """
+        later_ms = self.tables[topic].confirmed_at - former_at
+        if topic is Topic.CONFIGURATION and later_ms >= CONFIRMATION_STEP_MS:
+            self.notify()
+
     def propagate_trust(self, table: TopicTable, former_age_ms: float) -> None:
         """Wakes the waiting syncs if entries are trusted again that were not confirmed for long."""
         if former_age_ms > TRUST_LOST_MS >= table.trusted_age_ms(self.now()):
@@ -550,8 +575,9 @@
         replied_at = requested_at + reply.held_ms
         for topic, update in self.updates_by_topic(reply):
             table = self.tables[topic]
-            trusted_age_ms = table.trusted_age_ms(now)
+            confirmed_at, trusted_age_ms = table.confirmed_at, table.trusted_age_ms(now)
             changes = table.merge_update(update, replied_at, now)
+            self.propagate_confirmation(topic, confirmed_at)
             self.propagate_trust(table, trusted_age_ms)
             self.apply_entries(topic, changes, address, now - replied_at + update.age_ms)
         if wait_ms:
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -147,10 +147,10 @@
             config.peer_address,
             config.availability_zone,
             incarnation,
-            0,
-            False,
-            True,
-            config.capacity_cores(),
+            version=0,
+            leaving=False,
+            store_ok=True,
+            strength=config.capacity_cores(),
         )
         self.members = Members(local, config.seed_peers)
         self.metrics = ForwardMetrics()
@@ -169,6 +169,7 @@
             lambda: self.selector.local_loads(),
             self.metrics,
             self.background,
+            config.change_bounds(),
         )
         warmups = self.follower.registry.warmups
         warmups.info = self.service_info
@@ -409,6 +410,7 @@
             return
         self.members.seeds = [s for s in config.seed_peers if s != config.peer_address]
         self.gate.set_revocation(config.key_revocation_ms)
+        self.follower.bounds = config.change_bounds()
         for budget in self.retry_budgets.values():
             budget.set_bounds(
                 config.retry_ratio, config.retry_reserve, config.retry_window_s * 1000
--- a/savoryfork/forward/settings.py
+++ b/savoryfork/forward/settings.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from savoryfork import settings
+from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.limits import DEFAULT_LIMITS, ReadLimits
 from savoryfork.forward.placement import Preferences
 from savoryfork.forward.warmup import ColdBound
@@ -46,6 +47,8 @@
         "seed_peers": {"type": ["array", "null"], "items": ADDRESS_SCHEMA},
         "stop_grace_s": POSITIVE,
         "key_revocation_ms": POSITIVE,
+        "configuration_bound_ms": POSITIVE,
+        "leaving_bound_ms": POSITIVE,
         "retry_ratio": {"type": "number", "minimum": 0},
         "retry_window_s": POSITIVE,
         "retry_reserve": {"type": "number", "minimum": 0},
@@ -67,12 +70,24 @@
 }
 
 
+def present(**values: float | None) -> dict[str, float]:
+    """Returns the values that are not None.
+
+    >>> present(overage=1.5, slack=None)
+    {'overage': 1.5}
+    """
+    return {name: value for name, value in values.items() if value is not None}
+
+
 class ForwardSettings(NamedTuple):
     """Settings of one forwarding host. Addresses are IP addresses with a port.
 
     `internal_ports` is the first and the last port that is free for the system's own use; metrics
     are served on the first. `seed_peers` may be out of date. `stop_grace_s` is the time from
-    SIGTERM to SIGKILL, `key_revocation_ms` the time within which a revoked key must stop working.
+    SIGTERM to SIGKILL, `key_revocation_ms` the time within which a revoked key must stop working,
+    `configuration_bound_ms` that within which a new configuration must be in force, and
+    `leaving_bound_ms` that from which a leaving target must get no new work; see
+    `deadlines.ChangeBounds`, whose defaults hold for what is absent.
     Retries of a service's requests are limited, over all hosts together, to `retry_ratio` of its
     other requests plus `retry_reserve` in each `retry_window_s`. A cold target may get
     `cold_overage` times its service's `cold_per_s` plus `cold_slack` requests in any second from
@@ -113,12 +128,21 @@
     repeated_ms_per_1000_tokens: float = Preferences().repeated_ms_per_1000_tokens
     cold_overage: float | None = None
     cold_slack: float | None = None
+    configuration_bound_ms: float | None = None
+    leaving_bound_ms: float | None = None
     log_level: str = "INFO"
 
     def cold_bound(self) -> ColdBound:
         """Returns the bound of requests to cold targets."""
-        bounds = {"overage": self.cold_overage, "slack": self.cold_slack}
-        return ColdBound(**{name: value for name, value in bounds.items() if value is not None})
+        return ColdBound(**present(overage=self.cold_overage, slack=self.cold_slack))
+
+    def change_bounds(self) -> ChangeBounds:
+        """Returns the times within which changes must be in force."""
+        return ChangeBounds(
+            **present(
+                configuration_ms=self.configuration_bound_ms, targets_ms=self.leaving_bound_ms
+            )
+        )
 
     def preferences(self) -> Preferences:
         """Returns what placement weighs against latency."""
--- a/savoryfork/platform/fields.py
+++ b/savoryfork/platform/fields.py
@@ -18,6 +18,8 @@
     "max_descriptors": ("limits", "max_fds"),
     "cold_overage": ("bounds", "cold_overage"),
     "cold_slack": ("bounds", "cold_slack"),
+    "configuration_bound_ms": ("bounds", "config_apply_ms"),
+    "leaving_bound_ms": ("bounds", "drain_ms"),
 }
 
 
--- a/tests/forward/controlplane.py
+++ b/tests/forward/controlplane.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.follower import Follower
 from savoryfork.forward.knowledge import Entry
 from savoryfork.forward.members import Member, Members
@@ -109,7 +110,7 @@
     def start(self, seeds: list[str]) -> None:
         clock = Clock(lambda: asyncio.get_running_loop().time() * 1000, lambda: 0.0)
         incarnation = next(self.plane.incarnations)
-        local = Member(self.address, "zone-a", incarnation, 0, False, True)
+        local = Member(self.address, "zone-a", incarnation, 0, leaving=False, store_ok=True)
         self.members = Members(local, seeds)
         self.follower = Follower(
             self.plane.store,
@@ -121,15 +122,19 @@
             lambda: self.loads,
             ForwardMetrics(),
             BackgroundTasks(),
+            ChangeBounds(),
         )
         self.plane.up[self.address] = self
+        self.plane.dark.discard(self.address)
         self.tasks = [asyncio.create_task(self.run())]
 
     async def run(self) -> None:
-        # Hosts do not start in step.
-        await asyncio.sleep(self.rng.random() * 0.4)
-        self.follower.joined.set()
+        if not self.members.seeds:
+            # Hosts do not start in step.
+            await asyncio.sleep(self.rng.random() * 0.4)
+            self.follower.joined.set()
         await asyncio.gather(
+            *([self.follower.join()] if self.members.seeds else []),
             self.follower.run(Topic.CONFIGURATION),
             self.follower.run(Topic.TARGETS),
             self.follower.run(Topic.CRASHES),
@@ -148,6 +153,11 @@
         for task in self.tasks:
             task.cancel()
 
+    def lose_power(self) -> None:
+        """Ends the host without notice; calls to it hang, as nothing refuses them."""
+        self.stop()
+        self.plane.dark.add(self.address)
+
     def known_requests(self, engine: str) -> float:
         """Returns the requests on an engine as this host sees them."""
         own = self.loads.get(engine, (0.0, 0.0))[1]
@@ -168,7 +178,9 @@
         plane.bytes[self.caller] += len(sent)
         plane.bytes[address] += len(sent)
         plane.calls[address] += 1
+        until = asyncio.get_running_loop().time() + timeout_ms / 1000
         await asyncio.sleep(LATENCY_S)
+        await self.hang_if_dark(address, until)
         if address not in plane.up or self.caller not in plane.up:
             raise PeerUnavailable(f"{address}: refused")
         host = plane.up[address]
@@ -177,6 +189,7 @@
                 reply = await host.follower.handle_sync(CODEC.decode(sent, request_type))
         except TimeoutError as error:
             raise PeerUnavailable(f"{address}: timeout") from error
+        await self.hang_if_dark(address, until)
         if plane.up.get(address) is not host or self.caller not in plane.up:
             raise PeerUnavailable(f"{address}: reset")
         received = CODEC.encode(reply, reply_type)
@@ -185,6 +198,12 @@
         await asyncio.sleep(LATENCY_S)
         return CODEC.decode(received, reply_type)
 
+    async def hang_if_dark(self, address: str, until: float) -> None:
+        """Waits until the call times out if the host that is called has lost power."""
+        if address in self.plane.dark:
+            await asyncio.sleep(max(0.0, until - asyncio.get_running_loop().time()))
+            raise PeerUnavailable(f"{address}: timeout")
+
 
 class ControlPlane:
     """Async context manager that runs a number of hosts, all of which know each other."""
@@ -192,6 +211,7 @@
     def __init__(self, hosts: int) -> None:
         self.store = Store()
         self.up: dict[str, Host] = {}
+        self.dark: set[str] = set()
         self.bytes: Counter[str] = Counter()
         self.calls: Counter[str] = Counter()
         self.incarnations = itertools.count(1)
--- a/tests/forward/test_restore.py
+++ b/tests/forward/test_restore.py
@@ -13,7 +13,7 @@
 import pytest
 
 from savoryfork.forward import quarantine as quarantines
-from savoryfork.forward.follower import stale_ms
+from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.gate import TRUSTED_SHARE
 from savoryfork.forward.knowledge import RESTORE_SETTLE_MS, REWRITE_MS
 from savoryfork.forward.quarantine import Report
@@ -27,8 +27,8 @@
     versions,
 )
 
-# Age of the configuration below which a host at the second level of the tree is up to date.
-FRESH_MS = stale_ms(Topic.CONFIGURATION, 2)
+# Age of the configuration below which a host is up to date.
+FRESH_MS = ChangeBounds().deadline_ms(Topic.CONFIGURATION)
 
 # Age of the configuration from which keyed requests are refused.
 TRUSTED_MS = TRUSTED_SHARE * 5_000.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 
 from savoryfork.errors import UserError
 from savoryfork.forward import settings
+from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.warmup import ColdBound
 from savoryfork.platform import fields
 from tests.odd import NASTY_JSON
@@ -68,17 +69,20 @@
         config = settings.parse(document)
         assert config.memory_mb is None and config.max_descriptors is None
         assert config.cold_bound() == ColdBound()
+        assert config.change_bounds() == ChangeBounds()
 
     def test_optional_fields_are_taken_from_the_tables(self, tmp_path):
         """Guards against a host that does not know the memory of its machine."""
         document = filled_template()
         document["limits"] |= {"memory_mb": 160, "max_fds": 1_638}
         document["bounds"] |= {"cold_overage": 2.0, "cold_slack": 0}
+        document["bounds"] |= {"config_apply_ms": 3_000, "drain_ms": 4_000}
         path = tmp_path / "settings.json"
         path.write_text(json.dumps(document))
         config = fields.load(str(path))
         assert (config.memory_mb, config.max_descriptors) == (160, 1_638)
         assert config.cold_bound() == ColdBound(2.0, 0)
+        assert config.change_bounds() == ChangeBounds(3_000, 4_000)
         path.write_text(json.dumps({**document, "memory_mb": 100}))
         assert fields.load(str(path)).memory_mb == 100
 
