Follow a host only once it has joined and has a copy

Cause: the first host in rank was taken for the reader from the moment at which the others heard of it. A host that starts reads nothing until it has joined, 1.5 s with a stale seed, and answers polls with nothing new. The next one to start began this anew.

Ruled out: that an empty answer confirms a copy (it doesn't), and the stale seed alone (one host's 1.5 s are within the bound).

Change: a host's entry says store_ok=False until it has joined and has a copy, so that it comes last in the order of the readers; it pushes the change to the host that it followed.

Result: test_host_without_a_copy_is_not_followed failed before.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -200,6 +200,7 @@
             age_ms = self.copy_age_ms(topic, joined_at, now)
             if upstream is not None and age_ms < deadline_ms:
                 failures = 0
+                self.offer_as_reader(upstream)
                 await asyncio.sleep(DUTY_CHECK_MS / 1000)
                 continue
             if upstream is not None and not failures:
@@ -220,6 +221,19 @@
             if topic is Topic.TARGETS:
                 await asyncio.sleep(TARGETS_PERIOD_MS / 1000)
 
+    def offer_as_reader(self, upstream: str) -> None:
+        """Tells the other hosts that they may follow this one, once it has a copy from others.
+
+        A host that reads the store tells them so by the result of its first read.
+        """
+        if self.members.local.store_ok or self.store_ok:
+            return
+        copied = (Topic.CONFIGURATION, Topic.TARGETS)
+        if all(self.tables[topic].next_offset >= 0 for topic in copied):
+            self.members.update_local(store_ok=True)
+            # From now on this host may follow nobody.
+            self.background.spawn(self.push(upstream))
+
     def copy_age_ms(self, topic: Topic, joined_at: float, now: float) -> float:
         """Returns the age of a topic's copy, or the time since joining if there is none yet."""
         age_ms = self.tables[topic].age_ms(now)
--- a/savoryfork/forward/host.py
+++ b/savoryfork/forward/host.py
@@ -149,7 +149,7 @@
             incarnation,
             version=0,
             leaving=False,
-            store_ok=True,
+            store_ok=False,
             strength=config.capacity_cores(),
         )
         self.members = Members(local, config.seed_peers)
--- a/savoryfork/forward/members.py
+++ b/savoryfork/forward/members.py
@@ -47,8 +47,10 @@
 class Member(NamedTuple):
     """A host's entry; `version` increases with each change that the host makes to its own entry.
 
-    `strength` is its capacity for work on behalf of other hosts, in cores of ordinary speed.
-    `failed` is set by another host that could not reach it.
+    `store_ok` is False while it can't read the store, and until it has joined and has a copy; it
+    then comes last among the hosts to follow. `strength` is its capacity for work on behalf of
+    other hosts, in cores of ordinary speed. `failed` is set by another host that could not reach
+    it.
     """
 
     address: str
--- a/tests/forward/controlplane.py
+++ b/tests/forward/controlplane.py
@@ -110,7 +110,7 @@
     def start(self, seeds: list[str]) -> None:
         clock = Clock(lambda: asyncio.get_running_loop().time() * 1000, lambda: 0.0)
         incarnation = next(self.plane.incarnations)
-        local = Member(self.address, "zone-a", incarnation, 0, leaving=False, store_ok=True)
+        local = Member(self.address, "zone-a", incarnation, 0, leaving=False, store_ok=False)
         self.members = Members(local, seeds)
         self.follower = Follower(
             self.plane.store,
--- a/tests/forward/test_deadlines.py
+++ b/tests/forward/test_deadlines.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from savoryfork.forward.follower import JOIN_TIMEOUT_MS
 from savoryfork.forward.topics import Topic
 from tests.forward.controlplane import Host
 from tests.forward.registered import MAX_CONFIG_S, Plane
@@ -169,3 +170,21 @@
             await asyncio.sleep(2.0)
             await asyncio.gather(plane.write_versions(), disrupt(plane), plane.watch())
             assert max(plane.max_late_s.values()) <= MAX_CONFIG_S
+
+    async def test_host_without_a_copy_is_not_followed(self):
+        async with Series(9) as plane:
+            await asyncio.sleep(4.0)
+            first = plane.ranked()[0]
+            first.stop()
+            await asyncio.sleep(0.3)
+            self.start_again(plane, first)
+            loop = asyncio.get_running_loop()
+            until = loop.time() + JOIN_TIMEOUT_MS / 1000
+            while loop.time() < until:
+                table = first.follower.tables[Topic.CONFIGURATION]
+                if not first.follower.joined.is_set() or table.next_offset < 0:
+                    followed = {h.members.upstream(loop.time() * 1000) for h in plane.live()}
+                    assert first.address not in followed
+                await asyncio.sleep(WATCH_STEP_S)
+            await plane.seconds_until(first.follower.joined.is_set, 1.0)
+            await plane.until(lambda: plane.ranked()[0] is first)
