Test resets during uploads and statuses outside the protocol

Checked here: no fault found. Hosts read a caller's whole body before they forward it, so slow or chunked uploads reach targets as these do; streams and stage calls use the same connections. Status 000, 099 and 2000 are errors.

The tests passed when they were written; they guard this behaviour.

--- a/tests/forward/test_connection.py
+++ b/tests/forward/test_connection.py
@@ -5,8 +5,10 @@
 import asyncio
 import socket
 import struct
+import time
 
 import pytest
+import uvloop
 
 from savoryfork.forward.connection import Connection, Connections, TargetError
 from tests.forward.deployment import until
@@ -77,6 +79,9 @@
             b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
             b"HTTP/1.1 200 OK\r\nContent-Le",
+            b"HTTP/1.1 000 OK\r\n\r\nbody",
+            b"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody",
+            b"HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody",
             b"\x00\x01 nothing of the protocol\r\n\r\n",
             b"",
         ],
@@ -93,6 +98,42 @@
         assert error.value.sent
 
 
+class TestResetUploads:
+    """A target answers without a length and resets the connection before it has read the body."""
+
+    def answer_and_reset(self, listener: socket.socket) -> None:
+        sock, _ = listener.accept()
+        sock.recv(1)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
+    @pytest.mark.parametrize("upload_bytes", [10, 4_000_000])
+    @pytest.mark.parametrize("pause_s", [0.0, 0.1])
+    def test_part_of_an_answer_is_incomplete(self, upload_bytes, pause_s):
+        """Guards against a reset that is read as the end of the body, on the loop of hosts.
+
+        The target has a thread of its own, so that what it sends arrives at once after a pause.
+        """
+
+        async def upload(listener: socket.socket) -> None:
+            answered = asyncio.create_task(asyncio.to_thread(self.answer_and_reset, listener))
+            address = "{}:{}".format(*listener.getsockname())
+            connection = await Connections().open(address, 0.0)
+            call = asyncio.create_task(exchange(connection, body=b"x" * upload_bytes))
+            asyncio.get_running_loop().call_soon(time.sleep, pause_s)
+            with pytest.raises(TargetError) as error:
+                await call
+            assert error.value.sent
+            await answered
+
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+        ):
+            runner.run(upload(listener))
+
+
 class TestReuse:
     async def test_idle_connection_is_reused(self, target):
         opened = []
