Poll the configuration as seldom as the deadline allows

Cause: the shorter poll is needed only where the bound is 2 s.

Change: the poll follows from the deadline (config_wait_ms): 0.35 s at a bound of 2 s as before, 0.725 s at 3 s, 0.75 s at 4 s.

Nothing changes at a bound of 2 s.

test_host takes the poll from the follower instead of the constant.

--- a/savoryfork/forward/follower.py
+++ b/savoryfork/forward/follower.py
@@ -50,10 +50,13 @@
 
 log = logging.getLogger(__name__)
 
-# Long poll of the configuration. Each answer confirms it as of the poll's start, so the reader's
-# copy is up to two polls old, and the others' little older, as confirmations are passed on at once.
-# Shorter than SYNC_WAIT_MS: a sync then ends with the next confirmation, and none is made for it.
-CONFIG_WAIT_MS = 350.0
+# Longest long poll of the configuration; see `config_wait_ms`. Each answer confirms it as of the
+# poll's start, so the reader's copy is up to two polls old, and the others' little older, as
+# confirmations are passed on at once. Keyed requests must be served for 0.6 of `key_revocation_ms`
+# (5 s on the sheets) after the store is lost, so two polls must fit between that and the share for
+# which a confirmation is trusted.
+MAX_CONFIG_WAIT_MS = 750.0
+MIN_CONFIG_WAIT_MS = 50.0
 
 # Long poll of the crash reports, which have the longest deadline.
 CRASHES_WAIT_MS = 750.0
@@ -69,6 +72,9 @@
 SYNC_WAIT_MS = 400.0
 SYNC_TIMEOUT_MARGIN_MS = 350.0
 
+# Time for a confirmation to pass through the levels of the tree.
+PROPAGATION_MS = 50.0
+
 # Wait of a sync that pushes news to the upstream host while a long poll of it is open.
 PUSH_WAIT_MS = 1.0
 
@@ -101,6 +107,20 @@
 FAILED_PROBE_SHARE = 0.3
 
 
+def config_wait_ms(deadline_ms: float) -> float:
+    """Returns the long poll of the configuration for the deadline of its copies.
+
+    A copy that is two polls old stays below the deadline while one sync times out and is made again
+    with another host. The deadlines of deployments give polls just below a whole number of syncs,
+    so few syncs are made only for the confirmations.
+
+    >>> [config_wait_ms(deadline_ms) for deadline_ms in (600.0, 1500.0, 2250.0, 3000.0)]
+    [50.0, 350.0, 725.0, 750.0]
+    """
+    spare_ms = deadline_ms - SYNC_WAIT_MS - SYNC_TIMEOUT_MARGIN_MS - PROPAGATION_MS
+    return min(MAX_CONFIG_WAIT_MS, max(MIN_CONFIG_WAIT_MS, spare_ms / 2))
+
+
 def first_retry_ms(topic: Topic) -> float:
     """Returns the delay after the first failed read."""
     return CRASHES_RETRY_MS if topic is Topic.CRASHES else READ_RETRY_MS
@@ -188,7 +208,6 @@
 
     async def run(self, topic: Topic) -> None:
         """Reads one topic whenever this host is the reader or its copy has reached its deadline."""
-        waits_ms = {Topic.CONFIGURATION: CONFIG_WAIT_MS, Topic.CRASHES: CRASHES_WAIT_MS}
         # Before it has joined, every host takes itself for the reader.
         await self.joined.wait()
         joined_at = self.now()
@@ -211,8 +230,7 @@
                     age_ms=round(age_ms),
                     upstream=upstream,
                 )
-            wait_ms = waits_ms.get(topic, 0.0) if upstream is None else 0.0
-            if not await self.read(topic, wait_ms):
+            if not await self.read(topic, self.wait_ms(topic) if upstream is None else 0.0):
                 failures += 1
                 alone = upstream is None or self.now() - self.members.contact_at > CONTACT_MS
                 await self.wait_for_retry(topic, retry_ms(topic, failures, alone, deadline_ms))
@@ -234,6 +252,12 @@
             # From now on this host may follow nobody.
             self.background.spawn(self.push(upstream))
 
+    def wait_ms(self, topic: Topic) -> float:
+        """Returns how long the reader's reads of a topic wait for new records."""
+        if topic is Topic.CONFIGURATION:
+            return config_wait_ms(self.bounds.deadline_ms(topic))
+        return CRASHES_WAIT_MS if topic is Topic.CRASHES else 0.0
+
     def copy_age_ms(self, topic: Topic, joined_at: float, now: float) -> float:
         """Returns the age of a topic's copy, or the time since joining if there is none yet."""
         age_ms = self.tables[topic].age_ms(now)
--- a/tests/forward/test_host.py
+++ b/tests/forward/test_host.py
@@ -12,7 +12,7 @@
 from savoryfork.errors import UserError
 from savoryfork.forward import cells
 from savoryfork.forward.cells import Cell
-from savoryfork.forward.follower import CONFIG_WAIT_MS
+from savoryfork.forward.topics import Topic
 from tests.forward.deployment import Deployment, configuration, until
 
 TOKENS = {"Token_Usage": "100,6", "Prefix_Hash": "aa:60,bb:30,cc:10", "Model": "m"}
@@ -115,7 +115,8 @@
         before a response of the store left 2.3 s; callers rely on 0.6 of the bound (3 s).
         """
         follower = deployment.hosts[0].follower
-        await until(lambda: follower.config_age_ms() > 1.9 * CONFIG_WAIT_MS)
+        wait_ms = follower.wait_ms(Topic.CONFIGURATION)
+        await until(lambda: follower.config_age_ms() > 1.9 * wait_ms)
         deployment.store.down = True
         outage_at = follower.now()
         status, _, headers = await deployment.call("/view/x")
