--- a/review/parts_3/site.py
+++ b/review/parts_3/site.py
@@ -47,6 +47,8 @@
     "reuse_window_s": 8.7,
 }
 
+TENANTS = [{"name": "tenant-1", "api_keys": ["key-1"], "priority": 1}]
+
 LIMITS = {
     "max_header_bytes": 16_384,
     "max_body_bytes": 4_194_304,
@@ -204,7 +206,12 @@
                 (Path(keep) / path.name).write_bytes(path.read_bytes())
         self.folder.cleanup()
 
-    def publish(self, routes: list[dict[str, Any]], services: list[dict[str, Any]]) -> int:
+    def publish(
+        self,
+        routes: list[dict[str, Any]],
+        services: list[dict[str, Any]],
+        tenants: list[dict[str, Any]] | None = None,
+    ) -> int:
         """Writes the next version of the configuration; returns it."""
         self.version += 1
         self.store.put(
@@ -215,7 +222,7 @@
                 "routes": routes,
                 "services": services,
                 "limits": LIMITS,
-                "tenants": [{"name": "tenant-1", "api_keys": ["key-1"], "priority": 1}],
+                "tenants": tenants or TENANTS,
             },
         )
         return self.version
