--- a/review/parts_3/site.py
+++ b/review/parts_3/site.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -58,11 +59,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns ports that were free a moment ago, outside the usual range of outgoing connections."""
+    sockets: list[socket.socket] = []
     try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            candidate = socket.socket()
+            try:
+                candidate.bind(("127.0.0.1", random.randrange(20_000, 32_000)))
+            except OSError:
+                candidate.close()
+                continue
+            sockets.append(candidate)
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
