Refuse a key that no workspace holds on every route

Ruled out by the record of the case on: an old configuration (the same host refuses the key on the other route 40 ms after the acknowledgement, and sends no Tenant), and a right kept from admission (requests sent 12.9 s later ran).

Change: a key that is present is judged on every route and under every configuration, also one without workspaces, and an empty one too. What comes without a key is served as before, however old the configuration is. A repetition after the key was taken away is refused; it ran without a workspace.

Tests: test_key_in_force_gives_its_workspace_and_another_one_none asserted the fault and sent an empty header for "no key". Now no key means no header, and that an unknown or empty one is refused is asserted beside it.

--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -139,19 +139,19 @@
         or the host may have been frozen.
 
         An anonymous route needs no key, so that a request without one is served however old the
-        configuration is. One with a key is refused then: whether it has the rights of a workspace,
-        and of which, is known to other hosts only, and a run without them is not what was asked.
+        configuration is. A key that is present is judged on every route, and with every
+        configuration: one that no workspace holds may have been taken away, and a run without a
+        workspace is not what its caller asked for.
         """
-        if not catalog.keyed:
-            return
+        key = run.request.key
         anonymous = run.route is not None and run.route.anonymous
-        if anonymous and not run.request.key:
+        if key is None and (anonymous or not catalog.keyed):
             return
         self.check_trusted(run)
-        run.workspace = catalogs.workspace_of(catalog, run.request.key)
-        if run.workspace is None and not anonymous:
-            raise ServiceError(ErrorKind.UNAUTHORIZED, "unknown key")
-        if run.workspace is not None and run.workspace.priority is not None:
+        run.workspace = catalogs.workspace_of(catalog, key)
+        if run.workspace is None:
+            raise ServiceError(ErrorKind.UNAUTHORIZED, "no key" if key is None else "unknown key")
+        if run.workspace.priority is not None:
             run.priority = run.workspace.priority
         elif run.route is not None:
             run.priority = run.route.priority
--- a/tests/forward/deployment.py
+++ b/tests/forward/deployment.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from aiohttp import web
+from multidict import CIMultiDict
 
 from savoryfork.forward.host import ForwardHost
 from savoryfork.forward.settings import ForwardSettings
@@ -178,12 +179,23 @@
         return f"http://{self.hosts[host].settings.caller_address}{path}"
 
     async def call(
-        self, path: str, *, host: int = 0, content: bytes = b"body", **headers: str
+        self,
+        path: str,
+        *,
+        host: int = 0,
+        content: bytes = b"body",
+        keys: tuple[str, ...] = ("k1",),
+        **headers: str,
     ) -> tuple[int, bytes, Any]:
-        """Sends a request; returns status, body and headers. Header names have _ for -."""
-        request_headers = {"Host": "a.example", "Request-Id": uuid.uuid4().hex[:16], "Key": "k1"}
-        request_headers |= {"Deadline-Ms": "3000"}
-        request_headers |= {name.replace("_", "-"): value for name, value in headers.items()}
+        """Sends a request; returns status, body and headers. Header names have _ for -.
+
+        Each of `keys` is sent in a header of its own.
+        """
+        fields = {"Host": "a.example", "Request-Id": uuid.uuid4().hex[:16], "Deadline-Ms": "3000"}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        request_headers = CIMultiDict(fields)
+        if "Key" not in fields:
+            request_headers.extend([("Key", key) for key in keys])
         method = "GET" if path.startswith(("/view/", "/open/")) else "POST"
         async with self.session.request(
             method,
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -1,6 +1,7 @@
 """Which requests are admitted on routes that need no key."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
@@ -29,11 +30,54 @@
     return {headers["Request-Id"]: headers.get("Tenant") for headers in received}
 
 
+async def publish(deployment: Deployment, document: dict[str, Any]) -> None:
+    """Writes a configuration and waits until the first host has it."""
+    deployment.store.put("keyed.op", "config", document)
+    follower = deployment.hosts[0].follower
+    await until(lambda: follower.catalog.version == document["version"])
+
+
 class TestAnonymousRoutes:
-    async def test_key_in_force_gives_its_workspace_and_another_one_none(self, deployment):
-        for request_id, key in (("a", "k1"), ("b", "other"), ("c", "")):
-            assert (await deployment.call("/open/x", Key=key, Request_Id=request_id))[0] == 200
-        assert tenants(deployment) == {"a": "w1", "b": None, "c": None}
+    async def test_key_in_force_gives_its_workspace_and_no_key_none(self, deployment):
+        for request_id, keys in (("a", ("k1",)), ("b", ())):
+            status, _, _ = await deployment.call("/open/x", keys=keys, Request_Id=request_id)
+            assert status == 200
+        assert tenants(deployment) == {"a": "w1", "b": None}
+
+    @pytest.mark.parametrize("key", ["other", "k", "k1 k1", ""])
+    async def test_key_that_no_workspace_holds_is_refused(self, deployment, key):
+        """Guards against taking a key that is not understood for one that is absent."""
+        assert (await deployment.call("/open/x", Key=key))[0] == 401
+        assert tenants(deployment) == {}
+
+    async def test_key_that_was_taken_away_is_refused(self, deployment):
+        """Guards against a key that stays good on the routes that need none."""
+        await publish(deployment, configuration(2, keys=("k2",)))
+        assert (await deployment.call("/open/x", Request_Id="taken"))[0] == 401
+        assert (await deployment.call("/open/x", Key="k2", Request_Id="new"))[0] == 200
+        assert (await deployment.call("/open/x", keys=(), Request_Id="none"))[0] == 200
+        assert tenants(deployment) == {"new": "w1", "none": None}
+
+    async def test_keys_that_were_taken_away_with_all_workspaces_are_refused(self, deployment):
+        """Guards against a configuration without workspaces that leaves every key good."""
+        document = configuration(2)
+        del document["tenants"]
+        await publish(deployment, document)
+        for path in ("/open/x", "/view/x"):
+            assert (await deployment.call(path, Request_Id="taken"))[0] == 401
+            assert (await deployment.call(path, keys=(), Request_Id=path))[0] == 200
+        assert tenants(deployment) == {"/open/x": None, "/view/x": None}
+
+    async def test_key_that_is_taken_away_before_a_second_attempt(self, scripted):
+        """Guards against a repetition without the workspace for which the request was sent."""
+
+        async def take_key_away(request, writer):
+            await publish(scripted.deployment, configuration(2, keys=()))
+            reset(writer)
+
+        targets = await scripted.replace("plain", take_key_away, take_key_away)
+        assert (await scripted.deployment.call("/open/x"))[0] == 401
+        assert sum(len(target.received) for target in targets) == 1
 
     async def test_host_that_is_cut_off_does_not_vouch_for_a_key(self, deployment):
         """Guards against the rights of a key that was taken away while this host heard nothing."""
@@ -52,7 +96,7 @@
         host.gate.set_revocation(1_000.0)
         deployment.store.down = True
         await until(lambda: host.follower.config_age_ms() > host.gate.trusted_ms)
-        assert (await deployment.call("/open/x", Key="", Request_Id="a"))[0] == 200
+        assert (await deployment.call("/open/x", keys=(), Request_Id="a"))[0] == 200
         assert tenants(deployment) == {"a": None}
 
     async def test_frozen_host_does_not_vouch_for_a_key(self, deployment):
