Take several Key headers for one key that nobody holds

Callers saw: of two Key headers the first one decided, on every route. A key that was taken away, or never held, beside a sound one ran, and the order in which they came decided for which workspace.

Cause: the adapter read the first header of a name as the key.

Ruled out: that another than the first one counts (tests in both orders).

Change: the key is all of its headers, joined by commas, so that the answer is 401.

--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -101,6 +101,20 @@
     return None
 
 
+def combined_value(headers: Headers, name: bytes) -> str | None:
+    """Returns all values of a header as one, joined as RFC 9110 (5.3) says; None if it is absent.
+
+    For a header that must hold one value, of which no part may be ignored.
+
+    >>> combined_value([(b"Key", b"a"), (b"key", b" b")], b"key"), combined_value([], b"key")
+    ('a, b', None)
+    """
+    values = [value for header_name, value in headers if header_name.lower() == name]
+    if not values:
+        return None
+    return ", ".join(value.decode("latin-1").strip(" \t") for value in values)
+
+
 def parse_non_negative(value: str | None) -> float | None:
     """Parses a decimal number from a header; None if it is absent, malformed or too large.
 
@@ -170,7 +184,7 @@
         path=path.encode("utf-8", "surrogateescape"),
         host=first_value(headers, b"host") or "",
         headers=[(name, value) for name, value in headers if name.lower() not in dropped],
-        key=first_value(headers, b"key"),
+        key=combined_value(headers, b"key"),
         allowed_ms=parse_non_negative(first_value(headers, b"deadline-ms")),
         prompt=decode_prompt(
             first_value(headers, b"token-usage"), first_value(headers, b"prefix-hash")
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -50,6 +50,13 @@
         assert (await deployment.call("/open/x", Key=key))[0] == 401
         assert tenants(deployment) == {}
 
+    @pytest.mark.parametrize("path", ["/open/x", "/view/x"])
+    @pytest.mark.parametrize("keys", [("k1", "other"), ("other", "k1"), ("k1", ""), ("k1", "k1")])
+    async def test_request_with_several_keys_is_refused(self, deployment, path, keys):
+        """Guards against the order of headers that decides which key counts."""
+        assert (await deployment.call(path, keys=keys))[0] == 401
+        assert tenants(deployment) == {}
+
     async def test_key_that_was_taken_away_is_refused(self, deployment):
         """Guards against a key that stays good on the routes that need none."""
         await publish(deployment, configuration(2, keys=("k2",)))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -63,6 +63,14 @@
         assert decoded.pieces == () and decoded.prompt is None
         assert headers.decode_request("GET", "/", [(b"Deadline-Ms", b"soon")]).allowed_ms is None
 
+    @pytest.mark.parametrize(
+        ("lines", "key"),
+        [([], None), ([b"a"], "a"), ([b" a\t"], "a"), ([b""], ""), ([b"a", b"b"], "a, b")],
+    )
+    def test_key_is_the_whole_of_its_headers(self, lines, key):
+        """Guards against a key of which a part is not looked at, or an empty one that is absent."""
+        assert request(*((b"Key", line) for line in lines)).key == key
+
     def test_the_path_keeps_its_escapes(self):
         assert request().path == b"/a%2Fb?x=%20"
 
