Deny keys and routes only while no newer version can be in force

Callers saw: a host that the store refused, with no other host in reach, answered 401 and 404 to a key and a route that a version had brought 3.5 s before, where the bound is 2 s. Both answers are final for callers.

Cause: one age (0.94 of the revocation time, 4.7 s) decided how long a known key is served and how long an unknown one is denied. The second has to follow from the bound of changes.

Ruled out: that hosts in contact with the store are late (20 of 20 served 2 s after their key had come).

Change: a denial needs a configuration younger than 0.94 of configuration_bound_ms; beyond that the answer is 503 with Retry-After. What is known is served as long as before, and so is what comes without a key.

--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -10,9 +10,10 @@
 from savoryfork.forward.model import Catalog, Repeat
 from savoryfork.forward.run import DEFAULT_RETRY_MS, Run, stream_idle_timeout_ms
 
-# Share of the key revocation time after which this host no longer trusts its configuration. The age
-# counts from before the store's read, and requests are sent before they are checked here, so the
-# rest only has to cover differences in clock rates.
+# Share of the key revocation time after which this host no longer trusts its configuration, and of
+# the bound of changes after which it no longer denies anything. The age counts from before the
+# store's read, and requests are sent before they are checked here, so the rest only has to cover
+# differences in clock rates.
 TRUSTED_SHARE = 0.94
 
 # Part of the caller's time that is reserved for returning the answer.
@@ -77,6 +78,15 @@
         """Sets the time within which a revoked key must stop working."""
         self.trusted_ms = TRUSTED_SHARE * revocation_ms
 
+    def denial_ms(self) -> float:
+        """Returns the age of the configuration up to which this host denies what it does not hold.
+
+        What came with a version that is in force by its bound is then never denied, whatever kept
+        this host from reading it. Callers take a denial for final, so beyond this age they are sent
+        to another host.
+        """
+        return min(self.trusted_ms, TRUSTED_SHARE * self.follower.bounds.configuration_ms)
+
     def current_catalog(self) -> Catalog:
         """Returns the configuration in effect; raises NOT_READY before the first one."""
         catalog = self.follower.catalog
@@ -93,7 +103,7 @@
         path = request.path.decode("latin-1")
         route = catalogs.find_route(catalog, request.host, path)
         if route is None:
-            self.check_trusted(run)
+            self.check_age(run, self.denial_ms())
             raise ServiceError(ErrorKind.UNKNOWN_PIPELINE, "no route for this host and path")
         run.route = route
         allowed_ms = request.allowed_ms if request.allowed_ms is not None else route.timeout_ms
@@ -121,10 +131,10 @@
         if late and run.deadline_at > self.abort_at - FINISH_MARGIN_MS:
             raise stopping_error(run)
 
-    def check_trusted(self, run: Run) -> None:
-        """Raises STALE_CONFIGURATION if this host's configuration may be out of date."""
+    def check_age(self, run: Run, limit_ms: float) -> None:
+        """Raises STALE_CONFIGURATION if this host's configuration is older than a limit."""
         run.config_age_ms = self.follower.config_age_ms()
-        if run.config_age_ms > self.trusted_ms:
+        if run.config_age_ms > limit_ms:
             members = self.follower.members
             run.retry_ms = stale_retry_ms(members.others_reach_store(self.follower.now()))
             raise ServiceError(
@@ -147,9 +157,10 @@
         anonymous = run.route is not None and run.route.anonymous
         if key is None and (anonymous or not catalog.keyed):
             return
-        self.check_trusted(run)
+        self.check_age(run, self.trusted_ms)
         run.workspace = catalogs.workspace_of(catalog, key)
         if run.workspace is None:
+            self.check_age(run, self.denial_ms())
             raise ServiceError(ErrorKind.UNAUTHORIZED, "no key" if key is None else "unknown key")
         if run.workspace.priority is not None:
             run.priority = run.workspace.priority
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from savoryfork.forward.deadlines import ChangeBounds
 from tests.forward.deployment import Deployment, configuration, until
 from tests.forward.test_connection import reset
 from tests.forward.test_forwarder import Scripted, answer
@@ -148,6 +149,39 @@
         assert seen == ["w1", "w2"]
 
 
+class TestDenials:
+    """A host that may have missed a change says of nothing that it does not exist."""
+
+    async def test_host_that_may_lack_a_version_denies_nothing(self, deployment):
+        """Guards against a final answer to a key or a route that is new and in force elsewhere."""
+        host = deployment.hosts[0]
+        host.follower.bounds = ChangeBounds(configuration_ms=500.0)
+        deployment.store.down = True
+        await until(lambda: host.follower.config_age_ms() > 500.0)
+        for path, key in (("/open/x", "new"), ("/view/x", "new"), ("/new/x", "k1")):
+            status, _, headers = await deployment.call(path, Key=key)
+            assert status == 503 and float(headers["Retry-After"]) > 0
+        assert tenants(deployment) == {}
+
+    async def test_what_such_a_host_knows_is_served(self, deployment):
+        """Guards against an outage that ends the service of keys sooner than it must."""
+        host = deployment.hosts[0]
+        host.follower.bounds = ChangeBounds(configuration_ms=500.0)
+        deployment.store.down = True
+        await until(lambda: host.follower.config_age_ms() > 500.0)
+        assert (await deployment.call("/open/x", Request_Id="a"))[0] == 200
+        assert (await deployment.call("/view/x", Request_Id="b"))[0] == 200
+        assert (await deployment.call("/open/x", keys=(), Request_Id="c"))[0] == 200
+        assert host.unready_reason() is None
+        assert tenants(deployment) == {"a": "w1", "b": "w1", "c": None}
+
+    async def test_host_in_contact_with_the_store_denies_at_once(self, deployment):
+        """Guards against callers that are told to come back with what will never be served."""
+        for path, key, status in (("/open/x", "new", 401), ("/view/x", "new", 401)):
+            assert (await deployment.call(path, Key=key))[0] == status
+        assert (await deployment.call("/new/x"))[0] == 404
+
+
 class TestPriority:
     @pytest.mark.parametrize("path", ["/open/x", "/view/x"])
     async def test_priority_of_the_workspace_precedes_that_of_the_route(self, deployment, path):
