Check the key before stages are run again

An engine that has lost a request's inputs refuses it (409), and its stages are run again. The key was judged before the send only, so that stage targets worked for a request whose key had been taken away, and which was then refused.

Cause: run_stages rechecked the quarantine, as each send does, but not the key.

Change: run_stages checks both. A request whose key is gone is refused before its stages.

Measured: test_stages_are_not_run_again_for_a_key_that_was_taken_away counted 2 pieces where 1 was due before the change, and passes now, with test_gate, test_stage_crashes, test_silence and test_forwarder.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -171,6 +171,7 @@
     async def run_stages(self, run: Run) -> None:
         """Runs the stages that precede the request; raises ServiceError if one fails."""
         assert run.route is not None
+        self.gate.check_key(run, self.gate.current_catalog())
         self.crashes.check(run, sending=False)
         engine = self.selector.likely_engine(run)
         work = Work(
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -149,6 +149,22 @@
         assert seen == ["w1", "w2"]
 
 
+class TestStageWork:
+    async def test_stages_are_not_run_again_for_a_key_that_was_taken_away(self, scripted):
+        """Guards against stage work for a request that is refused at its next send."""
+        deployment = scripted.deployment
+
+        async def lose_inputs(request, writer):
+            await publish(deployment, configuration(2, keys=()))
+            writer.write(answer("409 Gone", request.id, b"", "Not-Executed: 1"))
+
+        await scripted.replace("engine", lose_inputs, lose_inputs)
+        staged = {"Pieces": "1,2", "Piece_Key": "pk", "Token_Usage": "100,6"}
+        status, _, _ = await deployment.call("/chat/x", **staged, Prefix_Hash="aa:60,cc:10")
+        pieces = [piece for r in deployment.replicas["cave"] for piece in r.received]
+        assert status == 401 and len(pieces) == 1
+
+
 class TestDenials:
     """A host that may have missed a change says of nothing that it does not exist."""
 
