Soak: a route that needs no key, and keys that were never held

Two promises more: no request with a never-held key runs, none without a key is denied where none is needed.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,7 +11,13 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 # Maximum number of targets that may run one request, by kind; streams are resumed once.
-MAX_RUNS = {"book": 1, "view": 2, "chat": 2}
+MAX_RUNS = {"book": 1, "view": 2, "chat": 2, "open": 2}
+
+# A key that no configuration ever holds.
+NEVER_HELD_KEY = "key-never-held"
+
+# Final refusals by a host, which no caller without a key gets on a route that needs none.
+DENIALS = (401, 403, 404)
 
 # An undisturbed host responds at most this long after the deadline.
 DEADLINE_GRACE_S = 0.5
@@ -32,15 +38,16 @@
 class Attempt(NamedTuple):
     """One request as its caller saw it; `status` is None without a complete response head.
 
-    `connected` is False if connecting failed. `disturbed` is True if, during the request, its host
-    was killed, frozen or restarting, or the event loop of this process was delayed. `incarnation`
-    is the start of the host's process, None if it was restarted during the request.
+    `key` is None if it had none. `connected` is False if connecting failed. `disturbed` is True if,
+    during the request, its host was killed, frozen or restarting, or the event loop of this process
+    was delayed. `incarnation` is the start of the host's process, None if it was restarted during
+    the request.
     """
 
     id: str
     kind: str
     host: int
-    key: str
+    key: str | None
     sent_at: float
     ended_at: float
     deadline_s: float
@@ -79,7 +86,7 @@
     violations += [
         Break("unasked", None, request_id) for request_id in runs if request_id not in known
     ]
-    keys = {attempt.key for attempt in attempts}
+    keys = {attempt.key for attempt in attempts if attempt.key is not None}
     for request in received:
         if keys & set(request.get("headers", {}).values()):
             violations.append(Break("key_passed_on", None, request["path"]))
@@ -95,7 +102,11 @@
         violations.append(Break("ran_too_often", attempt, f"ran {ran} times"))
     if attempt.status in NOT_RUN_STATUSES and ran:
         violations.append(Break("refused_but_ran", attempt, f"ran {ran} times"))
-    revoked_at = revoked.get(attempt.key)
+    if ran and attempt.key == NEVER_HELD_KEY:
+        violations.append(Break("unknown_key", attempt, f"ran {ran} times"))
+    if attempt.key is None and attempt.status in DENIALS:
+        violations.append(Break("denied", attempt, f"status {attempt.status} without a key"))
+    revoked_at = revoked.get(attempt.key) if attempt.key is not None else None
     if ran and revoked_at is not None and attempt.sent_at > revoked_at + KEY_REVOCATION_S:
         sent_after_s = attempt.sent_at - revoked_at
         violations.append(
@@ -126,8 +137,8 @@
     for attempt in sorted(attempts, key=lambda a: a.ended_at):
         if attempt.incarnation is None:
             continue
-        scope = (attempt.host, attempt.incarnation, attempt.key)
-        revoked_at = revoked.get(attempt.key, math.inf)
+        scope = (attempt.host, attempt.incarnation, attempt.key or "")
+        revoked_at = revoked.get(attempt.key or "", math.inf)
         ran = runs.get(attempt.id, 0) > 0
         if attempt.status == 200 and attempt.whole:
             served.setdefault(scope, attempt.ended_at)
@@ -153,13 +164,14 @@
     """
     violations = []
     for attempt in attempts:
+        key = attempt.key
+        if key is None or key not in published:
+            continue
         since = attempt.sent_at - CONFIG_APPLY_S
-        valid = published[attempt.key] < since and attempt.ended_at < revoked.get(
-            attempt.key, math.inf
-        )
+        valid = published[key] < since and attempt.ended_at < revoked.get(key, math.inf)
         reached = not any(began <= attempt.ended_at and since <= ended for began, ended in outages)
         if attempt.status == 401 and valid and reached and not attempt.disturbed:
-            age_s = attempt.sent_at - published[attempt.key]
+            age_s = attempt.sent_at - published[key]
             violations.append(
                 Break("not_applied", attempt, f"{age_s:.2f} s after its key was published")
             )
--- a/soak/site.py
+++ b/soak/site.py
@@ -78,6 +78,14 @@
             {"service": "carri", "after": [0], "payload_bytes": 60_000},
         ],
     },
+    {
+        "name": "open",
+        "path_prefix": "/open/",
+        "route_kind": "idempotent",
+        "service": "plain",
+        "max_attempts": 2,
+        "allow_anonymous": True,
+    },
 ]
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -3,7 +3,14 @@
 import pytest
 
 from soak import faults
-from soak.promises import Attempt, check, check_applied, check_incarnations, check_pauses
+from soak.promises import (
+    NEVER_HELD_KEY,
+    Attempt,
+    check,
+    check_applied,
+    check_incarnations,
+    check_pauses,
+)
 
 GOOD = Attempt(
     id="r1",
@@ -43,6 +50,8 @@
             ({"status": 503}, 1, "refused_but_ran"),
             ({"status": 504, "ended_at": 104.5}, 0, "late"),
             ({"status": None, "whole": False}, 1, "cut"),
+            ({"kind": "open", "key": NEVER_HELD_KEY}, 1, "unknown_key"),
+            ({"kind": "open", "key": None, "status": 401}, 0, "denied"),
         ],
     )
     def test_violation_is_reported(self, changes, ran, promise):
@@ -55,11 +64,16 @@
             {"status": None, "whole": False, "disturbed": True},
             {"status": None, "whole": False, "connected": False},
             {"status": 502},
+            {"kind": "open", "key": None},
         ],
     )
     def test_effects_of_faults_are_allowed(self, changes):
         assert violations(GOOD._replace(**changes)) == []
 
+    def test_key_that_was_never_held_is_refused(self):
+        refused = GOOD._replace(kind="open", key=NEVER_HELD_KEY, status=401)
+        assert violations(refused, ran=0) == []
+
     def test_revoked_key_runs_only_within_the_revocation_time(self):
         assert violations(GOOD, revoked={"k": 95.5}) == []
         assert violations(GOOD, revoked={"k": 94.9}) == ["revoked_key"]
