Refuse a request whose numbers of pieces can't be read

Callers saw: a staged request with a malformed Pieces header got 503 with Retry-After, for something that no try can serve. Each engine of the service was asked in turn before, as each refuses a request without inputs.

Cause: the same as for keys that nobody holds: a header that was present and not understood counted as absent, so that the stages were skipped. Numbers left out between commas ("3,,16") moved the others to earlier stages.

Change: such a header is known to be malformed, and the request gets 400 at once on routes with stages. Several lines are read as one list. test_odd_numbers_count_as_absent accepted an ignored or a shortened list; it now requires that none is read, which is stricter.

--- a/savoryfork/forward/forwarder.py
+++ b/savoryfork/forward/forwarder.py
@@ -140,7 +140,7 @@
     def needs_stages(self, run: Run) -> bool:
         """Returns whether stages must run before the request can be sent."""
         assert run.route is not None
-        return bool(run.route.stages) and run.work is None and any(run.request.pieces)
+        return bool(run.route.stages) and run.work is None and any(run.request.pieces or ())
 
     def has_targets_left(self, run: Run) -> bool:
         """Returns whether the request can be offered again, maybe to a target that it left."""
@@ -177,7 +177,7 @@
         work = Work(
             run.id,
             run.route.stages,
-            run.request.pieces,
+            run.request.pieces or (),
             run.request.piece_key,
             run.priority,
             run.first_event_by if not run.response_started else run.deadline_at,
--- a/savoryfork/forward/gate.py
+++ b/savoryfork/forward/gate.py
@@ -120,6 +120,8 @@
         self.check_key(run, catalog)
         if not request.id:
             raise ServiceError(ErrorKind.MALFORMED_REQUEST, "the request has no id")
+        if route.stages and request.pieces is None:
+            raise ServiceError(ErrorKind.MALFORMED_REQUEST, "malformed numbers of pieces")
         run.service = catalogs.choose_service(route, run.id)
 
     def check_draining(self, run: Run) -> None:
--- a/savoryfork/forward/model.py
+++ b/savoryfork/forward/model.py
@@ -160,8 +160,9 @@
 class CallerRequest(NamedTuple):
     """A request as a caller sent it. `headers` are those to forward.
 
-    `pieces` is the number of pieces per stage, `piece_key` the input of the stages that have no
-    preceding ones. `allowed_ms` is the caller's timeout, None if it sent none.
+    `pieces` is the number of pieces per stage, None if the caller's could not be read, `piece_key`
+    the input of the stages that have no preceding ones. `allowed_ms` is the caller's timeout, None
+    if it sent none.
     """
 
     id: bytes
@@ -172,7 +173,7 @@
     key: str | None
     allowed_ms: float | None
     prompt: Prompt | None
-    pieces: tuple[int, ...]
+    pieces: tuple[int, ...] | None
     piece_key: str
 
 
--- a/savoryfork/platform/headers.py
+++ b/savoryfork/platform/headers.py
@@ -162,21 +162,26 @@
         return None
 
 
-def decode_pieces(value: str | None) -> tuple[int, ...]:
-    """Parses the number of pieces of each stage; empty if absent or malformed.
+def decode_pieces(value: str | None) -> tuple[int, ...] | None:
+    """Parses the number of pieces of each stage; empty if absent, None if malformed.
 
-    >>> decode_pieces("3,0,16"), decode_pieces("x"), decode_pieces("-1")
-    ((3, 0, 16), (), ())
+    >>> decode_pieces("3,0, 16"), decode_pieces(None), decode_pieces("3,,16"), decode_pieces("-1")
+    ((3, 0, 16), (), None, None)
     """
+    if value is None:
+        return ()
     try:
-        parts = [part.strip() for part in (value or "").split(",")]
-        return tuple(parse_whole(part, MAX_PIECES) for part in parts if part)
+        return tuple(parse_whole(part.strip(), MAX_PIECES) for part in value.split(","))
     except UndecodableError:
-        return ()
+        return None
 
 
 def decode_request(method: str, path: str, headers: Headers) -> CallerRequest:
-    """Decodes a caller's request; malformed fields count as absent."""
+    """Decodes a caller's request.
+
+    Malformed fields count as absent where the request can do without them, which is not so for its
+    key and its pieces.
+    """
     dropped = hop_by_hop_names(headers) | SYSTEM_SET
     return CallerRequest(
         id=(first_value(headers, b"request-id") or "").encode("latin-1"),
@@ -189,7 +194,7 @@
         prompt=decode_prompt(
             first_value(headers, b"token-usage"), first_value(headers, b"prefix-hash")
         ),
-        pieces=decode_pieces(first_value(headers, b"pieces")),
+        pieces=decode_pieces(combined_value(headers, b"pieces")),
         piece_key=first_value(headers, b"piece-key") or "",
     )
 
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -164,6 +164,17 @@
         pieces = [piece for r in deployment.replicas["cave"] for piece in r.received]
         assert status == 401 and len(pieces) == 1
 
+    async def test_request_whose_pieces_cannot_be_read_is_refused_at_once(self, scripted):
+        """Guards against engines that are asked in turn for what each of them must refuse."""
+
+        async def refuse(request, writer):
+            writer.write(answer("400 Bad Request", request.id, b"", "Not-Executed: 1"))
+
+        targets = await scripted.replace("engine", refuse, refuse)
+        call = scripted.deployment.call
+        assert (await call("/chat/x", Pieces="1,x", Piece_Key="pk"))[0] == 400
+        assert not any(target.received for target in targets)
+
 
 class TestDenials:
     """A host that may have missed a change says of nothing that it does not exist."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -60,9 +60,16 @@
 
     def test_malformed_headers_count_as_absent(self):
         decoded = request((b"Pieces", b"1,x"), (b"Token-Usage", b"many"))
-        assert decoded.pieces == () and decoded.prompt is None
+        assert decoded.prompt is None
         assert headers.decode_request("GET", "/", [(b"Deadline-Ms", b"soon")]).allowed_ms is None
 
+    def test_malformed_numbers_of_pieces_are_not_absent(self):
+        """Guards against a request that skips its stages since their pieces can't be read."""
+        assert request().pieces == () and request((b"Pieces", b"")).pieces is None
+        for value in (b"1,x", b"-1", b"1,,2", b"1_0", b"99999"):
+            assert request((b"Pieces", value)).pieces is None
+        assert request((b"Pieces", b"1"), (b"Pieces", b"2")).pieces == (1, 2)
+
     @pytest.mark.parametrize(
         ("lines", "key"),
         [([], None), ([b"a"], "a"), ([b" a\t"], "a"), ([b""], ""), ([b"a", b"b"], "a, b")],
@@ -162,6 +169,6 @@
         assert request((b"Token-Usage", line + b",80")).prompt is None
         parts = (b"Prefix-Hash", b"aa:" + line)
         assert request((b"Token-Usage", b"10,80"), parts).prompt is None
-        assert request((b"Pieces", b"1," + line)).pieces in ((), (1,))
+        assert request((b"Pieces", b"1," + line)).pieces is None
         decoded = headers.decode_request("GET", "/", [(b"Deadline-Ms", line)])
         assert decoded.allowed_ms is None
