--- a/Makefile
+++ b/Makefile
@@ -18,13 +18,13 @@
 	$(PY) -m pytest
 
 lint: $(VENV)/.installed
-	$(VENV)/bin/black --check --quiet savoryfork standins bench soak tests || $(VENV)/bin/black --check savoryfork standins bench soak tests
-	$(VENV)/bin/ruff check --no-cache savoryfork standins bench soak tests
+	$(VENV)/bin/black --check --quiet savoryfork standins bench soak simulation tests || $(VENV)/bin/black --check savoryfork standins bench soak simulation tests
+	$(VENV)/bin/ruff check --no-cache savoryfork standins bench soak simulation tests
 	$(VENV)/bin/mypy
 
 format: $(VENV)/.installed
-	$(VENV)/bin/ruff check --no-cache --fix savoryfork standins bench soak tests
-	$(VENV)/bin/black --quiet savoryfork standins bench soak tests
+	$(VENV)/bin/ruff check --no-cache --fix savoryfork standins bench soak simulation tests
+	$(VENV)/bin/black --quiet savoryfork standins bench soak simulation tests
 
 soak: $(VENV)/.installed
 	$(PY) -m soak --seed=$(SEED)
--- a/tests/forward/registered.py
+++ b/tests/forward/registered.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from savoryfork.forward.topics import Topic
-from tests.forward.controlplane import ControlPlane, Host
+from simulation.plane import ControlPlane, Host
 
 # The bound within which a change is in force after its acknowledgement.
 MAX_CONFIG_S = 2.0
--- a/tests/forward/test_controlplane.py
+++ b/tests/forward/test_controlplane.py
@@ -12,7 +12,7 @@
 from savoryfork.forward.follower import SYNC_WAIT_MS
 from savoryfork.forward.quarantine import Report
 from savoryfork.forward.topics import Topic
-from tests.forward.controlplane import ControlPlane, Host
+from simulation.plane import ControlPlane, Host
 from tests.forward.registered import config_value, versions
 
 ENGINES = [f"engine-{number}" for number in range(50)]
--- a/tests/forward/test_deadlines.py
+++ b/tests/forward/test_deadlines.py
@@ -10,7 +10,7 @@
 
 from savoryfork.forward.follower import JOIN_TIMEOUT_MS
 from savoryfork.forward.topics import Topic
-from tests.forward.controlplane import Host
+from simulation.plane import Host
 from tests.forward.registered import MAX_CONFIG_S, Plane
 
 # A series of versions: its length, and the pause between two.
--- a/tests/forward/test_departures.py
+++ b/tests/forward/test_departures.py
@@ -21,8 +21,8 @@
 from savoryfork.forward.knowledge import Entry
 from savoryfork.platform import headers
 from savoryfork.platform.records import decode_target
+from simulation.plane import ControlPlane
 from standins.replicas import Replica
-from tests.forward.controlplane import ControlPlane
 from tests.forward.deployment import Deployment, until
 from tests.forward.test_registry import make_registry, value
 
--- a/tests/forward/test_late_writes.py
+++ b/tests/forward/test_late_writes.py
@@ -13,7 +13,7 @@
 
 from savoryfork.forward.registry import LAPSE_GRACE_MS
 from savoryfork.forward.topics import Topic
-from tests.forward.controlplane import Host
+from simulation.plane import Host
 from tests.forward.registered import Plane, target_value, usable
 
 HEARTBEAT_S = 1.2
