Simulate what hosts know, in virtual time

python -m simulation runs the product's own followers, tables, membership, registry and gate with 3 to 320 hosts over a simulated network and store: hosts lose power, are killed and started again, freeze, are cut off from the store or from each other in one direction or both; the store is away, slow, restored, or loses its history; versions, keys, targets and evacuations change in series. Each 0.1 s each host is judged: CONFIG, DRAIN, EVAC, keys, DENIED, requests without a key, trust in touch, and agreement at the end.

Found on the product as it is, and listed in KNOWN-RED.txt: two hosts that reached nobody for 8 s use a removed target 3.1 s after they reach the others again (test_nothing_is_broken_without_a_fault[isolated]).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 SEED ?= 1
 
-.PHONY: demo test lint bench soak format proto
+.PHONY: demo test lint bench soak simulate format proto
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -29,6 +29,9 @@
 soak: $(VENV)/.installed
 	$(PY) -m soak --seed=$(SEED)
 
+simulate: $(VENV)/.installed
+	$(PY) -m simulation --seed=$(SEED)
+
 bench: $(VENV)/.installed
 	mkdir -p run
 	$(PY) -m bench.cost > run/cost.out
--- a/simulation/plane.py
+++ b/simulation/plane.py
@@ -1,4 +1,8 @@
-"""Followers of many hosts over a simulated network in virtual time."""
+"""Followers of many hosts over a simulated network and store in virtual time.
+
+The parts that follow the store and keep the list of hosts are those of the product, as they run in
+production; only the store, the calls between hosts and the clock are simulated.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +12,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, Self, TypeVar
 
 from savoryfork.forward.deadlines import ChangeBounds
 from savoryfork.forward.follower import Follower
@@ -18,6 +22,7 @@
 from savoryfork.forward.metrics import ForwardMetrics
 from savoryfork.forward.topics import StoreRead, Topic
 from savoryfork.peers import PeerUnavailable
+from savoryfork.platform import store as platform_store
 from savoryfork.platform.store import normalize_entries
 from savoryfork.platform.wire import PlatformWire
 from savoryfork.util.background import BackgroundTasks
@@ -26,10 +31,21 @@
 
 CODEC = MessageCodec()
 
+T = TypeVar("T")
+
 # One way between hosts, and the time of a read of the store.
 LATENCY_S = 0.002
 STORE_S = 0.004
 EXCHANGE_PERIOD_S = 1.0
+EXPIRY_PERIOD_S = 0.5
+
+# A read of a store that does not answer is given up after this time.
+STORE_TIMEOUT_S = platform_store.READ_TIMEOUT_MS / 1000
+
+DEFAULT_BOUNDS = ChangeBounds()
+
+# The other end of the paths between hosts and the store.
+STORE = "store"
 
 
 class Store:
@@ -53,6 +69,7 @@
         """Goes back to a copy: newer records are lost and their offsets are given out again."""
         self.logs = {topic: list(entries) for topic, entries in copy.items()}
         self.era += 1
+        self.first = {topic: min(self.first[topic], len(log)) for topic, log in self.logs.items()}
         self.notify()
 
     def put(self, topic: Topic, key: str, value: bytes) -> None:
@@ -97,6 +114,54 @@
             self.put(topic, key, value)
 
 
+class StoreAccess:
+    """The store as one host reaches it; implements `topics.Store`."""
+
+    def __init__(self, plane: ControlPlane, caller: str) -> None:
+        self.plane = plane
+        self.caller = caller
+        self.calls = 0
+
+    async def newest(self, topic: Topic) -> StoreRead:
+        """Returns the newest value of each key. Raises LogUnavailable."""
+        await self.send()
+        return await self.receive(await self.plane.store.newest(topic))
+
+    async def read(self, topic: Topic, offset: int, wait_ms: float) -> StoreRead:
+        """Returns the records from an offset on. Raises LogUnavailable or OffsetExpired."""
+        await self.send()
+        return await self.receive(await self.plane.store.read(topic, offset, wait_ms))
+
+    async def append(self, topic: Topic, entries: Sequence[tuple[str, bytes]]) -> None:
+        """Appends a value for each key. Raises LogUnavailable."""
+        await self.send()
+        await self.plane.store.append(topic, entries)
+        await self.receive(None)
+
+    async def send(self) -> None:
+        """Waits until a request is at the store; raises LogUnavailable if it does not get there."""
+        self.calls += 1
+        plane = self.plane
+        await plane.until_thawed(self.caller)
+        if plane.refused[self.caller]:
+            await asyncio.sleep(STORE_S)
+            raise LogUnavailable("refused")
+        await self.pass_path(self.caller, STORE)
+
+    async def receive(self, answer: T) -> T:
+        """Waits until an answer is at the host, and returns it; raises LogUnavailable if lost."""
+        await self.pass_path(STORE, self.caller)
+        await self.plane.until_thawed(self.caller)
+        return answer
+
+    async def pass_path(self, source: str, destination: str) -> None:
+        """Passes one way between host and store; raises LogUnavailable after the time-out."""
+        if not self.plane.connects(source, destination):
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            raise LogUnavailable("timeout")
+        await asyncio.sleep(self.plane.store_delay_s)
+
+
 class Host:
     """One host's follower, its tasks and its own loads."""
 
@@ -106,6 +171,7 @@
         self.loads: dict[str, tuple[float, float]] = {}
         self.tasks: list[asyncio.Task[Any]] = []
         self.rng = random.Random(number)
+        self.thawed = asyncio.Event()
 
     def start(self, seeds: list[str]) -> None:
         clock = Clock(lambda: asyncio.get_running_loop().time() * 1000, lambda: 0.0)
@@ -113,7 +179,7 @@
         local = Member(self.address, "zone-a", incarnation, 0, leaving=False, store_ok=False)
         self.members = Members(local, seeds)
         self.follower = Follower(
-            self.plane.store,
+            StoreAccess(self.plane, self.address),
             PlatformWire(),
             self.members,
             Network(self.plane, self.address),
@@ -122,8 +188,9 @@
             lambda: self.loads,
             ForwardMetrics(),
             BackgroundTasks(),
-            ChangeBounds(),
+            self.plane.bounds,
         )
+        self.thawed.set()
         self.plane.up[self.address] = self
         self.plane.dark.discard(self.address)
         self.tasks = [asyncio.create_task(self.run())]
@@ -140,6 +207,7 @@
             self.follower.run(Topic.CRASHES),
             self.follower.run_sync(),
             self.exchange(),
+            self.expire(),
         )
 
     async def exchange(self) -> None:
@@ -147,6 +215,11 @@
             await self.follower.exchange_members()
             await asyncio.sleep(EXCHANGE_PERIOD_S)
 
+    async def expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            await self.follower.expire()
+
     def stop(self) -> None:
         """Ends the host without notice."""
         self.plane.up.pop(self.address, None)
@@ -158,6 +231,14 @@
         self.stop()
         self.plane.dark.add(self.address)
 
+    def freeze(self) -> None:
+        """Holds back everything that the host sends or receives until `thaw`."""
+        self.thawed.clear()
+
+    def thaw(self) -> None:
+        """Ends a freeze."""
+        self.thawed.set()
+
     def known_requests(self, engine: str) -> float:
         """Returns the requests on an engine as this host sees them."""
         own = self.loads.get(engine, (0.0, 0.0))[1]
@@ -178,9 +259,12 @@
         plane.bytes[self.caller] += len(sent)
         plane.bytes[address] += len(sent)
         plane.calls[address] += 1
+        await plane.until_thawed(self.caller)
         until = asyncio.get_running_loop().time() + timeout_ms / 1000
-        await asyncio.sleep(LATENCY_S)
+        await asyncio.sleep(plane.delay_s())
+        await self.hang_unless(plane.connects(self.caller, address), address, until)
         await self.hang_if_dark(address, until)
+        await self.wait_for_host(address, until)
         if address not in plane.up or self.caller not in plane.up:
             raise PeerUnavailable(f"{address}: refused")
         host = plane.up[address]
@@ -195,20 +279,44 @@
         received = CODEC.encode(reply, reply_type)
         plane.bytes[address] += len(received)
         plane.bytes[self.caller] += len(received)
-        await asyncio.sleep(LATENCY_S)
+        await self.wait_for_host(address, until)
+        await self.hang_unless(plane.connects(address, self.caller), address, until)
+        await asyncio.sleep(plane.delay_s())
+        await plane.until_thawed(self.caller)
         return CODEC.decode(received, reply_type)
 
     async def hang_if_dark(self, address: str, until: float) -> None:
         """Waits until the call times out if the host that is called has lost power."""
-        if address in self.plane.dark:
+        await self.hang_unless(address not in self.plane.dark, address, until)
+
+    async def hang_unless(self, condition: bool, address: str, until: float) -> None:
+        """Waits until the call times out unless a condition holds. Raises PeerUnavailable."""
+        if not condition:
             await asyncio.sleep(max(0.0, until - asyncio.get_running_loop().time()))
             raise PeerUnavailable(f"{address}: timeout")
 
+    async def wait_for_host(self, address: str, until: float) -> None:
+        """Waits until the host that is called is not frozen. Raises PeerUnavailable."""
+        try:
+            async with asyncio.timeout_at(until):
+                await self.plane.until_thawed(address)
+        except TimeoutError as error:
+            raise PeerUnavailable(f"{address}: timeout") from error
+
 
 class ControlPlane:
-    """Async context manager that runs a number of hosts, all of which know each other."""
+    """Async context manager that runs a number of hosts, all of which know each other.
+
+    `cut` counts the cuts of each path from one address to another, and `refused` the reasons for
+    which the store turns a host away. `store_delay_s` is the time of a message to or from the store
+    beside its work.
+    """
 
-    def __init__(self, hosts: int) -> None:
+    def __init__(self, hosts: int, bounds: ChangeBounds = DEFAULT_BOUNDS) -> None:
+        self.bounds = bounds
+        self.cut: Counter[tuple[str, str]] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.store_delay_s = 0.0
         self.store = Store()
         self.up: dict[str, Host] = {}
         self.dark: set[str] = set()
@@ -217,7 +325,7 @@
         self.incarnations = itertools.count(1)
         self.hosts = [Host(self, number) for number in range(hosts)]
 
-    async def __aenter__(self) -> ControlPlane:
+    async def __aenter__(self) -> Self:
         for host in self.hosts:
             host.start([])
         entries = [host.members.local for host in self.hosts]
@@ -236,6 +344,19 @@
             self.hosts.append(host)
             host.start(seeds)
 
+    def delay_s(self) -> float:
+        """Returns the time of a message from one host to another."""
+        return LATENCY_S
+
+    def connects(self, source: str, destination: str) -> bool:
+        """Returns whether messages pass from one address to another."""
+        return not self.cut[source, destination]
+
+    async def until_thawed(self, address: str) -> None:
+        """Waits while a host is frozen."""
+        if host := self.up.get(address):
+            await host.thawed.wait()
+
     def live(self) -> list[Host]:
         """Returns the hosts that are up."""
         return list(self.up.values())
