Log a request whose configuration has no known age

Callers saw: status 500 at a host that started beside a restored store, for requests that it refuses (503, not run), and an error after the answer for those without a key.

Cause: request_done rounds the age of the configuration, which is infinite there: OverflowError in record_outcome.

Change: an unknown age is left out of the line.

--- a/savoryfork/forward/entry.py
+++ b/savoryfork/forward/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import logging
+import math
 from collections.abc import Callable
 
 import aiohttp
@@ -398,7 +399,7 @@
             read_tokens=round(run.attempt.uncached_tokens) or None if run.attempt else None,
             priority=run.priority,
             config_version=run.version,
-            config_age_ms=round(run.config_age_ms),
+            config_age_ms=round(run.config_age_ms) if math.isfinite(run.config_age_ms) else None,
             offers=",".join(f"{o.target}:{o.outcome}" for o in run.offers) or None,
             took_ms=round(took_ms),
             staged_ms=round(run.stages_done_at - run.received_at) if run.stages_done_at else None,
--- a/tests/forward/test_gate.py
+++ b/tests/forward/test_gate.py
@@ -1,6 +1,7 @@
 """Which requests are admitted on routes that need no key."""
 
 import asyncio
+import math
 from typing import Any
 
 import pytest
@@ -107,6 +108,14 @@
         assert (await deployment.call("/open/x", keys=(), Request_Id="a"))[0] == 200
         assert tenants(deployment) == {"a": None}
 
+    async def test_host_that_has_never_trusted_its_configuration(self, deployment):
+        """Guards against an infinite age in the log line of a request, which ended it with 500."""
+        deployment.hosts[0].follower.config_age_ms = lambda: math.inf
+        assert (await deployment.call("/open/x"))[0] == 503
+        assert (await deployment.call("/view/x"))[0] == 503
+        assert (await deployment.call("/open/x", keys=(), Request_Id="a"))[:2] == (200, b"done ")
+        assert tenants(deployment) == {"a": None}
+
     async def test_frozen_host_does_not_vouch_for_a_key(self, deployment):
         """Guards against requests that are read as the host wakes, before any timer has fired."""
         host = deployment.hosts[0]
