--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -74,7 +74,10 @@
 
 def sweep(sizes: Sequence[int]) -> None:
     """Plots the greatest age of the configuration against the number of hosts without power."""
-    plotext.clear_figure()
+    figure = plotext.figure
+    figure.clear()
+    figure.theme("colorless")
+    figure.plot_size(90, 24)
     for hosts in sizes:
         lost = [round(share * hosts) for share in SWEEP_SHARES]
         lags = []
@@ -82,10 +85,12 @@
             plan = [PowerLoss(SWEEP_AT_S, tuple(range(count)), 0.0, 0.0)] if count else []
             lags.append(play(FLAGS.seed, hosts, plan).max_lag_s)
             print(json.dumps({"hosts": hosts, "lost": count, "max_lag_s": round(lags[-1], 3)}))
-        plotext.plot(list(SWEEP_SHARES), lags, label=f"{hosts} hosts")
-    plotext.title("greatest age of the configuration (s) against the share of hosts without power")
-    plotext.plotsize(90, 24)
-    plotext.show()
+        signal = figure.signal(list(SWEEP_SHARES), lags)
+        signal.lines()
+        signal.label(f"{hosts} hosts")
+        figure.draw(signal)
+    figure.title("greatest age of the configuration (s) against the share of hosts without power")
+    print(plotext.uncolorize(figure.build()))
 
 
 def main(argv: list[str]) -> int:
--- a/tests/simulation/test_run.py
+++ b/tests/simulation/test_run.py
@@ -97,3 +97,13 @@
         lines = [json.loads(line) for line in done.stdout.splitlines() if line.startswith("{")]
         assert len(lines) == 40 and not any(line["broken"] for line in lines), done.stdout[-3000:]
         assert done.returncode == 0
+
+    def test_sweep_prints_its_points_and_a_plot(self):
+        """Guards against a plot by functions that the library does not have."""
+        command = [sys.executable, "-m", "simulation", "--sweep", "--hosts=3"]
+        done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+        )
+        assert done.returncode == 0, done.stderr[-2000:]
+        points = [line for line in done.stdout.splitlines() if line.startswith("{")]
+        assert len(points) == 6 and "3 hosts" in done.stdout
